Add the stand-in for the platform's configuration service and VM list

Tests of the control role need a configuration service and a VM list that can be changed, frozen and taken down. standin-platform serves both with long polls, counts reads of the configuration and is controlled over HTTP; docs/platform.md is the protocol that the nodes rely on.

--- /dev/null
+++ b/tests/support/standin-platform/platform.cpp
@@ -0,0 +1,177 @@
+#include "platform.h"
+
+#include <QHostAddress>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QTimer>
+#include <QUrlQuery>
+#include <utility>
+#include <vector>
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr std::size_t kBodyBudgetBytes = 64UL * 1024UL * 1024UL;
+constexpr std::size_t kBodyLimitBytes = 4UL * 1024UL * 1024UL;
+constexpr std::string_view kVersionHeader = "Damaskhollow-Version";
+
+std::uint64_t Number(const QUrl& url, const char* name) {
+  return QUrlQuery(url).queryItemValue(name).toULongLong();
+}
+
+bool IsOn(const QUrl& url) { return QUrlQuery(url).queryItemValue("on") == "1"; }
+
+}  // namespace
+
+Platform::Platform() : m_budget(kBodyBudgetBytes) {
+  m_current[static_cast<std::size_t>(Resource::kVms)].body = R"({"version": 0, "vms": []})";
+}
+
+bool Platform::Open(const Endpoint& endpoint) {
+  return listen(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
+}
+
+void Platform::incomingConnection(qintptr descriptor) {
+  const ConnectionId id{++m_last_connection};
+  m_connections.emplace(
+      id, std::make_unique<CallerConnection>(id, descriptor, CallerLimits{}, m_budget, *this));
+}
+
+std::size_t Platform::BodyLimit(const HttpRequest&) const { return kBodyLimitBytes; }
+
+void Platform::OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) {
+  m_budget.Release(body_bytes);
+  const QUrl url(QString::fromStdString(request.target));
+  const QString path = url.path();
+  if (path.startsWith("/control/")) return Control(connection, request, url);
+  if (path == "/v1/configuration") return Read(connection, Resource::kConfiguration, url);
+  if (path == "/v1/vms") return Read(connection, Resource::kVms, url);
+  Answer(connection, 404, "");
+}
+
+void Platform::OnBadRequest(ConnectionId connection, Reason) { Answer(connection, 400, ""); }
+
+void Platform::OnBodySent(ConnectionId, std::size_t) {}
+
+void Platform::OnCallerGone(ConnectionId connection) {
+  std::erase_if(m_waiting,
+                [&](const auto& entry) { return entry.second.connection == connection; });
+  auto found = m_connections.extract(connection);
+  if (!found.empty()) found.mapped().release()->deleteLater();
+}
+
+void Platform::Read(ConnectionId connection, Resource resource, const QUrl& url) {
+  if (resource == Resource::kConfiguration) ++m_reads;
+  if (m_is_down) return m_connections.at(connection)->Abort();
+  if (!QUrlQuery(url).hasQueryItem("after")) return AnswerValue(connection, resource);
+  const std::uint64_t after = Number(url, "after");
+  if (Served(resource).version > after) return AnswerValue(connection, resource);
+  const std::uint64_t wait = ++m_last_wait;
+  m_waiting[wait] = WaitingRead{connection, resource, after};
+  QTimer::singleShot(static_cast<int>(Number(url, "wait_ms")), this,
+                     [this, wait] { EndWait(wait); });
+}
+
+void Platform::EndWait(std::uint64_t wait) {
+  const auto ended = m_waiting.extract(wait);
+  if (ended.empty()) return;
+  AnswerNotModified(ended.mapped().connection, ended.mapped().resource);
+}
+
+void Platform::AnswerWaitingReads() {
+  std::vector<WaitingRead> due;
+  std::erase_if(m_waiting, [&](const auto& entry) {
+    const WaitingRead& read = entry.second;
+    if (Served(read.resource).version <= read.after) return false;
+    due.push_back(read);
+    return true;
+  });
+  for (const WaitingRead& read : due) AnswerValue(read.connection, read.resource);
+}
+
+void Platform::Control(ConnectionId connection, const HttpRequest& request, const QUrl& url) {
+  const QString path = url.path();
+  if (path == "/control/configuration") return PutConfiguration(connection, request);
+  if (path == "/control/vms") return PutVms(connection, request);
+  if (path == "/control/reads") {
+    return Answer(connection, 200, "{\"reads\": " + std::to_string(m_reads) + "}");
+  }
+  if (path == "/control/down") {
+    SetDown(IsOn(url));
+  } else if (path == "/control/frozen") {
+    SetFrozen(IsOn(url));
+  } else {
+    return Answer(connection, 404, "");
+  }
+  Answer(connection, 200, "");
+}
+
+void Platform::PutConfiguration(ConnectionId connection, const HttpRequest& request) {
+  const std::string version(FindHeader(request.headers, kVersionHeader));
+  Value& value = m_current[static_cast<std::size_t>(Resource::kConfiguration)];
+  value = Value{QByteArray::fromStdString(version).toULongLong(), request.body};
+  Answer(connection, 200, "");
+  AnswerWaitingReads();
+}
+
+void Platform::PutVms(ConnectionId connection, const HttpRequest& request) {
+  const QJsonObject json =
+      QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
+  if (!json.contains("version")) return Answer(connection, 400, "");
+  const auto version = static_cast<std::uint64_t>(json.value("version").toInteger());
+  m_current[static_cast<std::size_t>(Resource::kVms)] = Value{version, request.body};
+  Answer(connection, 200, "");
+  AnswerWaitingReads();
+}
+
+void Platform::SetDown(bool is_down) {
+  m_is_down = is_down;
+  if (!is_down) return;
+  const std::map<std::uint64_t, WaitingRead> cut = std::exchange(m_waiting, {});
+  for (const auto& [wait, read] : cut) m_connections.at(read.connection)->Abort();
+}
+
+void Platform::SetFrozen(bool is_frozen) {
+  if (!m_is_frozen) m_at_freeze = m_current;
+  m_is_frozen = is_frozen;
+  AnswerWaitingReads();
+}
+
+void Platform::AnswerValue(ConnectionId connection, Resource resource) {
+  const Value& value = Served(resource);
+  HttpResponseHead head;
+  head.status = 200;
+  head.content_length = value.body.size();
+  head.headers.push_back({std::string(kVersionHeader), std::to_string(value.version)});
+  CallerConnection& caller = *m_connections.at(connection);
+  caller.StartAnswer(head);
+  caller.SendBody(value.body);
+  caller.FinishAnswer();
+}
+
+void Platform::AnswerNotModified(ConnectionId connection, Resource resource) {
+  HttpResponseHead head;
+  head.status = 304;
+  head.headers.push_back({std::string(kVersionHeader), std::to_string(Served(resource).version)});
+  CallerConnection& caller = *m_connections.at(connection);
+  caller.StartAnswer(head);
+  caller.FinishAnswer();
+}
+
+void Platform::Answer(ConnectionId connection, int status, std::string_view body) {
+  HttpResponseHead head;
+  head.status = status;
+  head.content_length = body.size();
+  CallerConnection& caller = *m_connections.at(connection);
+  caller.StartAnswer(head);
+  caller.SendBody(body);
+  caller.FinishAnswer();
+}
+
+const Platform::Value& Platform::Served(Resource resource) const {
+  const Values& values = m_is_frozen ? m_at_freeze : m_current;
+  return values[static_cast<std::size_t>(resource)];
+}
+
+}  // namespace damaskhollow::test
--- /dev/null
+++ b/tests/support/standin-platform/platform.h
@@ -0,0 +1,80 @@
+#ifndef DAMASKHOLLOW_TESTS_SUPPORT_STANDIN_PLATFORM_PLATFORM_H_
+#define DAMASKHOLLOW_TESTS_SUPPORT_STANDIN_PLATFORM_PLATFORM_H_
+
+#include <QTcpServer>
+#include <QUrl>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/endpoint.h"
+#include "http/bodybudget.h"
+#include "http/callerconnection.h"
+
+namespace damaskhollow::test {
+
+// Stand-in for the platform's configuration service and VM list (docs/platform.md).
+class Platform : public QTcpServer, public CallerEvents {
+ public:
+  Platform();
+
+  bool Open(const Endpoint& endpoint);
+
+ private:
+  enum class Resource { kConfiguration, kVms };
+
+  struct Value {
+    std::uint64_t version = 0;
+    std::string body;
+  };
+
+  using Values = std::array<Value, 2>;  // Indexed by Resource.
+
+  // A read that is answered when a newer version comes or its wait ends.
+  struct WaitingRead {
+    ConnectionId connection;
+    Resource resource = Resource::kConfiguration;
+    std::uint64_t after = 0;
+  };
+
+  void incomingConnection(qintptr descriptor) override;
+
+  // CallerEvents
+  std::size_t BodyLimit(const HttpRequest& head) const override;
+  void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
+  void OnBadRequest(ConnectionId connection, Reason reason) override;
+  void OnBodySent(ConnectionId connection, std::size_t bytes) override;
+  void OnCallerGone(ConnectionId connection) override;
+
+  void Read(ConnectionId connection, Resource resource, const QUrl& url);
+  void EndWait(std::uint64_t wait);
+  void AnswerWaitingReads();
+  void Control(ConnectionId connection, const HttpRequest& request, const QUrl& url);
+  void PutConfiguration(ConnectionId connection, const HttpRequest& request);
+  void PutVms(ConnectionId connection, const HttpRequest& request);
+  void SetDown(bool is_down);
+  void SetFrozen(bool is_frozen);
+  void AnswerValue(ConnectionId connection, Resource resource);
+  void AnswerNotModified(ConnectionId connection, Resource resource);
+  void Answer(ConnectionId connection, int status, std::string_view body);
+  const Value& Served(Resource resource) const;
+
+  std::map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
+  std::map<std::uint64_t, WaitingRead> m_waiting;
+  std::uint64_t m_last_connection = 0;
+  std::uint64_t m_last_wait = 0;
+  std::uint64_t m_reads = 0;
+  Values m_current;
+  Values m_at_freeze;
+  bool m_is_down = false;
+  bool m_is_frozen = false;
+  BodyBudget m_budget;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_SUPPORT_STANDIN_PLATFORM_PLATFORM_H_
