Add the pure decisions on configuration versions, readers, fetches and membership

Nodes had no rule for which version is in force, who reads the configuration service, or which servers may get work.

A region's later readers learn from rumours that a version exists that their first reader did not bring, so that a silent connection to the store delays no change.

Simulated with the product's decisions at 1,200 nodes in 2 regions and 5 data centres: every change was held everywhere within 5 s, reads stayed within readers x (1/30 + changes), and one copy per change crossed the paid link when the store's region is known.

--- /dev/null
+++ b/src/libs/configuration/freshstart.cpp
@@ -0,0 +1,40 @@
+#include "configuration/freshstart.h"
+
+namespace damaskhollow {
+
+namespace {
+
+// Covers two connection attempts and the handshakes between regions.
+constexpr std::chrono::milliseconds kPeerWait{1500};
+// Spreads the reads of a fleet that starts all at once.
+constexpr std::chrono::milliseconds kReadSpread{3000};
+constexpr std::chrono::milliseconds kSeedReadSpread{200};
+
+Duration Spread(Duration longest, RandomSource& random) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(longest.count()) * random.Unit()));
+}
+
+}  // namespace
+
+FreshStart::FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now)
+    : m_read_store_at(now + Spread(kSeedReadSpread, random)) {
+  if (has_seeds && is_seed) m_read_store_at += kPeerWait;
+  if (has_seeds && !is_seed) m_read_store_at += kPeerWait + Spread(kReadSpread, random);
+}
+
+void FreshStart::NoteCandidate(TimePoint now) {
+  if (!m_candidate_since) m_candidate_since = now;
+}
+
+FreshStart::Step FreshStart::Next(const PeersAsked& peers, TimePoint now) const {
+  if (m_candidate_since) {
+    const bool all_answered = peers.answered >= peers.asked;
+    const bool is_late = now >= *m_candidate_since + kPeerWait;
+    if (peers.holds_newer && !is_late) return Step::kFetchFromPeer;
+    return all_answered || is_late ? Step::kApplyCandidate : Step::kAskPeers;
+  }
+  if (peers.holds_newer) return Step::kFetchFromPeer;
+  return now < m_read_store_at ? Step::kAskSeeds : Step::kReadStore;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/configuration/freshstart.h
@@ -0,0 +1,47 @@
+#ifndef DAMASKHOLLOW_CONFIGURATION_FRESHSTART_H_
+#define DAMASKHOLLOW_CONFIGURATION_FRESHSTART_H_
+
+#include <cstddef>
+#include <optional>
+
+#include "base/randomsource.h"
+#include "base/time.h"
+
+namespace damaskhollow {
+
+// How far the peers that a fresh node asks have answered.
+struct PeersAsked {
+  std::size_t asked = 0;
+  std::size_t answered = 0;  // Linked, so that their versions are known.
+  bool holds_newer = false;  // One of them holds a version above the candidate's.
+};
+
+// The order in which a node without any configuration looks for one. It asks peers before it trusts
+// the service, as the service may serve an old version that its peers have left behind.
+class FreshStart {
+ public:
+  enum class Step {
+    kAskSeeds,        // Wait for the peers named in the settings.
+    kReadStore,       // Read the service, for a first inventory.
+    kAskPeers,        // Ask the peers named in what the service gave.
+    kApplyCandidate,  // No peer holds a newer version: take what the service gave.
+    kFetchFromPeer,   // A peer holds a newer version: take that.
+  };
+
+  // `is_seed` says that other nodes ask this one; it then reads the service at once, so that one
+  // copy serves all that wait for it.
+  FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now);
+
+  // The service answered; the value is not in force yet.
+  void NoteCandidate(TimePoint now);
+
+  Step Next(const PeersAsked& peers, TimePoint now) const;
+
+ private:
+  TimePoint m_read_store_at;
+  std::optional<TimePoint> m_candidate_since;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_CONFIGURATION_FRESHSTART_H_
--- /dev/null
+++ b/src/libs/configuration/readerelection.h
@@ -0,0 +1,50 @@
+#ifndef DAMASKHOLLOW_CONFIGURATION_READERELECTION_H_
+#define DAMASKHOLLOW_CONFIGURATION_READERELECTION_H_
+
+#include <cstddef>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "fleet/fleetnode.h"
+
+namespace damaskhollow {
+
+// Readers of the configuration service in each data centre. Two, so that the loss of one or a
+// silent connection delays no change.
+inline constexpr std::size_t kReadersPerDataCentre = 2;
+
+// What a node does towards the configuration service.
+enum class ReaderRole {
+  kFollower,  // Reads from peers only.
+  kStandby,   // Looks once in 30 s; otherwise waits for the region's first reader.
+  kWatcher,   // Watches the service.
+};
+
+// The name shown in the status: follower, standby or watcher.
+std::string_view ReaderRoleName(ReaderRole role);
+
+// The place of one node in the reading order.
+struct ReaderPlace {
+  ReaderRole role = ReaderRole::kFollower;
+  std::vector<BackendServerId> region_readers;  // Of the node's region, first fetcher first.
+};
+
+// The live nodes of a data centre in the order in which they become readers. Each node comes to the
+// same order from the same live nodes, and the loss of one moves only its successors.
+std::vector<BackendServerId> ReaderOrder(std::span<const FleetNode> live,
+                                         const DataCentreId& data_centre);
+
+// The readers of a region, in the order in which they fetch over the paid link.
+std::vector<BackendServerId> RegionReaders(std::span<const FleetNode> live, const RegionId& region);
+
+// The place of `self`. `store_region` is the region of the configuration service; if it is empty,
+// each reader watches. In a region far from it only the first reader watches, so that a change
+// crosses the paid link once.
+ReaderPlace PlaceOf(std::span<const FleetNode> live, const FleetNode& self,
+                    const RegionId& store_region);
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_CONFIGURATION_READERELECTION_H_
--- /dev/null
+++ b/src/libs/fleet/fleetview.cpp
@@ -0,0 +1,160 @@
+#include "fleet/fleetview.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr std::chrono::seconds kGoneAfter{10};
+constexpr std::chrono::seconds kDoubtTime{30};
+constexpr std::size_t kDoubtReads = 3;
+// Request ids are remembered for 10 minutes; the rest covers clock differences and list lag.
+constexpr std::chrono::minutes kRemovedKept{15};
+
+// Whether `statement` is later than `known`. A restarted node begins a new sequence.
+bool IsLater(const PeerStatement& statement, const PeerStatement& known) {
+  if (statement.incarnation == known.incarnation) return statement.sequence > known.sequence;
+  return statement.started_ms > known.started_ms;
+}
+
+}  // namespace
+
+std::string_view StandingName(Standing standing) {
+  static constexpr std::array<std::string_view, 5> kNames{"live", "draining", "leaving", "gone",
+                                                          "unreachable"};
+  return kNames[static_cast<std::size_t>(standing)];
+}
+
+bool MayGetWork(Standing standing) {
+  return standing == Standing::kLive || standing == Standing::kUnreachable;
+}
+
+FleetView::Member* FleetView::FindMember(const BackendServerId& server) {
+  const auto found = m_members.find(server);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+const FleetView::Member* FleetView::FindMember(const BackendServerId& server) const {
+  const auto found = m_members.find(server);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+void FleetView::SetInventory(std::span<const FleetNode> nodes, TimePoint now, WallTime wall) {
+  m_inventory.assign(nodes.begin(), nodes.end());
+  for (auto& [id, member] : m_members) {
+    if (!member.removed) member.removed = now;
+  }
+  for (const FleetNode& node : m_inventory) {
+    const auto [entry, is_new] = m_members.try_emplace(node.id);
+    entry->second.removed.reset();
+    if (is_new && m_has_list) NoteListed(node.id, entry->second, now, wall);
+  }
+  std::erase_if(m_members, [&](const auto& entry) {
+    return entry.second.removed && now - *entry.second.removed > kRemovedKept;
+  });
+}
+
+FleetView::ListResult FleetView::NoteList(std::vector<VmEntry> entries, TimePoint now,
+                                          WallTime wall) {
+  std::map<BackendServerId, bool> listed;
+  for (VmEntry& entry : entries) listed[std::move(entry.server)] = entry.leaving;
+  if (IsDoubtful(listed)) {
+    if (!m_doubted) m_doubted = DoubtedList{now, 0};
+    ++m_doubted->reads;
+    if (!IsConfirmed(listed, now)) return ListResult::kDoubted;
+  }
+  m_doubted.reset();
+  TakeList(listed, now, wall);
+  return ListResult::kTaken;
+}
+
+bool FleetView::IsDoubtful(const std::map<BackendServerId, bool>& listed) const {
+  return listed.empty() || listed.size() * 2 < m_listed.size();
+}
+
+bool FleetView::IsConfirmed(const std::map<BackendServerId, bool>& listed, TimePoint now) const {
+  if (m_doubted->reads < kDoubtReads || now - m_doubted->since < kDoubtTime) return false;
+  return std::none_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
+    return entry.second.link == Link::kUp && !listed.contains(entry.first);
+  });
+}
+
+void FleetView::TakeList(const std::map<BackendServerId, bool>& listed, TimePoint now,
+                         WallTime wall) {
+  m_listed = listed;
+  m_has_list = true;
+  for (auto& [id, member] : m_members) NoteListed(id, member, now, wall);
+}
+
+void FleetView::NoteListed(const BackendServerId& server, Member& member, TimePoint now,
+                           WallTime wall) const {
+  const auto found = m_listed.find(server);
+  if (found != m_listed.end()) {
+    member.leaving = found->second;
+    member.absent_since.reset();
+    member.absent_since_wall.reset();
+    return;
+  }
+  member.leaving = false;
+  if (!member.absent_since) member.absent_since = now;
+  if (!member.absent_since_wall) member.absent_since_wall = wall;
+}
+
+bool FleetView::NoteStatement(const PeerStatement& statement) {
+  Member* member = FindMember(statement.server);
+  if (member == nullptr) return false;
+  if (member->statement && !IsLater(statement, *member->statement)) return false;
+  member->statement = statement;
+  return true;
+}
+
+void FleetView::NoteLinkUp(const BackendServerId& server) {
+  if (Member* member = FindMember(server); member != nullptr) member->link = Link::kUp;
+}
+
+void FleetView::NoteLinkDown(const BackendServerId& server) {
+  if (Member* member = FindMember(server); member != nullptr) member->link = Link::kDown;
+}
+
+void FleetView::NoteLinkClosed(const BackendServerId& server) {
+  if (Member* member = FindMember(server); member != nullptr) member->link = Link::kUnknown;
+}
+
+Standing FleetView::StandingOf(const BackendServerId& server, TimePoint now) const {
+  const Member* member = FindMember(server);
+  if (member == nullptr || member->removed) return Standing::kGone;
+  if (member->statement && member->statement->draining) return Standing::kDraining;
+  if (member->leaving) return Standing::kLeaving;
+  const bool is_linked = member->link == Link::kUp;
+  if (member->absent_since && is_linked) return Standing::kLeaving;
+  if (member->absent_since && now - *member->absent_since >= kGoneAfter) return Standing::kGone;
+  return member->link == Link::kDown ? Standing::kUnreachable : Standing::kLive;
+}
+
+std::optional<WallTime> FleetView::AbsentSince(const BackendServerId& server) const {
+  const Member* member = FindMember(server);
+  return member == nullptr ? std::nullopt : member->absent_since_wall;
+}
+
+const PeerStatement* FleetView::StatementOf(const BackendServerId& server) const {
+  const Member* member = FindMember(server);
+  return member == nullptr || !member->statement ? nullptr : &*member->statement;
+}
+
+bool FleetView::HasLiveLink(const BackendServerId& server) const {
+  const Member* member = FindMember(server);
+  return member != nullptr && member->link == Link::kUp;
+}
+
+std::vector<FleetNode> FleetView::LiveNodes(TimePoint now) const {
+  std::vector<FleetNode> live;
+  for (const FleetNode& node : m_inventory) {
+    if (StandingOf(node.id, now) == Standing::kLive) live.push_back(node);
+  }
+  return live;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/fleet/linkplan.cpp
@@ -0,0 +1,48 @@
+#include "fleet/linkplan.h"
+
+#include <algorithm>
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr std::chrono::seconds kIdleClose{60};
+
+void AddUpToLimit(std::set<BackendServerId>& wanted, std::span<const BackendServerId> servers) {
+  for (const BackendServerId& server : servers) {
+    if (wanted.size() >= kMaxLinks) return;
+    wanted.insert(server);
+  }
+}
+
+}  // namespace
+
+void LinkPlan::NoteUse(const ServiceId& service, TimePoint now) { m_last_use[service] = now; }
+
+std::vector<ServiceId> LinkPlan::UsedServices(TimePoint now) const {
+  std::vector<std::pair<TimePoint, ServiceId>> recent;
+  for (const auto& [service, used] : m_last_use) {
+    if (now - used < kIdleClose) recent.emplace_back(used, service);
+  }
+  std::sort(recent.begin(), recent.end(), std::greater<>());
+  std::vector<ServiceId> services;
+  services.reserve(recent.size());
+  for (const auto& [used, service] : recent) services.push_back(service);
+  return services;
+}
+
+std::set<BackendServerId> LinkPlan::Wanted(const LinkNeeds& needs, TimePoint now) const {
+  if (needs.inventory.size() < kAllLinksNodes) {
+    return {needs.inventory.begin(), needs.inventory.end()};
+  }
+  std::set<BackendServerId> wanted;
+  AddUpToLimit(wanted, needs.control);
+  AddUpToLimit(wanted, needs.own_service);
+  for (const ServiceId& service : UsedServices(now)) {
+    const auto subset = needs.subsets.find(service);
+    if (subset != needs.subsets.end()) AddUpToLimit(wanted, subset->second);
+  }
+  return wanted;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/fleet/linkplan.h
@@ -0,0 +1,49 @@
+#ifndef DAMASKHOLLOW_FLEET_LINKPLAN_H_
+#define DAMASKHOLLOW_FLEET_LINKPLAN_H_
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace damaskhollow {
+
+// Links that one node dials at most. With 28 to 32 KB each, 150 leave room in 32 MB.
+inline constexpr std::size_t kMaxLinks = 150;
+
+// Fleets up to this size open all links.
+inline constexpr std::size_t kAllLinksNodes = 50;
+
+// What a node's links depend on.
+struct LinkNeeds {
+  std::vector<BackendServerId> inventory;    // Without this node.
+  std::vector<BackendServerId> control;      // Overlay neighbours and other readers.
+  std::vector<BackendServerId> own_service;  // Asked about request ids.
+  std::map<ServiceId, std::vector<BackendServerId>> subsets;  // Of the services in use.
+};
+
+// Decides which links a node dials. Links follow what the node uses: a service's subset is opened
+// on the first call to it and closed when there was none for 60 s.
+class LinkPlan {
+ public:
+  // Notes that a call to `service` was routed.
+  void NoteUse(const ServiceId& service, TimePoint now);
+
+  // The services that were called in the last 60 s, the latest first.
+  std::vector<ServiceId> UsedServices(TimePoint now) const;
+
+  // The links to have now, at most kMaxLinks; control links first, then those of the own service,
+  // then those of the services called last.
+  std::set<BackendServerId> Wanted(const LinkNeeds& needs, TimePoint now) const;
+
+ private:
+  std::map<ServiceId, TimePoint> m_last_use;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_FLEET_LINKPLAN_H_
--- /dev/null
+++ b/tests/auto/configuration/tst_fetchplan.cpp
@@ -0,0 +1,202 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+#include "configuration/fetchplan.h"
+#include "configuration/freshstart.h"
+#include "configuration/parttransfer.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const FleetNode self_node{BackendServerId("self"), RegionId("far"), DataCentreId("far-1")};
+const FleetNode same_data_centre{BackendServerId("a"), RegionId("far"), DataCentreId("far-1")};
+const FleetNode same_region{BackendServerId("b"), RegionId("far"), DataCentreId("far-2")};
+const FleetNode other_region{BackendServerId("c"), RegionId("near"), DataCentreId("near-1")};
+
+TimePoint At(milliseconds since_start) { return TimePoint(seconds(1000)) + since_start; }
+
+ReaderPlace PlaceWith(ReaderRole role, std::vector<BackendServerId> readers) {
+  return ReaderPlace{role, std::move(readers)};
+}
+
+}  // namespace
+
+class FetchPlanTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FetchPlanTest);
+  CPPUNIT_TEST(PrefersNearPeers);
+  CPPUNIT_TEST(OnlyReadersCrossThePaidLinkInTurn);
+  CPPUNIT_TEST(FailedPeerIsPassedOver);
+  CPPUNIT_TEST(RolesDecideStoreReads);
+  CPPUNIT_TEST(UnchangedReadsAreSpacedOut);
+  CPPUNIT_TEST(BacksOffFromFailingStore);
+  CPPUNIT_TEST(TransferCollectsParts);
+  CPPUNIT_TEST(TransferRefusesInconsistentParts);
+  CPPUNIT_TEST(FreshNodeAsksPeersFirst);
+  CPPUNIT_TEST(FreshNodePrefersPeersToStaleStore);
+  CPPUNIT_TEST(FleetRestartTakesStoreVersion);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PrefersNearPeers() {
+    FetchPlan plan(self_node);
+    RandomSource random(1);
+    plan.NotePeer(other_region, 5, At(milliseconds(0)));
+    plan.NotePeer(same_region, 5, At(milliseconds(0)));
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == same_region.id);
+    plan.NotePeer(same_data_centre, 5, At(milliseconds(0)));
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == same_data_centre.id);
+    plan.NotePeer(same_region, 6, At(milliseconds(0)));
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == same_region.id);
+    plan.NoteSeen(6);
+    CPPUNIT_ASSERT(!plan.PeerToAsk(random, At(milliseconds(0))));
+  }
+
+  // Guards against each node of a far region fetching its own copy over the paid link.
+  void OnlyReadersCrossThePaidLinkInTurn() {
+    RandomSource random(1);
+    FetchPlan follower(self_node);
+    follower.SetPlace(PlaceWith(ReaderRole::kFollower, {same_region.id}), At(milliseconds(0)));
+    follower.NotePeer(other_region, 5, At(milliseconds(0)));
+    CPPUNIT_ASSERT(!follower.PeerToAsk(random, At(seconds(60))));
+
+    FetchPlan second(self_node);
+    second.SetPlace(PlaceWith(ReaderRole::kStandby, {same_region.id, self_node.id}),
+                    At(milliseconds(0)));
+    second.NotePeer(other_region, 5, At(milliseconds(0)));
+    CPPUNIT_ASSERT(!second.PeerToAsk(random, At(milliseconds(599))));
+    CPPUNIT_ASSERT(second.PeerToAsk(random, At(milliseconds(600))) == other_region.id);
+  }
+
+  void FailedPeerIsPassedOver() {
+    FetchPlan plan(self_node);
+    RandomSource random(1);
+    plan.NotePeer(same_data_centre, 5, At(milliseconds(0)));
+    plan.NotePeer(same_region, 5, At(milliseconds(0)));
+    plan.NotePeerFailed(same_data_centre.id, At(milliseconds(0)));
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(1))) == same_region.id);
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(seconds(2))) == same_data_centre.id);
+  }
+
+  void RolesDecideStoreReads() {
+    struct Row {
+      ReaderRole role;
+      bool reads;
+      milliseconds wait;
+    };
+    static constexpr std::array kRows{Row{ReaderRole::kFollower, false, milliseconds(0)},
+                                      Row{ReaderRole::kStandby, true, milliseconds(0)},
+                                      Row{ReaderRole::kWatcher, true, kStoreReadInterval}};
+    for (const Row& row : kRows) {
+      FetchPlan plan(self_node);
+      plan.SetPlace(PlaceWith(row.role, {self_node.id}), At(milliseconds(0)));
+      plan.NoteSeen(4);
+      const auto read = plan.StoreReadDue(At(milliseconds(0)));
+      CPPUNIT_ASSERT_EQUAL(row.reads, read.has_value());
+      if (!read) continue;
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, read->after);
+      CPPUNIT_ASSERT(row.wait == read->wait);
+    }
+  }
+
+  // Guards against a store that ends waits at once and is then read in a loop.
+  void UnchangedReadsAreSpacedOut() {
+    FetchPlan plan(self_node);
+    plan.SetPlace(PlaceWith(ReaderRole::kWatcher, {self_node.id}), At(milliseconds(0)));
+    plan.NoteStoreReadStarted(At(milliseconds(0)));
+    CPPUNIT_ASSERT(!plan.StoreReadDue(At(seconds(60))));
+    plan.NoteStoreUnchanged(At(milliseconds(1)));
+    CPPUNIT_ASSERT(!plan.StoreReadDue(At(seconds(29))));
+    CPPUNIT_ASSERT(plan.StoreReadDue(At(seconds(30))).has_value());
+    plan.NoteStoreReadStarted(At(seconds(30)));
+    plan.NoteStoreChanged(At(seconds(31)));
+    CPPUNIT_ASSERT(plan.StoreReadDue(At(seconds(31))).has_value());
+  }
+
+  void BacksOffFromFailingStore() {
+    FetchPlan plan(self_node);
+    RandomSource random(7);
+    plan.SetPlace(PlaceWith(ReaderRole::kWatcher, {self_node.id}), At(milliseconds(0)));
+    milliseconds now{0};
+    int reads = 0;
+    for (; now < seconds(60); now += milliseconds(10)) {
+      if (!plan.StoreReadDue(At(now))) continue;
+      plan.NoteStoreReadStarted(At(now));
+      plan.NoteStoreFailed(random, At(now));
+      ++reads;
+    }
+    CPPUNIT_ASSERT(!plan.StoreAnswers());
+    CPPUNIT_ASSERT(reads >= 60 / 5);
+    CPPUNIT_ASSERT(reads <= 4 + 2 * 60 / 5);
+  }
+
+  void TransferCollectsParts() {
+    const std::string text(kPartBytes * 2 + 17, 'x');
+    PartTransfer transfer(same_region.id, 3, At(milliseconds(0)));
+    auto progress = PartTransfer::Progress::kAskNext;
+    for (int part = 0; part < 3; ++part) {
+      CPPUNIT_ASSERT(progress == PartTransfer::Progress::kAskNext);
+      progress = transfer.Add(PartOf(3, text, transfer.NextOffset()), At(milliseconds(part)));
+    }
+    CPPUNIT_ASSERT(progress == PartTransfer::Progress::kComplete);
+    CPPUNIT_ASSERT(transfer.Text() == text);
+  }
+
+  // Guards against a document that is put together from two versions.
+  void TransferRefusesInconsistentParts() {
+    const std::string old_text(kPartBytes * 2, 'o');
+    const std::string new_text(kPartBytes, 'n');
+    PartTransfer transfer(same_region.id, 3, At(milliseconds(0)));
+    transfer.Add(PartOf(3, old_text, 0), At(milliseconds(0)));
+    CPPUNIT_ASSERT(transfer.Add(PartOf(4, new_text, kPartBytes), At(milliseconds(1))) ==
+                   PartTransfer::Progress::kIgnored);
+    CPPUNIT_ASSERT(transfer.Add(PartOf(4, new_text, 0), At(milliseconds(1))) ==
+                   PartTransfer::Progress::kComplete);
+    CPPUNIT_ASSERT(transfer.Text() == new_text);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, transfer.Version());
+    PartTransfer older(same_region.id, 3, At(milliseconds(0)));
+    CPPUNIT_ASSERT(older.Add(PartOf(2, old_text, 0), At(milliseconds(0))) ==
+                   PartTransfer::Progress::kFailed);
+    CPPUNIT_ASSERT(!older.IsStalled(At(milliseconds(999))));
+    CPPUNIT_ASSERT(older.IsStalled(At(milliseconds(1001))));
+  }
+
+  void FreshNodeAsksPeersFirst() {
+    RandomSource random(3);
+    const FreshStart start(true, false, random, At(milliseconds(0)));
+    CPPUNIT_ASSERT(start.Next({2, 0, false}, At(milliseconds(1400))) ==
+                   FreshStart::Step::kAskSeeds);
+    CPPUNIT_ASSERT(start.Next({2, 1, true}, At(milliseconds(100))) ==
+                   FreshStart::Step::kFetchFromPeer);
+    CPPUNIT_ASSERT(start.Next({2, 0, false}, At(seconds(10))) == FreshStart::Step::kReadStore);
+  }
+
+  // Guards against a restarted node that puts the version of a stale store into force although its
+  // peers hold a newer one.
+  void FreshNodePrefersPeersToStaleStore() {
+    RandomSource random(3);
+    FreshStart start(false, false, random, At(milliseconds(0)));
+    CPPUNIT_ASSERT(start.Next({}, At(seconds(1))) == FreshStart::Step::kReadStore);
+    start.NoteCandidate(At(seconds(1)));
+    CPPUNIT_ASSERT(start.Next({4, 0, false}, At(seconds(1))) == FreshStart::Step::kAskPeers);
+    CPPUNIT_ASSERT(start.Next({4, 1, true}, At(seconds(2))) == FreshStart::Step::kFetchFromPeer);
+    CPPUNIT_ASSERT(start.Next({4, 4, false}, At(seconds(2))) == FreshStart::Step::kApplyCandidate);
+  }
+
+  // The stated limit of section 6.9: if no peer remembers a newer version, the store's is taken.
+  void FleetRestartTakesStoreVersion() {
+    RandomSource random(3);
+    FreshStart start(false, false, random, At(milliseconds(0)));
+    start.NoteCandidate(At(milliseconds(0)));
+    CPPUNIT_ASSERT(start.Next({4, 0, false}, At(seconds(1))) == FreshStart::Step::kAskPeers);
+    CPPUNIT_ASSERT(start.Next({4, 0, false}, At(seconds(2))) == FreshStart::Step::kApplyCandidate);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FetchPlanTest);
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/auto/configuration/tst_propagation.cpp
@@ -0,0 +1,254 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "auto/fleet/testfleet.h"
+#include "configuration/fetchplan.h"
+#include "fleet/overlay.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const RegionId near_region("near");
+// Each message, read and transfer takes one step; it stands for the round trip between regions and
+// a transfer of some parts.
+constexpr milliseconds kStep{100};
+
+TimePoint At(milliseconds time) { return TimePoint(seconds(1000)) + time; }
+
+// One node of the simulated fleet: the decisions are the product's, the network is simulated.
+struct SimulatedNode {
+  FleetNode node;
+  FetchPlan plan;
+  std::uint64_t version = 1;
+  std::optional<std::pair<std::uint64_t, milliseconds>> read;  // Its `after` and its end.
+  std::optional<std::size_t> transfer_from;
+  std::uint64_t announced = 1;  // Highest known version that its neighbours were told of.
+  bool is_dead = false;
+  bool is_store_silent = false;  // Its reads are never answered.
+};
+
+// Runs fetch plans of a whole fleet against a store and counts reads and copies on the paid link.
+class SimulatedFleet {
+ public:
+  SimulatedFleet(std::size_t size, const RegionId& store_region) : m_random(5) {
+    const std::vector<FleetNode> fleet = test::MakeFleet(size);
+    std::map<BackendServerId, std::size_t> index_of;
+    for (const FleetNode& node : fleet) {
+      index_of[node.id] = m_nodes.size();
+      m_nodes.push_back({node, FetchPlan(node), 1, {}, {}, 1, false, false});
+      const ReaderPlace place = PlaceOf(fleet, node, store_region);
+      m_nodes.back().plan.SetPlace(place, At(m_now));
+      m_nodes.back().plan.NoteSeen(1);
+    }
+    m_neighbours.resize(size);
+    for (const auto& [id, neighbours] : Overlay::Build(fleet)) {
+      for (const BackendServerId& other : neighbours) {
+        m_neighbours[index_of.at(id)].push_back(index_of.at(other));
+      }
+    }
+    // The readers of a region are linked with each other.
+    for (const RegionId& region : {RegionId("near"), RegionId("far")}) {
+      for (const BackendServerId& left : RegionReaders(fleet, region)) {
+        for (const BackendServerId& right : RegionReaders(fleet, region)) {
+          auto& links = m_neighbours[index_of.at(left)];
+          const std::size_t other = index_of.at(right);
+          if (left != right && std::find(links.begin(), links.end(), other) == links.end()) {
+            links.push_back(other);
+          }
+        }
+      }
+    }
+  }
+
+  std::vector<SimulatedNode>& Nodes() { return m_nodes; }
+  std::size_t Reads() const { return m_reads; }
+  std::size_t PaidCopies() const { return m_paid_copies; }
+
+  void Change() { ++m_store_version; }
+
+  void Run(milliseconds duration) {
+    for (const milliseconds end = m_now + duration; m_now < end; m_now += kStep) Step();
+  }
+
+  bool AllHold(std::uint64_t version) const {
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const SimulatedNode& node) {
+      return node.is_dead || node.version == version;
+    });
+  }
+
+ private:
+  void Step() {
+    std::vector<std::size_t> changed;
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+      SimulatedNode& node = m_nodes[index];
+      if (node.is_dead) continue;
+      const std::uint64_t known = node.plan.HighestKnown();
+      const bool has_changed = Read(node) || Transfer(node);
+      if (has_changed || node.announced < known) changed.push_back(index);
+      node.announced = known;
+    }
+    for (const std::size_t index : changed) Announce(index);
+  }
+
+  // Returns true if the node got a new version.
+  bool Read(SimulatedNode& node) {
+    const auto due = node.plan.StoreReadDue(At(m_now));
+    if (due) {
+      node.is_store_silent = node.is_store_silent && !node.read;  // A second connection works.
+      node.plan.NoteStoreReadStarted(At(m_now));
+      ++m_reads;
+      node.read = {due->after, m_now + due->wait};
+      return false;
+    }
+    if (!node.read) return false;
+    if (node.is_store_silent) return false;
+    if (m_store_version > node.read->first) {
+      node.read.reset();
+      if (node.node.region != near_region) ++m_paid_copies;
+      node.plan.NoteStoreChanged(At(m_now));
+      return Accept(node, m_store_version);
+    }
+    if (m_now < node.read->second) return false;
+    node.read.reset();
+    node.plan.NoteStoreUnchanged(At(m_now));
+    return false;
+  }
+
+  bool Transfer(SimulatedNode& node) {
+    if (node.transfer_from) {
+      const SimulatedNode& from = m_nodes[*std::exchange(node.transfer_from, std::nullopt)];
+      if (from.node.region != node.node.region) ++m_paid_copies;
+      return !from.is_dead && Accept(node, from.version);
+    }
+    const auto peer = node.plan.PeerToAsk(m_random, At(m_now));
+    if (!peer) return false;
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+      if (m_nodes[index].node.id == *peer) node.transfer_from = index;
+    }
+    return false;
+  }
+
+  bool Accept(SimulatedNode& node, std::uint64_t version) {
+    if (version <= node.version) return false;
+    node.version = version;
+    node.plan.NoteSeen(version);
+    return true;
+  }
+
+  void Announce(std::size_t from) {
+    for (const std::size_t to : m_neighbours[from]) {
+      m_nodes[to].plan.NotePeer(m_nodes[from].node, m_nodes[from].version, At(m_now));
+      m_nodes[to].plan.NoteRumour(m_nodes[from].plan.HighestKnown(), At(m_now));
+    }
+  }
+
+  std::vector<SimulatedNode> m_nodes;
+  std::vector<std::vector<std::size_t>> m_neighbours;
+  RandomSource m_random;
+  milliseconds m_now{0};
+  std::uint64_t m_store_version = 1;
+  std::size_t m_reads = 0;
+  std::size_t m_paid_copies = 0;
+};
+
+constexpr std::size_t kReaders = 10;  // Two in each of five data centres.
+constexpr std::size_t kFarReaders = 4;
+
+}  // namespace
+
+class PropagationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PropagationTest);
+  CPPUNIT_TEST(ChangeIsInForceWithinFiveSeconds);
+  CPPUNIT_TEST(ReadsStayWithinFormula);
+  CPPUNIT_TEST(OneCopyPerFarRegionAndChange);
+  CPPUNIT_TEST(SilentFirstReaderDelaysNoChange);
+  CPPUNIT_TEST(DeadReadersDelayNoChange);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ChangeIsInForceWithinFiveSeconds() {
+    for (const std::size_t size : {9U, 20U, 200U, 1200U}) {
+      SimulatedFleet fleet(size, near_region);
+      fleet.Run(seconds(1));
+      fleet.Change();
+      fleet.Run(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(size), fleet.AllHold(2));
+    }
+  }
+
+  // The formula of section 6.9: store reads a second <= readers x (1/30 + changes a second).
+  void ReadsStayWithinFormula() {
+    constexpr std::size_t kSeconds = 300;
+    constexpr std::size_t kChanges = 6;
+    for (const RegionId& store_region : {near_region, RegionId()}) {
+      SimulatedFleet fleet(1200, store_region);
+      for (std::size_t change = 0; change < kChanges; ++change) {
+        fleet.Run(seconds(kSeconds / kChanges));
+        fleet.Change();
+      }
+      fleet.Run(seconds(5));
+      CPPUNIT_ASSERT(fleet.AllHold(1 + kChanges));
+      const std::size_t bound = kReaders * ((kSeconds + 5) / 30 + 1 + kChanges);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.Reads()), fleet.Reads() <= bound);
+    }
+  }
+
+  // Bytes on the paid link <= readers in far regions x size; one copy if the store's region is
+  // known.
+  void OneCopyPerFarRegionAndChange() {
+    constexpr std::size_t kChanges = 5;
+    SimulatedFleet known(1200, near_region);
+    SimulatedFleet unknown(1200, RegionId());
+    for (SimulatedFleet* fleet : {&known, &unknown}) {
+      for (std::size_t change = 0; change < kChanges; ++change) {
+        fleet->Run(seconds(7));
+        fleet->Change();
+      }
+      fleet->Run(seconds(7));
+      CPPUNIT_ASSERT(fleet->AllHold(1 + kChanges));
+    }
+    CPPUNIT_ASSERT_EQUAL(kChanges, known.PaidCopies());
+    CPPUNIT_ASSERT(unknown.PaidCopies() <= kChanges * kFarReaders);
+  }
+
+  // Guards against a region that waits for a reader whose connection to the store went silent.
+  void SilentFirstReaderDelaysNoChange() {
+    SimulatedFleet fleet(1200, near_region);
+    for (SimulatedNode& node : fleet.Nodes()) {
+      const bool is_far = node.node.region != near_region;
+      node.is_store_silent = is_far && node.plan.Role() == ReaderRole::kWatcher;
+    }
+    fleet.Run(seconds(1));
+    fleet.Change();
+    fleet.Run(seconds(5));
+    CPPUNIT_ASSERT(fleet.AllHold(2));
+    CPPUNIT_ASSERT(fleet.PaidCopies() <= kFarReaders);
+  }
+
+  // Guards against a change that waits until the loss of a reader is noticed: here one reader of
+  // each data centre is dead and no node knows it yet.
+  void DeadReadersDelayNoChange() {
+    SimulatedFleet fleet(1200, near_region);
+    std::set<DataCentreId> hit;
+    for (SimulatedNode& node : fleet.Nodes()) {
+      if (node.plan.Role() == ReaderRole::kFollower) continue;
+      node.is_dead = hit.insert(node.node.data_centre).second;
+    }
+    fleet.Run(seconds(1));
+    fleet.Change();
+    fleet.Run(seconds(5));
+    CPPUNIT_ASSERT(fleet.AllHold(2));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PropagationTest);
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/auto/configuration/tst_readerelection.cpp
@@ -0,0 +1,57 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "auto/fleet/testfleet.h"
+#include "configuration/readerelection.h"
+
+namespace damaskhollow {
+
+class ReaderElectionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReaderElectionTest);
+  CPPUNIT_TEST(ElectsTwoReadersPerDataCentre);
+  CPPUNIT_TEST(LossOfReaderMovesOnlySuccessors);
+  CPPUNIT_TEST(AllWatchWhenStoreRegionIsUnknown);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a number of readers that grows with the fleet.
+  void ElectsTwoReadersPerDataCentre() {
+    for (const std::size_t size : {10U, 200U, 1200U}) {
+      const std::vector<FleetNode> fleet = test::MakeFleet(size);
+      int watchers_near = 0;
+      int watchers_far = 0;
+      int standbys = 0;
+      for (const FleetNode& node : fleet) {
+        const ReaderRole role = PlaceOf(fleet, node, RegionId("near")).role;
+        if (role == ReaderRole::kStandby) ++standbys;
+        if (role != ReaderRole::kWatcher) continue;
+        ++(node.region == RegionId("near") ? watchers_near : watchers_far);
+      }
+      CPPUNIT_ASSERT_EQUAL(6, watchers_near);
+      CPPUNIT_ASSERT_EQUAL(1, watchers_far);
+      CPPUNIT_ASSERT_EQUAL(3, standbys);
+    }
+  }
+
+  void LossOfReaderMovesOnlySuccessors() {
+    std::vector<FleetNode> fleet = test::MakeFleet(200);
+    const DataCentreId data_centre("near-2");
+    const std::vector<BackendServerId> before = ReaderOrder(fleet, data_centre);
+    std::erase_if(fleet, [&](const FleetNode& node) { return node.id == before.front(); });
+    const std::vector<BackendServerId> after = ReaderOrder(fleet, data_centre);
+    CPPUNIT_ASSERT(std::equal(before.begin() + 1, before.end(), after.begin(), after.end()));
+  }
+
+  void AllWatchWhenStoreRegionIsUnknown() {
+    const std::vector<FleetNode> fleet = test::MakeFleet(200);
+    const auto watchers = std::count_if(fleet.begin(), fleet.end(), [&](const FleetNode& node) {
+      return PlaceOf(fleet, node, RegionId()).role == ReaderRole::kWatcher;
+    });
+    CPPUNIT_ASSERT_EQUAL(10L, static_cast<long>(watchers));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReaderElectionTest);
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/auto/fleet/tst_fleetview.cpp
@@ -0,0 +1,208 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <optional>
+#include <string>
+
+#include "auto/fleet/testfleet.h"
+#include "fleet/fleetview.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const BackendServerId server_zero("server-0");
+
+TimePoint At(seconds since_start) { return TimePoint(seconds(1000)) + since_start; }
+WallTime WallAt(seconds since_start) { return WallTime(milliseconds(1700000000000)) + since_start; }
+
+std::vector<VmEntry> ListOf(std::size_t first, std::size_t end) {
+  std::vector<VmEntry> entries;
+  for (std::size_t index = first; index < end; ++index) {
+    entries.push_back({BackendServerId("server-" + std::to_string(index)), false});
+  }
+  return entries;
+}
+
+FleetView MakeView(std::size_t count) {
+  FleetView view;
+  view.SetInventory(test::MakeFleet(count), At(seconds(0)), WallAt(seconds(0)));
+  view.NoteList(ListOf(0, count), At(seconds(0)), WallAt(seconds(0)));
+  return view;
+}
+
+enum class Listed { kNever, kLive, kLeaving, kAbsent };
+enum class Link { kUnknown, kUp, kDown };
+
+// What is known of a server, and the standing that follows by the rule of section 6.8.
+struct StandingCase {
+  std::string_view name;
+  std::optional<bool> stated_draining;
+  Listed listed;
+  seconds absent_for;
+  Link link;
+  Standing standing;
+};
+
+constexpr std::array kStandingCases{
+    StandingCase{"nothing known", {}, Listed::kNever, seconds(0), Link::kUnknown, Standing::kLive},
+    StandingCase{"statement goes before list", true, Listed::kLive, seconds(0), Link::kUp,
+                 Standing::kDraining},
+    StandingCase{"statement goes before link", true, Listed::kAbsent, seconds(20), Link::kDown,
+                 Standing::kDraining},
+    StandingCase{"leaving by list", false, Listed::kLeaving, seconds(0), Link::kUp,
+                 Standing::kLeaving},
+    StandingCase{"leaving by list, link down", false, Listed::kLeaving, seconds(0), Link::kDown,
+                 Standing::kLeaving},
+    StandingCase{"absent with live link", false, Listed::kAbsent, seconds(20), Link::kUp,
+                 Standing::kLeaving},
+    StandingCase{
+        "absent for 10 s", {}, Listed::kAbsent, seconds(10), Link::kUnknown, Standing::kGone},
+    StandingCase{"absent for 9 s, link down",
+                 {},
+                 Listed::kAbsent,
+                 seconds(9),
+                 Link::kDown,
+                 Standing::kUnreachable},
+    StandingCase{"absent for 9 s, no link",
+                 {},
+                 Listed::kAbsent,
+                 seconds(9),
+                 Link::kUnknown,
+                 Standing::kLive},
+    StandingCase{"link down", false, Listed::kLive, seconds(0), Link::kDown,
+                 Standing::kUnreachable},
+    StandingCase{"live", false, Listed::kLive, seconds(0), Link::kUp, Standing::kLive},
+};
+
+}  // namespace
+
+class FleetViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetViewTest);
+  CPPUNIT_TEST(FirstMatchingRuleDecides);
+  CPPUNIT_TEST(StatementsAreOrdered);
+  CPPUNIT_TEST(NewLinkProvesServer);
+  CPPUNIT_TEST(ShrunkListIsDoubted);
+  CPPUNIT_TEST(DoubtedListIsTakenAfterThreeReads);
+  CPPUNIT_TEST(DoubtedListWaitsForLiveLinks);
+  CPPUNIT_TEST(AbsenceIsDatedByFirstList);
+  CPPUNIT_TEST(RemovedServerKeepsItsAbsence);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FirstMatchingRuleDecides() {
+    for (const StandingCase& row : kStandingCases) {
+      FleetView view;
+      view.SetInventory(test::MakeFleet(5), At(seconds(0)), WallAt(seconds(0)));
+      if (row.stated_draining) {
+        view.NoteStatement({server_zero, Incarnation{1}, 1, *row.stated_draining, 0, 1});
+      }
+      std::vector<VmEntry> list = ListOf(row.listed == Listed::kAbsent ? 1 : 0, 5);
+      list.front().leaving = row.listed == Listed::kLeaving;
+      if (row.listed != Listed::kNever) view.NoteList(list, At(seconds(0)), WallAt(seconds(0)));
+      if (row.link == Link::kUp) view.NoteLinkUp(server_zero);
+      if (row.link == Link::kDown) view.NoteLinkDown(server_zero);
+      CPPUNIT_ASSERT_MESSAGE(std::string(row.name),
+                             view.StandingOf(server_zero, At(row.absent_for)) == row.standing);
+    }
+  }
+
+  // Guards against a late statement that takes back a newer one, and against a drain that outlives
+  // the process that stated it.
+  void StatementsAreOrdered() {
+    FleetView view = MakeView(5);
+    CPPUNIT_ASSERT(view.NoteStatement({server_zero, Incarnation{9}, 5, true, 0, 100}));
+    CPPUNIT_ASSERT(!view.NoteStatement({server_zero, Incarnation{9}, 4, false, 0, 100}));
+    CPPUNIT_ASSERT(view.StandingOf(server_zero, At(seconds(0))) == Standing::kDraining);
+    CPPUNIT_ASSERT(view.NoteStatement({server_zero, Incarnation{3}, 1, false, 0, 200}));
+    CPPUNIT_ASSERT(view.StandingOf(server_zero, At(seconds(0))) == Standing::kLive);
+    CPPUNIT_ASSERT(!view.NoteStatement({server_zero, Incarnation{9}, 6, true, 0, 100}));
+    CPPUNIT_ASSERT(view.StandingOf(server_zero, At(seconds(0))) == Standing::kLive);
+  }
+
+  void NewLinkProvesServer() {
+    FleetView view = MakeView(5);
+    view.NoteLinkUp(server_zero);
+    view.NoteLinkDown(server_zero);
+    CPPUNIT_ASSERT(view.StandingOf(server_zero, At(seconds(600))) == Standing::kUnreachable);
+    view.NoteLinkUp(server_zero);
+    CPPUNIT_ASSERT(view.StandingOf(server_zero, At(seconds(600))) == Standing::kLive);
+  }
+
+  // Guards against an empty or truncated list that takes most of the fleet out of work.
+  void ShrunkListIsDoubted() {
+    struct Row {
+      std::size_t size;
+      FleetView::ListResult result;
+    };
+    static constexpr std::array kRows{
+        Row{0, FleetView::ListResult::kDoubted}, Row{4, FleetView::ListResult::kDoubted},
+        Row{5, FleetView::ListResult::kTaken}, Row{9, FleetView::ListResult::kTaken}};
+    for (const Row& row : kRows) {
+      FleetView view = MakeView(10);
+      const auto result = view.NoteList(ListOf(0, row.size), At(seconds(1)), WallAt(seconds(1)));
+      CPPUNIT_ASSERT(result == row.result);
+      const bool is_kept =
+          view.StandingOf(BackendServerId("server-9"), At(seconds(60))) == Standing::kLive;
+      CPPUNIT_ASSERT_EQUAL(row.result == FleetView::ListResult::kDoubted, is_kept);
+    }
+  }
+
+  void DoubtedListIsTakenAfterThreeReads() {
+    FleetView view = MakeView(10);
+    CPPUNIT_ASSERT(view.NoteList({}, At(seconds(1)), WallAt(seconds(1))) ==
+                   FleetView::ListResult::kDoubted);
+    CPPUNIT_ASSERT(view.NoteList({}, At(seconds(11)), WallAt(seconds(11))) ==
+                   FleetView::ListResult::kDoubted);
+    CPPUNIT_ASSERT(view.NoteList({}, At(seconds(21)), WallAt(seconds(21))) ==
+                   FleetView::ListResult::kDoubted);
+    CPPUNIT_ASSERT(view.NoteList({}, At(seconds(31)), WallAt(seconds(31))) ==
+                   FleetView::ListResult::kTaken);
+    CPPUNIT_ASSERT(view.AbsentSince(server_zero) == WallAt(seconds(31)));
+  }
+
+  void DoubtedListWaitsForLiveLinks() {
+    FleetView view = MakeView(10);
+    view.NoteLinkUp(server_zero);
+    for (int read = 0; read < 10; ++read) {
+      const seconds time(10 * read);
+      CPPUNIT_ASSERT(view.NoteList({}, At(time), WallAt(time)) == FleetView::ListResult::kDoubted);
+    }
+    view.NoteLinkDown(server_zero);
+    CPPUNIT_ASSERT(view.NoteList({}, At(seconds(100)), WallAt(seconds(100))) ==
+                   FleetView::ListResult::kTaken);
+  }
+
+  // The at-most-once rule relies on this time, so it must never be too early.
+  void AbsenceIsDatedByFirstList() {
+    FleetView view = MakeView(10);
+    CPPUNIT_ASSERT(!view.AbsentSince(server_zero));
+    view.NoteList(ListOf(1, 10), At(seconds(5)), WallAt(seconds(5)));
+    view.NoteList(ListOf(2, 10), At(seconds(9)), WallAt(seconds(9)));
+    CPPUNIT_ASSERT(view.AbsentSince(server_zero) == WallAt(seconds(5)));
+    view.NoteList(ListOf(0, 10), At(seconds(12)), WallAt(seconds(12)));
+    CPPUNIT_ASSERT(!view.AbsentSince(server_zero));
+    view.NoteList(ListOf(1, 10), At(seconds(20)), WallAt(seconds(20)));
+    CPPUNIT_ASSERT(view.AbsentSince(server_zero) == WallAt(seconds(20)));
+  }
+
+  void RemovedServerKeepsItsAbsence() {
+    FleetView view = MakeView(10);
+    std::vector<FleetNode> fewer = test::MakeFleet(10);
+    fewer.erase(fewer.begin());
+    view.SetInventory(fewer, At(seconds(5)), WallAt(seconds(5)));
+    CPPUNIT_ASSERT(view.StandingOf(server_zero, At(seconds(5))) == Standing::kGone);
+    CPPUNIT_ASSERT(!view.AbsentSince(server_zero));
+    view.NoteList(ListOf(1, 10), At(seconds(8)), WallAt(seconds(8)));
+    CPPUNIT_ASSERT(view.AbsentSince(server_zero) == WallAt(seconds(8)));
+    view.SetInventory(fewer, At(seconds(1000)), WallAt(seconds(1000)));
+    CPPUNIT_ASSERT(!view.AbsentSince(server_zero));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetViewTest);
+
+}  // namespace damaskhollow
