Add the operator command with check, diff, status, explain and keygen

Cause: operators had no way to review a change of the declaration before it is accepted, to see the fleet's state or to look up a reason. A new failure file_not_created covers key files.

--- a/src/libs/base/result.cpp
+++ b/src/libs/base/result.cpp
@@ -6,8 +6,9 @@
 namespace damaskhollow {
 
 std::string_view FailureName(FailureCode code) {
-  static constexpr std::array<std::pair<FailureCode, std::string_view>, 16> kNames{{
+  static constexpr std::array<std::pair<FailureCode, std::string_view>, 17> kNames{{
       {FailureCode::kFileUnreadable, "file_unreadable"},
+      {FailureCode::kFileNotCreated, "file_not_created"},
       {FailureCode::kSyntax, "syntax"},
       {FailureCode::kUnknownField, "unknown_field"},
       {FailureCode::kMissingField, "missing_field"},
--- a/src/libs/base/result.h
+++ b/src/libs/base/result.h
@@ -10,6 +10,7 @@
 // Kinds of failure of files, settings and library calls. Refusals of calls use Reason instead.
 enum class FailureCode {
   kFileUnreadable,
+  kFileNotCreated,
   kSyntax,
   kUnknownField,
   kMissingField,
--- /dev/null
+++ b/src/tools/damaskhollow/checkcommand.cpp
@@ -0,0 +1,43 @@
+#include "damaskhollow/checkcommand.h"
+
+#include <iostream>
+
+#include "damaskhollow/declarationfile.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr char kUsage[] = R"(Checks a declaration.
+
+Usage:
+  damaskhollow check FILE
+  damaskhollow check (-h | --help)
+
+Prints every failure with file and field path to standard error. Status: 0 valid, 1 not valid, 2 wrong usage or unreadable
+file.
+)";
+
+Result<int> Run(const Arguments& arguments) {
+  const std::string path = arguments.at("FILE").asString();
+  const Result<ParsedDeclaration> parsed = ReadDeclarationFile(path);
+  if (!parsed) return parsed.error();
+  if (!parsed.value().failures.empty()) {
+    PrintFailures(parsed.value());
+    return kNegativeStatus;
+  }
+  const Declaration& declaration = parsed.value().declaration;
+  std::cout << path << ": valid; regions " << declaration.regions.size() << ", priorities "
+            << declaration.priorities.size() << ", services " << declaration.services.size()
+            << ", backend servers " << declaration.backend_servers.size() << '\n';
+  return kSuccessStatus;
+}
+
+}  // namespace
+
+const Command& CheckCommand() {
+  static constexpr Command kCommand{"check", "Check a declaration", kUsage, Run};
+  return kCommand;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/tools/damaskhollow/diffcommand.cpp
@@ -0,0 +1,72 @@
+#include "damaskhollow/diffcommand.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <iostream>
+
+#include "damaskhollow/declarationfile.h"
+#include "declaration/declarationdiff.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr char kUsage[] = R"(Shows what a change of the declaration would do.
+
+Usage:
+  damaskhollow diff [--json] OLD NEW
+  damaskhollow diff (-h | --help)
+
+Options:
+  --json     Print {"changes": [{"change", "subject", "field", "before", "after", "effect"}]}.
+  -h --help  Show this text.
+
+Status: 0 both files are valid, also without a difference; 1 one is not valid; 2 wrong usage or unreadable file.
+)";
+
+QJsonObject ToJson(const DeclarationChange& change) {
+  const auto text = [](std::string_view value) {
+    return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size()));
+  };
+  return QJsonObject{{"change", text(ChangeKindName(change.kind))},
+                     {"subject", text(change.subject)},
+                     {"field", text(change.field)},
+                     {"before", text(change.before)},
+                     {"after", text(change.after)},
+                     {"effect", text(change.effect)}};
+}
+
+void PrintJson(const DeclarationDiff& diff) {
+  QJsonArray changes;
+  for (const DeclarationChange& change : diff.Changes()) changes.append(ToJson(change));
+  std::cout << QJsonDocument(QJsonObject{{"changes", changes}}).toJson().toStdString();
+}
+
+void PrintText(const DeclarationDiff& diff) {
+  for (const DeclarationChange& change : diff.Changes()) std::cout << Describe(change) << '\n';
+  if (diff.Changes().empty()) std::cout << "no change\n";
+}
+
+Result<int> Run(const Arguments& arguments) {
+  const Result<ParsedDeclaration> before = ReadDeclarationFile(arguments.at("OLD").asString());
+  if (!before) return before.error();
+  const Result<ParsedDeclaration> after = ReadDeclarationFile(arguments.at("NEW").asString());
+  if (!after) return after.error();
+  PrintFailures(before.value());
+  PrintFailures(after.value());
+  if (!before.value().failures.empty() || !after.value().failures.empty()) return kNegativeStatus;
+  const DeclarationDiff diff(before.value().declaration, after.value().declaration);
+  arguments.at("--json").asBool() ? PrintJson(diff) : PrintText(diff);
+  return kSuccessStatus;
+}
+
+}  // namespace
+
+const Command& DiffCommand() {
+  static constexpr Command kCommand{"diff", "Show what a change of the declaration would do",
+                                    kUsage, Run};
+  return kCommand;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/tools/damaskhollow/explaincommand.cpp
@@ -0,0 +1,76 @@
+#include "damaskhollow/explaincommand.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <iostream>
+#include <span>
+
+#include "base/reason.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr char kUsage[] = R"(Explains the reasons in Damaskhollow-Reason headers, metrics and logs.
+
+Usage:
+  damaskhollow explain [--json] [REASON]
+  damaskhollow explain (-h | --help)
+
+Without REASON it lists all reasons.
+
+Options:
+  --json     Print a list of {"reason", "outcome", "http_status", "try_another_server", "explanation", "action"}.
+  -h --help  Show this text.
+)";
+
+QString Text(std::string_view value) {
+  return QString::fromUtf8(value.data(), static_cast<qsizetype>(value.size()));
+}
+
+void PrintJson(std::span<const ReasonInfo> rows) {
+  QJsonArray list;
+  for (const ReasonInfo& info : rows) {
+    list.append(QJsonObject{{"reason", Text(info.name)},
+                            {"outcome", Text(OutcomeName(info.outcome))},
+                            {"http_status", info.http_status},
+                            {"try_another_server", info.try_another_server},
+                            {"explanation", Text(info.explanation)},
+                            {"action", Text(info.action)}});
+  }
+  std::cout << QJsonDocument(list).toJson().toStdString();
+}
+
+void PrintText(std::span<const ReasonInfo> rows) {
+  for (const ReasonInfo& info : rows) {
+    std::cout << info.name << " (" << OutcomeName(info.outcome) << ", HTTP " << info.http_status
+              << (info.try_another_server ? ", another server may be tried" : "")
+              << ")\n  What it means: " << info.explanation << "\n  What to do: " << info.action
+              << '\n';
+  }
+}
+
+Result<int> Run(const Arguments& arguments) {
+  std::span<const ReasonInfo> rows = ReasonTable();
+  const docopt::value& name = arguments.at("REASON");
+  if (name.isString()) {
+    const std::optional<Reason> reason = ReasonFromName(name.asString());
+    if (!reason) {
+      return Failure{FailureCode::kUnknownReference, name.asString(),
+                     "is not a reason; `damaskhollow explain` lists them"};
+    }
+    rows = rows.subspan(static_cast<std::size_t>(*reason), 1);
+  }
+  arguments.at("--json").asBool() ? PrintJson(rows) : PrintText(rows);
+  return kSuccessStatus;
+}
+
+}  // namespace
+
+const Command& ExplainCommand() {
+  static constexpr Command kCommand{"explain", "Explain a reason", kUsage, Run};
+  return kCommand;
+}
+
+}  // namespace damaskhollow
--- a/src/tools/damaskhollow/main.cpp
+++ b/src/tools/damaskhollow/main.cpp
@@ -1,3 +1,82 @@
+#include <QCoreApplication>
+#include <array>
 #include <iostream>
+#include <string>
+#include <vector>
 
-int main() { std::cout << "damaskhollow\n"; }
+#include "damaskhollow/checkcommand.h"
+#include "damaskhollow/command.h"
+#include "damaskhollow/diffcommand.h"
+#include "damaskhollow/explaincommand.h"
+#include "damaskhollow/keygencommand.h"
+#include "damaskhollow/statuscommand.h"
+
+namespace {
+
+using damaskhollow::Command;
+using damaskhollow::Failure;
+using damaskhollow::FailureCode;
+using damaskhollow::Result;
+
+constexpr std::string_view kVersion = "damaskhollow 0.1.0";
+
+using CommandSource = const Command& (*)();
+
+constexpr std::array<CommandSource, 5> kCommands{
+    damaskhollow::CheckCommand, damaskhollow::DiffCommand, damaskhollow::StatusCommand,
+    damaskhollow::ExplainCommand, damaskhollow::KeygenCommand};
+
+void PrintUsage(std::ostream& out) {
+  out << "damaskhollow: operator command of the damaskhollow load balancer.\n\n"
+         "Usage:\n  damaskhollow COMMAND [ARGUMENTS]\n  damaskhollow COMMAND --help\n"
+         "  damaskhollow --version\n\nCommands:\n";
+  constexpr std::size_t kNameWidth = 10;
+  for (const CommandSource source : kCommands) {
+    const Command& command = source();
+    out << "  " << command.name << std::string(kNameWidth - command.name.size(), ' ')
+        << command.summary << '\n';
+  }
+}
+
+Result<int> RunCommand(const Command& command, const std::vector<std::string>& arguments) {
+  try {
+    return command.run(docopt::docopt_parse(command.usage, arguments));
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << command.usage;
+    return damaskhollow::kSuccessStatus;
+  } catch (const docopt::DocoptArgumentError& error) {
+    return Failure{FailureCode::kInvalidSetting, "arguments",
+                   std::string(error.what()) + "; see `damaskhollow " + std::string(command.name) +
+                       " --help`"};
+  }
+}
+
+Result<int> Dispatch(const std::vector<std::string>& arguments) {
+  if (arguments.empty()) {
+    PrintUsage(std::cerr);
+    return damaskhollow::kUsageStatus;
+  }
+  if (arguments.front() == "--help" || arguments.front() == "-h") {
+    PrintUsage(std::cout);
+    return damaskhollow::kSuccessStatus;
+  }
+  if (arguments.front() == "--version") {
+    std::cout << kVersion << '\n';
+    return damaskhollow::kSuccessStatus;
+  }
+  for (const CommandSource source : kCommands) {
+    if (source().name == arguments.front()) return RunCommand(source(), arguments);
+  }
+  return Failure{FailureCode::kInvalidSetting, arguments.front(),
+                 "is not a command; see `damaskhollow --help`"};
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const QCoreApplication application(argc, argv);
+  const Result<int> status = Dispatch(std::vector<std::string>(argv + 1, argv + argc));
+  if (status) return status.value();
+  std::cerr << "damaskhollow: " << damaskhollow::Describe(status.error()) << '\n';
+  return damaskhollow::kUsageStatus;
+}
--- /dev/null
+++ b/src/tools/damaskhollow/statuscommand.cpp
@@ -0,0 +1,179 @@
+#include "damaskhollow/statuscommand.h"
+
+#include <QEventLoop>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QNetworkProxy>
+#include <QNetworkReply>
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/endpoint.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr char kUsage[] = R"(Asks nodes for their state.
+
+Usage:
+  damaskhollow status [--json] [--timeout-ms=N] NODE...
+  damaskhollow status (-h | --help)
+
+NODE is the admin address of a node, IP:PORT.
+
+Options:
+  --json          Print a list of {"node", "status"} or {"node", "failure"}.
+  --timeout-ms=N  Longest wait for a node [default: 2000].
+  -h --help       Show this text.
+
+Status: 0 all nodes answered, 1 one did not, 2 wrong usage.
+)";
+
+constexpr int kMaxTimeoutMs = 600000;
+
+// The answer of one node or why there is none.
+struct NodeAnswer {
+  std::string node;
+  QJsonObject status;
+  std::optional<Failure> failure;
+};
+
+NodeAnswer ReadAnswer(const std::string& node, QNetworkReply& reply) {
+  NodeAnswer answer{node, {}, std::nullopt};
+  if (reply.error() != QNetworkReply::NoError) {
+    answer.failure = Failure{FailureCode::kUnavailable, node, reply.errorString().toStdString()};
+    return answer;
+  }
+  const QJsonDocument document = QJsonDocument::fromJson(reply.readAll());
+  if (!document.isObject()) {
+    answer.failure = Failure{FailureCode::kSyntax, node, "the answer is not a JSON object"};
+    return answer;
+  }
+  answer.status = document.object();
+  return answer;
+}
+
+std::vector<NodeAnswer> AskNodes(const std::vector<std::string>& nodes, int timeout_ms) {
+  QNetworkAccessManager network;
+  // Nodes are reached by IP number inside the fleet's network, never through a proxy.
+  network.setProxy(QNetworkProxy::NoProxy);
+  std::vector<std::unique_ptr<QNetworkReply>> replies;
+  QEventLoop loop;
+  std::size_t waiting = nodes.size();
+  for (const std::string& node : nodes) {
+    QNetworkRequest request(QUrl("http://" + QString::fromStdString(node) + "/status"));
+    request.setTransferTimeout(timeout_ms);
+    replies.emplace_back(network.get(request));
+    QObject::connect(replies.back().get(), &QNetworkReply::finished, &loop, [&] {
+      if (--waiting == 0) loop.quit();
+    });
+  }
+  loop.exec();
+  std::vector<NodeAnswer> answers;
+  for (std::size_t index = 0; index < nodes.size(); ++index) {
+    answers.push_back(ReadAnswer(nodes[index], *replies[index]));
+  }
+  return answers;
+}
+
+// One column of the table: its heading and the field of /status.
+struct Column {
+  std::string_view heading;
+  const char* field;
+};
+
+constexpr std::array kColumns{
+    Column{"server", "server"},           Column{"region", "region"},
+    Column{"data centre", "data_centre"}, Column{"version", "configuration_version"},
+    Column{"draining", "draining"},       Column{"in flight", "in_flight"},
+    Column{"queued", "queued"},           Column{"limit", "limit"},
+    Column{"links", "linked_peers"},
+};
+
+std::string CellText(const QJsonValue& value) {
+  if (value.isArray()) return std::to_string(value.toArray().size());
+  if (value.isBool()) return value.toBool() ? "yes" : "no";
+  return value.isUndefined() ? "-" : value.toVariant().toString().toStdString();
+}
+
+void PrintTable(const std::vector<NodeAnswer>& answers) {
+  std::vector<std::vector<std::string>> rows{{"node"}};
+  for (const Column& column : kColumns) rows.front().emplace_back(column.heading);
+  for (const NodeAnswer& answer : answers) {
+    if (answer.failure) continue;
+    rows.push_back({answer.node});
+    for (const Column& column : kColumns) {
+      rows.back().push_back(CellText(answer.status.value(column.field)));
+    }
+  }
+  std::vector<std::size_t> widths(rows.front().size());
+  for (const std::vector<std::string>& row : rows) {
+    for (std::size_t cell = 0; cell < row.size(); ++cell) {
+      widths[cell] = std::max(widths[cell], row[cell].size());
+    }
+  }
+  for (const std::vector<std::string>& row : rows) {
+    std::string line;
+    for (std::size_t cell = 0; cell < row.size(); ++cell) {
+      line += row[cell] + std::string(widths[cell] + 2 - row[cell].size(), ' ');
+    }
+    std::cout << line.substr(0, line.find_last_not_of(' ') + 1) << '\n';
+  }
+}
+
+void PrintJson(const std::vector<NodeAnswer>& answers) {
+  QJsonArray list;
+  for (const NodeAnswer& answer : answers) {
+    QJsonObject entry{{"node", QString::fromStdString(answer.node)}};
+    if (answer.failure) {
+      const std::string_view code = FailureName(answer.failure->code);
+      entry.insert("failure",
+                   QJsonObject{{"code", QString::fromUtf8(code.data(), qsizetype(code.size()))},
+                               {"detail", QString::fromStdString(answer.failure->detail)}});
+    } else {
+      entry.insert("status", answer.status);
+    }
+    list.append(entry);
+  }
+  std::cout << QJsonDocument(list).toJson().toStdString();
+}
+
+Result<int> Run(const Arguments& arguments) {
+  const std::vector<std::string> nodes = arguments.at("NODE").asStringList();
+  for (const std::string& node : nodes) {
+    const Result<Endpoint> endpoint = ParseEndpoint(node);
+    if (!endpoint) return endpoint.error();
+  }
+  bool is_number = false;
+  const int timeout_ms =
+      QString::fromStdString(arguments.at("--timeout-ms").asString()).toInt(&is_number);
+  if (!is_number || timeout_ms < 1 || timeout_ms > kMaxTimeoutMs) {
+    return Failure{FailureCode::kInvalidSetting, "--timeout-ms",
+                   "must be a whole number from 1 to " + std::to_string(kMaxTimeoutMs)};
+  }
+  const std::vector<NodeAnswer> answers = AskNodes(nodes, timeout_ms);
+  arguments.at("--json").asBool() ? PrintJson(answers) : PrintTable(answers);
+  int status = kSuccessStatus;
+  for (const NodeAnswer& answer : answers) {
+    if (!answer.failure) continue;
+    std::cerr << Describe(*answer.failure) << '\n';
+    status = kNegativeStatus;
+  }
+  return status;
+}
+
+}  // namespace
+
+const Command& StatusCommand() {
+  static constexpr Command kCommand{"status", "Ask nodes for their state", kUsage, Run};
+  return kCommand;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/auto/tools/tst_operatorcommand.cpp
@@ -0,0 +1,209 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QFile>
+#include <QHttpServer>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QProcess>
+#include <QTcpServer>
+#include <QTemporaryDir>
+#include <array>
+#include <string>
+
+#include "base/reason.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr int kEndLimitMs = 60000;
+
+struct ProgramResult {
+  int status = -1;
+  QByteArray output;
+  QByteArray errors;
+};
+
+// Runs the operator command while this thread's event loop goes on.
+ProgramResult RunProgram(const QStringList& arguments) {
+  QProcess process;
+  QEventLoop loop;
+  QObject::connect(&process, &QProcess::finished, &loop, &QEventLoop::quit);
+  process.start(QCoreApplication::applicationDirPath() + "/damaskhollow", arguments);
+  CPPUNIT_ASSERT(process.waitForStarted(kEndLimitMs));
+  if (process.state() != QProcess::NotRunning) loop.exec();
+  return ProgramResult{process.exitCode(), process.readAllStandardOutput(),
+                       process.readAllStandardError()};
+}
+
+QString Example(const char* name) {
+  return QString(DAMASKHOLLOW_EXAMPLES_DIR) + "/" + name + ".json";
+}
+
+// Writes the example with one text replaced and returns the new file's name.
+QString ChangedExample(const QTemporaryDir& folder, const QByteArray& from, const QByteArray& to) {
+  QFile original(Example("breizh"));
+  CPPUNIT_ASSERT(original.open(QIODevice::ReadOnly));
+  const QByteArray text = original.readAll();
+  const qsizetype position = text.indexOf(from);
+  CPPUNIT_ASSERT(position >= 0);
+  QFile changed(folder.filePath("changed.json"));
+  CPPUNIT_ASSERT(changed.open(QIODevice::WriteOnly | QIODevice::Truncate));
+  QByteArray changed_text = text;
+  changed.write(changed_text.replace(position, from.size(), to));
+  return changed.fileName();
+}
+
+bool Contains(const QByteArray& text, const char* part) { return text.contains(part); }
+
+// Arguments that must be refused, the exit status and a part of the message.
+struct RefusedCase {
+  const char* arguments;
+  int status;
+  const char* message;
+};
+
+constexpr std::array kRefusedCases{
+    RefusedCase{"", 2, "Usage:"},
+    RefusedCase{"chekc file", 2, "invalid_setting: chekc"},
+    RefusedCase{"check", 2, "invalid_setting: arguments"},
+    RefusedCase{"check /no/such/file", 2, "file_unreadable: /no/such/file"},
+    RefusedCase{"diff /no/such/file /no/such/file", 2, "file_unreadable: /no/such/file"},
+    RefusedCase{"diff --colour a b", 2, "invalid_setting: arguments"},
+    RefusedCase{"explain no_such_reason", 2, "unknown_reference: no_such_reason"},
+    RefusedCase{"status", 2, "invalid_setting: arguments"},
+    RefusedCase{"status node.example:80", 2, "invalid_address: node.example:80"},
+    RefusedCase{"status --timeout-ms=0 127.0.0.1:1", 2, "invalid_setting: --timeout-ms"},
+    RefusedCase{"keygen --secret-key-file=/no/such/folder/key", 2, "file_not_created"},
+    RefusedCase{"keygen unexpected", 2, "invalid_setting: arguments"},
+};
+
+}  // namespace
+
+class OperatorCommandTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OperatorCommandTest);
+  CPPUNIT_TEST(RefusesBadInput);
+  CPPUNIT_TEST(HelpsForEachCommand);
+  CPPUNIT_TEST(CheckAcceptsExamples);
+  CPPUNIT_TEST(CheckNamesFileAndFieldPath);
+  CPPUNIT_TEST(DiffTellsWhatWouldChange);
+  CPPUNIT_TEST(ExplainCoversEachReason);
+  CPPUNIT_TEST(KeygenNeverOverwrites);
+  CPPUNIT_TEST(StatusShowsNodesAndMissingOnes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against scripts that take a mistyped command for a success.
+  void RefusesBadInput() {
+    for (const RefusedCase& row : kRefusedCases) {
+      const ProgramResult result =
+          RunProgram(QString(row.arguments).split(' ', Qt::SkipEmptyParts));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.arguments, row.status, result.status);
+      CPPUNIT_ASSERT_MESSAGE(row.arguments, Contains(result.errors, row.message));
+      CPPUNIT_ASSERT_MESSAGE(row.arguments, result.output.isEmpty());
+    }
+  }
+
+  void HelpsForEachCommand() {
+    for (const char* command : {"check", "diff", "status", "explain", "keygen"}) {
+      const ProgramResult result = RunProgram({command, "--help"});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(command, 0, result.status);
+      CPPUNIT_ASSERT_MESSAGE(command, Contains(result.output, "Usage:"));
+      CPPUNIT_ASSERT_MESSAGE(command, Contains(RunProgram({"--help"}).output, command));
+    }
+  }
+
+  // Guards against examples that fall behind the format.
+  void CheckAcceptsExamples() {
+    for (const char* name : {"breizh", "slamkorsel"}) {
+      const ProgramResult result = RunProgram({"check", Example(name)});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(result.errors.toStdString(), 0, result.status);
+    }
+  }
+
+  void CheckNamesFileAndFieldPath() {
+    const QTemporaryDir folder;
+    const QString file = ChangedExample(folder, "\"slots\": 9", "\"slotz\": 9");
+    const ProgramResult result = RunProgram({"check", file});
+    CPPUNIT_ASSERT_EQUAL(1, result.status);
+    const QByteArray path = file.toUtf8() + ": backend_servers[0].slot";
+    CPPUNIT_ASSERT(result.errors.contains("missing_field: " + path + "s:"));
+    CPPUNIT_ASSERT(result.errors.contains("unknown_field: " + path + "z:"));
+  }
+
+  void DiffTellsWhatWouldChange() {
+    const QTemporaryDir folder;
+    const QString file = ChangedExample(folder, "\"slots\": 9", "\"slots\": 12");
+    const ProgramResult text = RunProgram({"diff", Example("breizh"), file});
+    CPPUNIT_ASSERT_EQUAL(0, text.status);
+    CPPUNIT_ASSERT(Contains(text.output, "backend server portail-1: slots changes from 9 to 12"));
+    const ProgramResult json = RunProgram({"diff", "--json", Example("breizh"), file});
+    const QJsonArray changes = QJsonDocument::fromJson(json.output)["changes"].toArray();
+    CPPUNIT_ASSERT_EQUAL(qsizetype{1}, changes.size());
+    CPPUNIT_ASSERT(changes[0].toObject()["field"] == "slots");
+    CPPUNIT_ASSERT(changes[0].toObject()["after"] == "12");
+    const ProgramResult same = RunProgram({"diff", Example("breizh"), Example("breizh")});
+    CPPUNIT_ASSERT_EQUAL(std::string("no change\n"), same.output.toStdString());
+  }
+
+  // Guards against a reason in a header that the operator command does not know.
+  void ExplainCoversEachReason() {
+    const QJsonArray list =
+        QJsonDocument::fromJson(RunProgram({"explain", "--json"}).output).array();
+    CPPUNIT_ASSERT_EQUAL(ReasonTable().size(), static_cast<std::size_t>(list.size()));
+    const ProgramResult one = RunProgram({"explain", "queue_full_time"});
+    CPPUNIT_ASSERT_EQUAL(0, one.status);
+    CPPUNIT_ASSERT(one.output.startsWith("queue_full_time (not-run, HTTP 503"));
+  }
+
+  // Guards against losing the key of a running node, and against keys that others can read.
+  void KeygenNeverOverwrites() {
+    const QTemporaryDir folder;
+    const QString path = folder.filePath("secret");
+    const ProgramResult first = RunProgram({"keygen", "--secret-key-file=" + path});
+    CPPUNIT_ASSERT_EQUAL(0, first.status);
+    constexpr qsizetype kZ85KeyLength = 40;
+    CPPUNIT_ASSERT_EQUAL(kZ85KeyLength, first.output.trimmed().size());
+    constexpr QFile::Permissions kOthers =
+        QFile::ReadGroup | QFile::WriteGroup | QFile::ReadOther | QFile::WriteOther;
+    CPPUNIT_ASSERT(!(QFile::permissions(path) & kOthers));
+    QFile file(path);
+    CPPUNIT_ASSERT(file.open(QIODevice::ReadOnly));
+    const QByteArray secret = file.readAll();
+    const ProgramResult second = RunProgram({"keygen", "--secret-key-file=" + path});
+    CPPUNIT_ASSERT_EQUAL(2, second.status);
+    CPPUNIT_ASSERT(Contains(second.errors, "file_not_created"));
+    file.seek(0);
+    CPPUNIT_ASSERT(file.readAll() == secret);
+  }
+
+  // Guards against a node that is down but looks like one without work.
+  void StatusShowsNodesAndMissingOnes() {
+    QHttpServer server;
+    server.route("/status", [] {
+      return QHttpServerResponse(QJsonObject{{"server", "portail-1"}, {"draining", true}});
+    });
+    const QString up = "127.0.0.1:" + QString::number(server.listen(QHostAddress::LocalHost));
+    QTcpServer unused;
+    CPPUNIT_ASSERT(unused.listen(QHostAddress::LocalHost));
+    const QString down = "127.0.0.1:" + QString::number(unused.serverPort());
+    unused.close();
+
+    const ProgramResult table = RunProgram({"status", up});
+    CPPUNIT_ASSERT_EQUAL(0, table.status);
+    CPPUNIT_ASSERT(Contains(table.output, "portail-1"));
+    const ProgramResult json = RunProgram({"status", "--json", up, down});
+    CPPUNIT_ASSERT_EQUAL(1, json.status);
+    const QJsonArray list = QJsonDocument::fromJson(json.output).array();
+    CPPUNIT_ASSERT_EQUAL(qsizetype{2}, list.size());
+    CPPUNIT_ASSERT(list[0]["status"]["server"] == "portail-1");
+    CPPUNIT_ASSERT(list[1]["failure"]["code"] == "unavailable");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorCommandTest);
+
+}  // namespace damaskhollow
