Send a small answer as one message

Cause: head, body and end of an answer were three messages, each with its own hops between threads; and calls that were cancelled stayed counted as outstanding, so that their link was pinged for ever.

Change: what was read at one time goes on as one part with head, data and end; attempts are counted where they start and end (SharedRouter).

Messages for a small answer: 3 before, 1 now. Latency not measured.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -49,13 +49,9 @@
   m_output = SerializeRequest(request);
   m_method = request.method;
   m_credit = credit;
-  m_head_sent = false;
+  m_head_parsed = false;
   m_written = false;
-  m_parser.emplace();
-  m_parser->header_limit(kHeaderLimitBytes);
-  m_parser->body_limit(boost::none);
-  m_parser->eager(true);
-  if (m_method == "HEAD") m_parser->skip(true);
+  StartParser();
   m_timer.start(std::max(timeout, std::chrono::milliseconds(1)));
   if (m_state == State::kIdle) return WriteRequest();
   m_state = State::kConnecting;
@@ -87,15 +83,15 @@
     m_events.OnBackendIdleClosed(m_id);
     return;
   }
-  if (m_state != State::kWaiting && m_state != State::kReading) return;
-  while (m_socket.bytesAvailable() > 0 && (m_state == State::kWaiting || m_credit > 0)) {
+  while ((m_state == State::kWaiting || m_state == State::kReading) &&
+         m_socket.bytesAvailable() > 0 && (m_state == State::kWaiting || m_credit > 0)) {
     const qint64 limit = m_state == State::kWaiting
                              ? kReadBufferBytes
                              : std::min<qint64>(kReadBufferBytes, static_cast<qint64>(m_credit));
     const QByteArray data = m_socket.read(limit);
     m_input.append(data.constData(), static_cast<std::size_t>(data.size()));
     Parse();
-    if (m_state != State::kWaiting && m_state != State::kReading) return;
+    EmitPart();
   }
 }
 
@@ -104,24 +100,25 @@
   while (!m_parser->is_done() && !m_input.empty() && !error) {
     const std::size_t used = m_parser->put(boost::asio::buffer(m_input), error);
     m_input.erase(0, used);
-    if (!m_head_sent && m_parser->is_header_done()) AcceptHead();
-    if (m_state == State::kClosed || !m_parser) return;
-    EmitBody();
-    if (m_state == State::kClosed) return;
+    if (!m_head_parsed && m_parser->is_header_done()) AcceptHead();
+    CollectBody();
   }
   if (error && error != http::error::need_more) return Fail(Reason::kBackendMalformed);
   if (m_parser->is_done()) Finish();
 }
 
+void BackendConnection::StartParser() {
+  m_parser.emplace();
+  m_parser->header_limit(kHeaderLimitBytes);
+  m_parser->body_limit(boost::none);
+  m_parser->eager(true);
+  if (m_method == "HEAD") m_parser->skip(true);
+}
+
 void BackendConnection::AcceptHead() {
   const auto& message = m_parser->get();
   if (message.result_int() >= 100 && message.result_int() < 200) {
-    // An interim answer; the final one follows.
-    m_parser.emplace();
-    m_parser->header_limit(kHeaderLimitBytes);
-    m_parser->body_limit(boost::none);
-    m_parser->eager(true);
-    if (m_method == "HEAD") m_parser->skip(true);
+    StartParser();  // An interim answer; the final one follows.
     return;
   }
   HttpResponseHead head;
@@ -130,27 +127,31 @@
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
   if (const auto length = m_parser->content_length()) head.content_length = *length;
-  m_head_sent = true;
+  m_part.head = std::move(head);
+  m_head_parsed = true;
   m_state = State::kReading;
-  m_events.OnBackendHead(m_id, std::move(head));
 }
 
-void BackendConnection::EmitBody() {
-  if (!m_head_sent) return;
-  std::string data = std::exchange(m_parser->get().body(), std::string());
-  if (data.empty()) return;
-  m_credit -= std::min(m_credit, data.size());
-  m_events.OnBackendBody(m_id, std::move(data));
+void BackendConnection::CollectBody() {
+  if (!m_head_parsed) return;
+  m_part.data += std::exchange(m_parser->get().body(), std::string());
+}
+
+void BackendConnection::EmitPart() {
+  if (m_part.IsEmpty()) return;
+  AnswerPart part = std::exchange(m_part, AnswerPart());
+  m_credit -= std::min(m_credit, part.data.size());
+  m_events.OnBackendPart(m_id, std::move(part), m_reusable);
 }
 
 void BackendConnection::Finish() {
   m_timer.stop();
-  const bool reusable = m_parser->keep_alive() && m_input.empty() &&
-                        m_socket.state() == QAbstractSocket::ConnectedState;
+  m_reusable = m_parser->keep_alive() && m_input.empty() &&
+               m_socket.state() == QAbstractSocket::ConnectedState;
   m_parser.reset();
-  m_state = reusable ? State::kIdle : State::kClosed;
+  m_state = m_reusable ? State::kIdle : State::kClosed;
   m_idle_since = MonotonicNow();
-  m_events.OnBackendDone(m_id, reusable);
+  m_part.last = true;
 }
 
 void BackendConnection::Fail(Reason reason) {
@@ -176,7 +177,10 @@
     if (m_state != State::kReading) return;
     boost::system::error_code error;
     m_parser->put_eof(error);
-    if (!error && m_parser->is_done()) return Finish();
+    if (!error && m_parser->is_done()) {
+      Finish();
+      return EmitPart();
+    }
   }
   Fail(m_written ? Reason::kBackendClosed : Reason::kBackendUnreachable);
 }
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -19,17 +19,24 @@
 
 namespace damaskhollow {
 
+// What was read of an answer at one time. The first part has the head; a small answer is one part.
+struct AnswerPart {
+  std::optional<HttpResponseHead> head;
+  std::string data;
+  bool last = false;
+
+  bool IsEmpty() const { return !head && data.empty() && !last; }
+};
+
 // Gets what happens on connections to the backend server. Members are called on the connection's
 // thread.
 class BackendEvents {
  public:
   virtual ~BackendEvents() = default;
 
-  virtual void OnBackendHead(ConnectionId connection, HttpResponseHead head) = 0;
-  virtual void OnBackendBody(ConnectionId connection, std::string data) = 0;
-
-  // The answer is complete. `reusable` says whether the connection can take another request.
-  virtual void OnBackendDone(ConnectionId connection, bool reusable) = 0;
+  // More of the answer. `reusable` says, on the last part, whether the connection can take another
+  // request.
+  virtual void OnBackendPart(ConnectionId connection, AnswerPart part, bool reusable) = 0;
 
   // The request failed. `may_have_run` is false only if no byte of the request was handed to the
   // network.
@@ -101,8 +108,10 @@
   void WriteRequest();
   void ReadMore();
   void Parse();
+  void StartParser();
   void AcceptHead();
-  void EmitBody();
+  void CollectBody();
+  void EmitPart();
   void Finish();
   void Fail(Reason reason);
   void NoteClosed();
@@ -118,7 +127,9 @@
   std::string m_input;
   std::optional<Parser> m_parser;
   std::size_t m_credit = 0;
-  bool m_head_sent = false;  // Whether OnBackendHead was called for this request.
+  bool m_head_parsed = false;
+  AnswerPart m_part;  // Read but not handed on yet.
+  bool m_reusable = false;
   bool m_written = false;
   TimePoint m_idle_since{};
 };
--- a/src/libs/node/backendpool.cpp
+++ b/src/libs/node/backendpool.cpp
@@ -3,8 +3,6 @@
 #include <unordered_map>
 #include <utility>
 
-#include "http/backendconnection.h"
-
 namespace damaskhollow {
 
 namespace {
@@ -56,22 +54,15 @@
     m_connections.clear();
   }
 
-  void OnBackendHead(ConnectionId connection, HttpResponseHead head) override {
-    m_answers.OnAnswerHead(m_calls.at(connection), std::move(head));
-  }
-
-  void OnBackendBody(ConnectionId connection, std::string data) override {
-    m_answers.OnAnswerBody(m_calls.at(connection), std::move(data));
-  }
-
-  void OnBackendDone(ConnectionId connection, bool reusable) override {
+  void OnBackendPart(ConnectionId connection, AnswerPart part, bool reusable) override {
+    if (!part.last) return m_answers.OnAnswerPart(m_calls.at(connection), std::move(part));
     const OwnedCallId call = Forget(connection);
     if (reusable) {
       m_idle.push_back(connection);
     } else {
       Drop(connection);
     }
-    m_answers.OnAnswerDone(call);
+    m_answers.OnAnswerPart(call, std::move(part));
   }
 
   void OnBackendFailed(ConnectionId connection, Reason reason, bool may_have_run) override {
--- a/src/libs/node/backendpool.h
+++ b/src/libs/node/backendpool.h
@@ -9,6 +9,7 @@
 
 #include "base/endpoint.h"
 #include "base/reason.h"
+#include "http/backendconnection.h"
 #include "http/message.h"
 #include "policy/admissionqueue.h"
 #include "runtime/eventthread.h"
@@ -21,9 +22,7 @@
  public:
   virtual ~BackendAnswers() = default;
 
-  virtual void OnAnswerHead(OwnedCallId call, HttpResponseHead head) = 0;
-  virtual void OnAnswerBody(OwnedCallId call, std::string data) = 0;
-  virtual void OnAnswerDone(OwnedCallId call) = 0;
+  virtual void OnAnswerPart(OwnedCallId call, AnswerPart part) = 0;
   virtual void OnAnswerFailed(OwnedCallId call, Reason reason, bool may_have_run) = 0;
 };
 
--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -14,8 +14,6 @@
 // The call that an owner's message belongs to; 0 for messages that belong to none.
 std::uint64_t CallOf(const wire::Envelope& message) {
   switch (message.body_case()) {
-    case wire::Envelope::kResponseHead:
-      return message.response_head().call_id();
     case wire::Envelope::kResponseChunk:
       return message.response_chunk().call_id();
     case wire::Envelope::kRefused:
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -105,7 +105,7 @@
 void IngressShard::SendAttempt(ConnectionId connection, PendingCall& call,
                                const BackendServerId& server, const ExpiryStamp& expiry) {
   const CallId id{m_next_attempt++ * m_count + m_index};
-  m_attempts[id] = Attempt{connection, server, expiry, 0, false, false};
+  m_attempts[id] = Attempt{connection, server, expiry, 0, false};
   call.attempts.push_back(id);
   call.tried.push_back(server);
 
@@ -136,9 +136,6 @@
 
 void IngressShard::HandleOwnerMessage(const BackendServerId& owner, const wire::Envelope& message) {
   switch (message.body_case()) {
-    case wire::Envelope::kResponseHead:
-      m_context.router.NoteState(owner, message.response_head().state());
-      return HandleHead(message.response_head());
     case wire::Envelope::kResponseChunk:
       if (message.response_chunk().has_state()) {
         m_context.router.NoteState(owner, message.response_chunk().state());
@@ -160,15 +157,12 @@
   }
 }
 
-void IngressShard::HandleHead(const wire::ResponseHead& head) {
-  const CallId id{head.call_id()};
-  Attempt* attempt = FindAttempt(id);
-  if (attempt == nullptr || attempt->head_arrived) return;
-  PendingCall& call = m_calls.at(attempt->connection);
-  if (call.relayed.value != 0) return;  // Another attempt of this call answers.
-  attempt->head_arrived = true;
+bool IngressShard::StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head) {
+  PendingCall& call = m_calls.at(attempt.connection);
+  if (call.relayed.value != 0) return false;  // Another attempt of this call answers.
   call.relayed = id;
-  m_connections.at(attempt->connection)->StartAnswer(AnsweredHead(head, attempt->server.Value()));
+  m_connections.at(attempt.connection)->StartAnswer(AnsweredHead(head, attempt.server.Value()));
+  return true;
 }
 
 void IngressShard::HandleChunk(const wire::ResponseChunk& chunk) {
@@ -176,10 +170,12 @@
   Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr || chunk.sequence() < attempt->next_sequence) return;
   const ConnectionId connection = attempt->connection;
-  if (!attempt->head_arrived || chunk.sequence() > attempt->next_sequence) {
+  if (chunk.sequence() > attempt->next_sequence) {
+    // While the link is in doubt, the owner is asked for what is missing.
     if (!attempt->in_doubt) HandleUnknown(id, Reason::kAnswerTruncated);
     return;
   }
+  if (chunk.has_head() && !StartRelay(id, *attempt, chunk.head())) return;
   ++attempt->next_sequence;
   CallerConnection& caller = *m_connections.at(connection);
   caller.SendBody(chunk.data());
@@ -243,7 +239,7 @@
   for (auto& [id, attempt] : m_attempts) {
     if (attempt.server != owner) continue;
     attempt.in_doubt = true;
-    if (m_calls.at(attempt.connection).call_class.idempotent && !attempt.head_arrived) {
+    if (m_calls.at(attempt.connection).call_class.idempotent && attempt.next_sequence == 0) {
       idempotent.push_back(id);
     }
   }
@@ -261,7 +257,6 @@
     query.set_owner_incarnation(attempt.expiry.incarnation.value);
     query.set_expires_at_us(attempt.expiry.expires_at_us);
     query.set_next_sequence(attempt.next_sequence);
-    query.set_head_arrived(attempt.head_arrived);
     m_context.messenger.Send(owner, std::move(message));
   }
 }
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -84,14 +84,13 @@
     BackendServerId server;
     ExpiryStamp expiry;
     std::uint32_t next_sequence = 0;
-    bool head_arrived = false;
     bool in_doubt = false;  // Its link went silent.
   };
 
   void Route(ConnectionId connection, PendingCall& call);
   void SendAttempt(ConnectionId connection, PendingCall& call, const BackendServerId& server,
                    const ExpiryStamp& expiry);
-  void HandleHead(const wire::ResponseHead& head);
+  bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
   void HandleChunk(const wire::ResponseChunk& chunk);
   void HandleNotRun(CallId attempt, Reason reason);
   void HandleUnknown(CallId attempt, Reason reason);
--- a/src/libs/node/keptanswers.cpp
+++ b/src/libs/node/keptanswers.cpp
@@ -11,17 +11,17 @@
 
 void AnswerTail::NoteCredit(std::size_t credited) {
   m_credited += credited;
-  while (!chunks.empty() && !chunks.front().last() && m_credited >= chunks.front().data().size()) {
+  // Any credit shows that the empty chunks before the credited bytes have arrived.
+  while (m_credited > 0 && !chunks.empty() && !chunks.front().last() &&
+         m_credited >= chunks.front().data().size()) {
     m_credited -= chunks.front().data().size();
     bytes -= chunks.front().data().size();
     chunks.pop_front();
   }
 }
 
-std::vector<wire::Envelope> AnswerTail::Missing(bool head_arrived,
-                                                std::uint32_t next_sequence) const {
+std::vector<wire::Envelope> AnswerTail::Missing(std::uint32_t next_sequence) const {
   std::vector<wire::Envelope> messages;
-  if (head && !head_arrived) *messages.emplace_back().mutable_response_head() = *head;
   for (const wire::ResponseChunk& chunk : chunks) {
     if (chunk.sequence() >= next_sequence) {
       *messages.emplace_back().mutable_response_chunk() = chunk;
--- a/src/libs/node/keptanswers.h
+++ b/src/libs/node/keptanswers.h
@@ -6,7 +6,6 @@
 #include <deque>
 #include <list>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "base/ids.h"
@@ -24,10 +23,9 @@
   auto operator<=>(const CallKey&) const = default;
 };
 
-// The part of an answer that its ingress may not have received: the head and the chunks that it has
-// not given credit for.
+// The part of an answer that its ingress may not have received: the chunks that it has not given
+// credit for.
 struct AnswerTail {
-  std::optional<wire::ResponseHead> head;
   std::deque<wire::ResponseChunk> chunks;
   std::size_t bytes = 0;
 
@@ -37,7 +35,7 @@
   void NoteCredit(std::size_t credited);
 
   // The messages that an ingress lacks.
-  std::vector<wire::Envelope> Missing(bool head_arrived, std::uint32_t next_sequence) const;
+  std::vector<wire::Envelope> Missing(std::uint32_t next_sequence) const;
 
  private:
   std::size_t m_credited = 0;  // Credit that does not cover the first chunk yet.
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -21,12 +21,6 @@
   return file.readAll().toStdString();
 }
 
-// A call is outstanding from its sending to the message that ends it.
-bool EndsCall(const wire::Envelope& message) {
-  return message.has_refused() || message.has_call_failed() ||
-         (message.has_response_chunk() && message.response_chunk().last());
-}
-
 }  // namespace
 
 Node::Node(NodeSettings settings)
@@ -156,7 +150,6 @@
   if (peer == m_identity.server) {
     return m_owner.HandleMessage(ReplyRoute{peer, {}}, std::move(message));
   }
-  if (message.has_call_request()) CountOutstanding(peer, 1);
   m_transport->Send(peer, std::move(message));
 }
 
@@ -201,26 +194,17 @@
       m_router.NoteState(route.peer, message.pong().state());
       return;
     default:
-      if (EndsCall(message)) CountOutstanding(route.peer, -1);
       m_ingress->HandleOwnerMessage(route.peer, std::move(message));
       return;
   }
 }
 
-void Node::OnSendFailed(const BackendServerId& peer, wire::Envelope message) {
-  if (message.has_call_request()) CountOutstanding(peer, -1);
+void Node::OnSendFailed(const BackendServerId&, wire::Envelope message) {
   m_ingress->HandleSendFailed(message);
 }
 
-void Node::CountOutstanding(const BackendServerId& peer, int change) {
-  const std::lock_guard lock(m_peers_lock);
-  m_outstanding[peer] += change;
-}
-
 bool Node::HasOutstandingCalls(const BackendServerId& peer) const {
-  const std::lock_guard lock(m_peers_lock);
-  const auto found = m_outstanding.find(peer);
-  return found != m_outstanding.end() && found->second > 0;
+  return m_router.Outstanding(peer) > 0;
 }
 
 wire::OwnerState Node::OwnState() const { return m_owner.State(); }
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -10,7 +10,6 @@
 #include <mutex>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "base/result.h"
@@ -64,7 +63,6 @@
   void Tick();
   void CheckDrained();
   QJsonObject Status() const;
-  void CountOutstanding(const BackendServerId& peer, int change);
 
   const NodeSettings m_settings;
   const NodeIdentity m_identity;
@@ -87,7 +85,6 @@
 
   mutable std::mutex m_peers_lock;
   std::set<BackendServerId> m_linked_peers;
-  std::unordered_map<BackendServerId, int> m_outstanding;
 };
 
 }  // namespace damaskhollow
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -161,10 +161,10 @@
     OwnedCall& call = m_calls.at(found->second);
     call.route = route;
     result.set_call_state(call.running ? wire::CALL_STATE_RUNNING : wire::CALL_STATE_QUEUED);
-    missing = call.tail.Missing(query.head_arrived(), query.next_sequence());
+    missing = call.tail.Missing(query.next_sequence());
   } else if (const AnswerTail* kept = m_kept.Find(key); kept != nullptr) {
     result.set_call_state(wire::CALL_STATE_DONE);
-    missing = kept->Missing(query.head_arrived(), query.next_sequence());
+    missing = kept->Missing(query.next_sequence());
   } else {
     result.set_call_state(StateOfUnknownCall(key));
     if (result.call_state() == wire::CALL_STATE_NEVER_SEEN) {
@@ -193,53 +193,37 @@
   m_messenger.Reply(route, std::move(message));
 }
 
-void OwnerService::OnAnswerHead(OwnedCallId id, HttpResponseHead head) {
+void OwnerService::OnAnswerPart(OwnedCallId id, AnswerPart part) {
   const std::lock_guard lock(m_lock);
   OwnedCall* call = FindCall(id);
   if (call == nullptr) return;
-  call->shed = m_service != nullptr && m_service->shed_status == head.status;
-  if (call->shed) return;
-  wire::Envelope message;
-  *message.mutable_response_head() = ToWire(head);
-  message.mutable_response_head()->set_call_id(call->key.call.value);
-  *message.mutable_response_head()->mutable_state() = LockedState();
-  call->tail.head = message.response_head();
-  if (!call->discard_answer) m_messenger.Reply(call->route, std::move(message));
-}
-
-void OwnerService::OnAnswerBody(OwnedCallId id, std::string data) {
-  const std::lock_guard lock(m_lock);
-  OwnedCall* call = FindCall(id);
-  if (call == nullptr || call->shed || call->discard_answer) return;
-  SendChunk(id, *call, std::move(data), false);
+  if (part.head) call->shed = m_service != nullptr && m_service->shed_status == part.head->status;
+  const bool last = part.last;
+  if (!call->shed && !call->discard_answer) SendPart(*call, std::move(part));
+  if (last) FinishAnswered(id, *call);
 }
 
-void OwnerService::SendChunk(OwnedCallId, OwnedCall& call, std::string data, bool last) {
+void OwnerService::SendPart(OwnedCall& call, AnswerPart part) {
   wire::Envelope message;
   wire::ResponseChunk& chunk = *message.mutable_response_chunk();
   chunk.set_call_id(call.key.call.value);
   chunk.set_sequence(call.next_sequence++);
-  chunk.set_data(std::move(data));
-  chunk.set_last(last);
-  if (last) *chunk.mutable_state() = LockedState();
+  if (part.head) *chunk.mutable_head() = ToWire(*part.head);
+  chunk.set_data(std::move(part.data));
+  chunk.set_last(part.last);
+  if (part.head || part.last) *chunk.mutable_state() = LockedState();
   call.tail.Add(chunk);
   m_messenger.Reply(call.route, std::move(message));
 }
 
-void OwnerService::OnAnswerDone(OwnedCallId id) {
-  const std::lock_guard lock(m_lock);
-  OwnedCall* call = FindCall(id);
-  if (call == nullptr) return;
-  if (call->shed) {
-    const ReplyRoute route = call->route;
-    const std::uint64_t call_id = call->key.call.value;
+void OwnerService::FinishAnswered(OwnedCallId id, OwnedCall& call) {
+  if (call.shed) {
+    const ReplyRoute route = call.route;
+    const std::uint64_t call_id = call.key.call.value;
     Finish(id, SlotResult::kShed);
     return Refuse(route, call_id, Reason::kBackendShed);
   }
-  if (!call->discard_answer) {
-    SendChunk(id, *call, {}, true);
-    m_kept.Keep(call->key, std::move(call->tail), MonotonicNow());
-  }
+  if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   Finish(id, SlotResult::kCompleted);
 }
 
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -49,9 +49,7 @@
   // Whether no call is queued or running.
   bool IsIdle() const;
 
-  void OnAnswerHead(OwnedCallId call, HttpResponseHead head) override;
-  void OnAnswerBody(OwnedCallId call, std::string data) override;
-  void OnAnswerDone(OwnedCallId call) override;
+  void OnAnswerPart(OwnedCallId call, AnswerPart part) override;
   void OnAnswerFailed(OwnedCallId call, Reason reason, bool may_have_run) override;
 
  private:
@@ -75,7 +73,8 @@
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
   void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason);
-  void SendChunk(OwnedCallId id, OwnedCall& call, std::string data, bool last);
+  void SendPart(OwnedCall& call, AnswerPart part);
+  void FinishAnswered(OwnedCallId id, OwnedCall& call);
   void Finish(OwnedCallId id, SlotResult result);
   void AddTombstone(const CallKey& key, std::uint64_t expires_at_us, wire::CallState state);
   wire::CallState StateOfUnknownCall(const CallKey& key) const;
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -39,14 +39,22 @@
 
 void SharedRouter::NoteSent(const BackendServerId& server, CallId attempt) {
   const std::lock_guard lock(m_lock);
+  ++m_outstanding[server];
   m_router.NoteSent(server, attempt, MonotonicNow());
 }
 
 void SharedRouter::NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result) {
   const std::lock_guard lock(m_lock);
+  --m_outstanding[server];
   m_router.NoteEnded(server, attempt, result, MonotonicNow());
 }
 
+std::size_t SharedRouter::Outstanding(const BackendServerId& server) const {
+  const std::lock_guard lock(m_lock);
+  const auto found = m_outstanding.find(server);
+  return found == m_outstanding.end() ? 0 : found->second;
+}
+
 RoutingChoice SharedRouter::Choose(const RoutingRequest& request) {
   const std::lock_guard lock(m_lock);
   return m_router.Choose(request, MonotonicNow());
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -1,6 +1,8 @@
 #ifndef DAMASKHOLLOW_NODE_SHAREDROUTER_H_
 #define DAMASKHOLLOW_NODE_SHAREDROUTER_H_
 
+#include <cstddef>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -28,6 +30,9 @@
   void NoteSent(const BackendServerId& server, CallId attempt);
   void NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result);
 
+  // Attempts sent to the server that have not ended.
+  std::size_t Outstanding(const BackendServerId& server) const;
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
@@ -35,6 +40,7 @@
   mutable std::mutex m_lock;
   Router m_router;
   OwnerClocks m_clocks;
+  std::map<BackendServerId, std::size_t> m_outstanding;
 };
 
 }  // namespace damaskhollow
