--- /dev/null
+++ b/tests/support/httpserver.cpp
@@ -0,0 +1,100 @@
+#include "support/httpserver.h"
+
+#include <QHostAddress>
+#include <algorithm>
+#include <utility>
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr std::size_t kBodyLimitBytes = 64UL * 1024UL * 1024UL;
+constexpr std::size_t kBodyBudgetBytes = 512UL * 1024UL * 1024UL;
+constexpr int kListenBacklog = 1024;
+// Longer than any test, so that the stand-in closes no connection of its own accord.
+constexpr int kIdleTimeoutMs = 3600000;
+
+}  // namespace
+
+HttpServer::HttpServer(RequestHandler handle, GoneHandler gone)
+    : m_handle(std::move(handle)), m_gone(std::move(gone)), m_budget(kBodyBudgetBytes) {
+  setListenBacklogSize(kListenBacklog);
+}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::Listen(const Endpoint& endpoint) {
+  return listen(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
+}
+
+CallerConnection* HttpServer::Find(ConnectionId connection) {
+  const auto found = m_connections.find(connection);
+  return found == m_connections.end() ? nullptr : found->second.get();
+}
+
+void HttpServer::Answer(ConnectionId connection, int status, std::string_view body,
+                        std::vector<HttpHeader> headers) {
+  CallerConnection* caller = Find(connection);
+  if (caller == nullptr) return;
+  HttpResponseHead head;
+  head.status = status;
+  head.headers = std::move(headers);
+  head.content_length = body.size();
+  caller->StartAnswer(head);
+  caller->SendBody(body);
+  caller->FinishAnswer();
+}
+
+void HttpServer::AnswerChunked(ConnectionId connection, int status, std::string_view body,
+                               std::size_t chunk_bytes, std::vector<HttpHeader> headers) {
+  CallerConnection* caller = Find(connection);
+  if (caller == nullptr) return;
+  HttpResponseHead head;
+  head.status = status;
+  head.headers = std::move(headers);
+  caller->StartAnswer(head);
+  for (std::size_t at = 0; at < body.size(); at += chunk_bytes) {
+    caller->SendBody(body.substr(at, chunk_bytes));
+  }
+  caller->FinishAnswer();
+}
+
+void HttpServer::Abort(ConnectionId connection) {
+  if (CallerConnection* caller = Find(connection); caller != nullptr) caller->Abort();
+  Remove(connection);
+}
+
+std::size_t HttpServer::BodyLimit(const HttpRequest&) const { return kBodyLimitBytes; }
+
+void HttpServer::OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) {
+  m_budget.Release(body_bytes);
+  m_handle(connection, std::move(request));
+}
+
+void HttpServer::OnBadRequest(ConnectionId connection, Reason reason) {
+  Answer(connection, InfoOf(reason).http_status, InfoOf(reason).name);
+}
+
+void HttpServer::OnBodySent(ConnectionId, std::size_t) {}
+
+void HttpServer::OnCallerGone(ConnectionId connection) {
+  Remove(connection);
+  if (m_gone) m_gone(connection);
+}
+
+void HttpServer::Remove(ConnectionId connection) {
+  const auto found = m_connections.find(connection);
+  if (found == m_connections.end()) return;
+  found->second.release()->deleteLater();  // It may be the sender of the present event.
+  m_connections.erase(found);
+}
+
+void HttpServer::incomingConnection(qintptr descriptor) {
+  const ConnectionId id{m_next_connection++};
+  CallerLimits limits;
+  limits.idle_timeout_ms = kIdleTimeoutMs;
+  m_connections.emplace(
+      id, std::make_unique<CallerConnection>(id, descriptor, limits, m_budget, *this));
+}
+
+}  // namespace damaskhollow::test
--- /dev/null
+++ b/tests/support/httpserver.h
@@ -0,0 +1,68 @@
+#ifndef DAMASKHOLLOW_TESTS_SUPPORT_HTTPSERVER_H_
+#define DAMASKHOLLOW_TESTS_SUPPORT_HTTPSERVER_H_
+
+#include <QTcpServer>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "http/bodybudget.h"
+#include "http/callerconnection.h"
+#include "http/message.h"
+
+namespace damaskhollow::test {
+
+// A small HTTP/1.1 server for stand-ins. Runs on the thread that creates it.
+class HttpServer : public QTcpServer, public CallerEvents {
+ public:
+  using RequestHandler = std::function<void(ConnectionId, HttpRequest)>;
+  using GoneHandler = std::function<void(ConnectionId)>;
+
+  // `handle` gets each whole request and answers it at once or later. `gone` hears of connections
+  // that the caller closed.
+  explicit HttpServer(RequestHandler handle, GoneHandler gone = nullptr);
+  ~HttpServer() override;
+
+  // False if the address cannot be used.
+  bool Listen(const Endpoint& endpoint);
+
+  // The connection, or null if it has been closed.
+  CallerConnection* Find(ConnectionId connection);
+
+  // Answers the present request with a body of known length.
+  void Answer(ConnectionId connection, int status, std::string_view body,
+              std::vector<HttpHeader> headers = {});
+
+  // Answers the present request in chunks of at most `chunk_bytes`.
+  void AnswerChunked(ConnectionId connection, int status, std::string_view body,
+                     std::size_t chunk_bytes, std::vector<HttpHeader> headers = {});
+
+  // Closes the connection without an answer.
+  void Abort(ConnectionId connection);
+
+  std::size_t BodyLimit(const HttpRequest& head) const override;
+  void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
+  void OnBadRequest(ConnectionId connection, Reason reason) override;
+  void OnBodySent(ConnectionId connection, std::size_t bytes) override;
+  void OnCallerGone(ConnectionId connection) override;
+
+ protected:
+  void incomingConnection(qintptr descriptor) override;
+
+ private:
+  void Remove(ConnectionId connection);
+
+  RequestHandler m_handle;
+  GoneHandler m_gone;
+  BodyBudget m_budget;
+  std::uint64_t m_next_connection = 1;
+  std::unordered_map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_SUPPORT_HTTPSERVER_H_
--- /dev/null
+++ b/tests/support/standin-backend/backendmodel.h
@@ -0,0 +1,93 @@
+#ifndef DAMASKHOLLOW_TESTS_SUPPORT_STANDIN_BACKEND_BACKENDMODEL_H_
+#define DAMASKHOLLOW_TESTS_SUPPORT_STANDIN_BACKEND_BACKENDMODEL_H_
+
+#include <QElapsedTimer>
+#include <QJsonObject>
+#include <QObject>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "support/httpserver.h"
+#include "support/queryoptions.h"
+
+namespace damaskhollow::test {
+
+// How a backend server behaves until it is told otherwise.
+struct BackendSettings {
+  std::size_t slots = 9;
+  std::size_t queue_limit = 1000;      // Requests that wait for a slot; more are shed.
+  double service_ms = 5.0;             // Mean.
+  std::string distribution = "fixed";  // Or "exponential".
+  std::uint64_t seed = 1;
+  int shed_status = 503;
+  int drain_status = 503;
+  double cold_factor = 1.0;  // Slowdown right after the start; falls to 1 over `cold_ms`.
+  double cold_ms = 0.0;
+};
+
+// A backend server with slots, a queue and faults on request. Test requests take the options `ms`,
+// `bytes`, `status`, `chunked`, `abort` and `crash` from the query or from X-Test-Options.
+class BackendModel : public QObject {
+ public:
+  explicit BackendModel(const BackendSettings& settings);
+
+  // False if the address cannot be used.
+  bool Listen(const Endpoint& endpoint) { return m_server.Listen(endpoint); }
+
+ private:
+  struct Work {
+    ConnectionId connection;
+    std::string test_id;
+    std::string test_class;
+    QueryOptions options;
+    double planned_ms = 0.0;
+  };
+
+  struct Counts {
+    int ran = 0;
+    int completed = 0;
+    int cut = 0;
+    double busy_ms = 0.0;  // Planned time of the completed runs.
+
+    QJsonObject ToJson() const;
+  };
+
+  void HandleRequest(ConnectionId connection, HttpRequest request);
+  void HandleControl(ConnectionId connection, const HttpRequest& request);
+  void HandleHealth(ConnectionId connection);
+  void HandleGone(ConnectionId connection);
+  void StartNext();
+  void Run(Work work);
+  void Complete(ConnectionId connection);
+  void SendAnswer(const Work& work);
+  void ApplyOptions(const QueryOptions& options);
+  double PlannedMs(const QueryOptions& options);
+  QJsonObject RunsJson() const;
+
+  BackendSettings m_settings;
+  HttpServer m_server;
+  std::mt19937_64 m_random;
+  QElapsedTimer m_since_start;
+  std::deque<Work> m_queue;
+  std::unordered_map<ConnectionId, Work> m_running;
+  std::map<std::string, Counts> m_by_id;
+  std::map<std::string, Counts> m_by_class;
+  Counts m_total;
+  int m_shed = 0;
+  int m_failed = 0;
+  std::size_t m_peak_in_flight = 0;
+  double m_slow = 1.0;
+  int m_fail_status = 0;  // 0: does not fail fast.
+  bool m_drain_status_on = false;
+  bool m_drain_header_on = false;
+  bool m_hold = false;  // Runs do not complete while set.
+  std::deque<ConnectionId> m_held;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_SUPPORT_STANDIN_BACKEND_BACKENDMODEL_H_
