Serialize all answer heads in one place

Cause: the answer to a caller beyond the connection limit was put together by hand, beside the serializer of CallerConnection. Change: SerializeResponseHead in http/message, used by both.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/write.hpp>
-#include <sstream>
 #include <utility>
 
 namespace damaskhollow {
@@ -22,22 +20,6 @@
 // network without end.
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024UL * 1024UL;
 
-std::string SerializeHead(const HttpResponseHead& head, bool chunked, bool keep_alive,
-                          bool no_length) {
-  http::response_header<> message;
-  message.version(11);
-  message.result(static_cast<unsigned>(head.status));
-  for (const HttpHeader& header : head.headers) message.insert(header.name, header.value);
-  if (chunked) message.set(http::field::transfer_encoding, "chunked");
-  if (head.content_length && !no_length) {
-    message.set(http::field::content_length, std::to_string(*head.content_length));
-  }
-  message.set(http::field::connection, keep_alive ? "keep-alive" : "close");
-  std::ostringstream out;
-  out << message;
-  return out.str();
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(ConnectionId id, qintptr descriptor, const CallerLimits& limits,
@@ -173,7 +155,8 @@
   m_answer_has_body = !no_body;
   m_chunked_answer = !no_body && !head.content_length && !m_is_http_10;
   if (!no_body && !head.content_length && m_is_http_10) m_keep_alive = false;
-  const std::string bytes = SerializeHead(head, m_chunked_answer, m_keep_alive, head.status == 204);
+  const AnswerFraming framing{m_chunked_answer, m_keep_alive};
+  const std::string bytes = SerializeResponseHead(head, framing);
   m_head_pending += bytes.size();
   m_socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
 }
--- a/src/libs/http/message.cpp
+++ b/src/libs/http/message.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
 
 namespace damaskhollow {
 
@@ -19,6 +22,23 @@
 
 }  // namespace
 
+std::string SerializeResponseHead(const HttpResponseHead& head, const AnswerFraming& framing) {
+  namespace http = boost::beast::http;
+  constexpr int kNoContent = 204;
+  http::response_header<> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(head.status));
+  for (const HttpHeader& header : head.headers) message.insert(header.name, header.value);
+  if (framing.chunked) message.set(http::field::transfer_encoding, "chunked");
+  if (head.content_length && head.status != kNoContent) {
+    message.set(http::field::content_length, std::to_string(*head.content_length));
+  }
+  message.set(http::field::connection, framing.keep_alive ? "keep-alive" : "close");
+  std::ostringstream out;
+  out << message;
+  return out.str();
+}
+
 std::string_view FindHeader(std::span<const HttpHeader> headers, std::string_view name) {
   for (const HttpHeader& header : headers) {
     if (IsSameName(header.name, name)) return header.value;
--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -59,14 +59,9 @@
     m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
     const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded);
     auto* socket = new QTcpSocket(this);
-    socket->setSocketDescriptor(descriptor);
-    const QByteArray bytes =
-        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nDamaskhollow-Outcome: not-run\r\n"
-        "Damaskhollow-Reason: ingress_overloaded\r\nContent-Length: " +
-        QByteArray::number(static_cast<qulonglong>(answer.body.size())) + "\r\n\r\n" +
-        QByteArray::fromStdString(answer.body);
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-    socket->write(bytes);
+    socket->setSocketDescriptor(descriptor);
+    socket->write(QByteArray::fromStdString(SerializeResponseHead(answer.head, {}) + answer.body));
     socket->disconnectFromHost();
     return;
   }
