Route by expected delay within a deterministic subset

The router took all usable servers of a service in turn and scanned the inventory for each call, whatever the load of a server.

The strategies are now small objects (round_robin, random, least_reported, adaptive). Adaptive draws two servers of the nearest tier and takes the one with the lower expected delay, counts the time since a server last answered while calls are outstanding, ejects servers after consecutive failures, takes them back by one trial call, and ramps fresh ones over 10 s. Subsets are computed when declaration or membership change. Calls between regions are bounded by a token bucket, the node's part of its region's budget; answers are charged to it as well. Answers of 500 and above and owners without backend server count as failures.

--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
 constexpr std::size_t kMaxAttempts = 3;
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
+constexpr std::uint32_t kFirstErrorStatus = 500;
 constexpr qsizetype kDigestBytes = 16;
 
 void AddToHash(QCryptographicHash& hash, std::string_view part) {
@@ -88,7 +89,7 @@
   if (choice.refusal == Reason::kNone) {
     if (const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now)) {
       call.waiting = false;
-      return SendAttempt(connection, call, choice.server, *expiry);
+      return SendAttempt(connection, call, choice, *expiry);
     }
   }
   const Reason reason = choice.refusal == Reason::kNone ? Reason::kLinkUnavailable : choice.refusal;
@@ -103,9 +104,14 @@
 }
 
 void IngressShard::SendAttempt(ConnectionId connection, PendingCall& call,
-                               const BackendServerId& server, const ExpiryStamp& expiry) {
+                               const RoutingChoice& choice, const ExpiryStamp& expiry) {
   const CallId id{m_next_attempt++ * m_count + m_index};
-  m_attempts[id] = Attempt{connection, server, expiry, 0, false, false};
+  const BackendServerId& server = choice.server;
+  Attempt& attempt = m_attempts[id];
+  attempt.connection = connection;
+  attempt.server = server;
+  attempt.expiry = expiry;
+  attempt.crosses_regions = choice.crosses_regions;
   call.attempts.push_back(id);
   call.tried.push_back(server);
 
@@ -131,6 +137,9 @@
   }
   request.set_body(call.request.body);
   m_context.router.NoteSent(server, id);
+  if (choice.crosses_regions) {
+    m_context.metrics.Add(Metric::kCallPaidLinkBytes, message.ByteSizeLong());
+  }
   m_context.messenger.Send(server, std::move(message));
 }
 
@@ -167,6 +176,8 @@
   PendingCall& call = m_calls.at(attempt->connection);
   if (call.relayed.value != 0) return;  // Another attempt of this call answers.
   attempt->head_arrived = true;
+  attempt->is_error = head.status() >= kFirstErrorStatus;
+  if (attempt->crosses_regions) NotePaidLinkBytes(head.ByteSizeLong());
   call.relayed = id;
   m_connections.at(attempt->connection)->StartAnswer(AnsweredHead(head, attempt->server.Value()));
 }
@@ -181,24 +192,33 @@
     return;
   }
   ++attempt->next_sequence;
+  if (attempt->crosses_regions) NotePaidLinkBytes(chunk.ByteSizeLong());
+  const AttemptResult result = attempt->is_error ? AttemptResult::kError : AttemptResult::kAnswered;
   CallerConnection& caller = *m_connections.at(connection);
   caller.SendBody(chunk.data());
   if (!chunk.last()) return;
   PendingCall& call = m_calls.at(connection);
   m_context.metrics.Add(Metric::kCallsAnswered);
   m_context.metrics.RecordLatency(call.call_class.priority, MonotonicNow() - call.started);
-  EndAttempt(id, AttemptResult::kAnswered);
+  EndAttempt(id, result);
   CancelAttempts(call);
   EndCall(connection);
   caller.FinishAnswer();
 }
 
+void IngressShard::NotePaidLinkBytes(std::size_t bytes) {
+  m_context.metrics.Add(Metric::kCallPaidLinkBytes, bytes);
+  m_context.router.NotePaidLinkBytes(bytes);
+}
+
 void IngressShard::HandleNotRun(CallId id, Reason reason) {
   const Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
-  EndAttempt(id, AttemptResult::kRefused);
+  // An owner without its backend server refuses at once; that must not attract calls.
+  EndAttempt(
+      id, reason == Reason::kBackendUnreachable ? AttemptResult::kFailed : AttemptResult::kRefused);
   call.last_reason = reason;
   if (!call.attempts.empty()) return;
   if (!MayRetry(call, reason)) return AnswerReason(connection, reason);
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -86,11 +86,14 @@
     std::uint32_t next_sequence = 0;
     bool head_arrived = false;
     bool in_doubt = false;  // Its link went silent.
+    bool crosses_regions = false;
+    bool is_error = false;  // The answer has a status of 500 or above.
   };
 
   void Route(ConnectionId connection, PendingCall& call);
-  void SendAttempt(ConnectionId connection, PendingCall& call, const BackendServerId& server,
+  void SendAttempt(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
                    const ExpiryStamp& expiry);
+  void NotePaidLinkBytes(std::size_t bytes);
   void HandleHead(const wire::ResponseHead& head);
   void HandleChunk(const wire::ResponseChunk& chunk);
   void HandleNotRun(CallId attempt, Reason reason);
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -47,6 +47,11 @@
   m_router.NoteEnded(server, attempt, result, MonotonicNow());
 }
 
+void SharedRouter::NotePaidLinkBytes(std::size_t bytes) {
+  const std::lock_guard lock(m_lock);
+  m_router.NotePaidLinkBytes(bytes, MonotonicNow());
+}
+
 RoutingChoice SharedRouter::Choose(const RoutingRequest& request) {
   const std::lock_guard lock(m_lock);
   return m_router.Choose(request, MonotonicNow());
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKHOLLOW_NODE_SHAREDROUTER_H_
 #define DAMASKHOLLOW_NODE_SHAREDROUTER_H_
 
+#include <cstddef>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -28,6 +29,9 @@
   void NoteSent(const BackendServerId& server, CallId attempt);
   void NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result);
 
+  // Notes bytes of an answer from another region.
+  void NotePaidLinkBytes(std::size_t bytes);
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
--- /dev/null
+++ b/src/libs/policy/leastreportedstrategy.h
@@ -0,0 +1,21 @@
+#ifndef DAMASKHOLLOW_POLICY_LEASTREPORTEDSTRATEGY_H_
+#define DAMASKHOLLOW_POLICY_LEASTREPORTEDSTRATEGY_H_
+
+#include <cstddef>
+#include <optional>
+
+#include "policy/routingstrategy.h"
+
+namespace damaskhollow {
+
+// Takes the open server whose last report showed the fewest calls a slot, however old the report
+// is. A baseline for comparison.
+class LeastReportedStrategy : public RoutingStrategy {
+ public:
+  std::optional<std::size_t> Pick(const RoutingPool& pool, RandomSource& random,
+                                  TimePoint now) override;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_POLICY_LEASTREPORTEDSTRATEGY_H_
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -5,41 +5,182 @@
 
 namespace damaskhollow {
 
+namespace {
+
+// The links of a fresh ingress come up within this time; its servers are not fresh for that.
+constexpr std::chrono::seconds kFirstLinks{5};
+constexpr int kTypicalSmoothing = 64;
+// Head and framing of a call beside its body.
+constexpr std::size_t kCallOverheadBytes = 512;
+constexpr std::size_t kNearTiers = 2;
+
+std::size_t ServersInRegion(const Declaration& declaration, const RegionId& region) {
+  return static_cast<std::size_t>(
+      std::count_if(declaration.backend_servers.begin(), declaration.backend_servers.end(),
+                    [&](const BackendServer& server) { return server.region == region; }));
+}
+
+}  // namespace
+
 Router::Router(std::string_view strategy, Place place, std::uint64_t seed)
-    : m_strategy(strategy), m_place(std::move(place)), m_random(seed) {}
+    : m_place(std::move(place)), m_random(seed), m_strategy(MakeRoutingStrategy(strategy)) {}
 
-void Router::SetDeclaration(std::shared_ptr<const Declaration> declaration, TimePoint) {
+void Router::SetDeclaration(std::shared_ptr<const Declaration> declaration, TimePoint now) {
   m_declaration = std::move(declaration);
+  if (!m_started) m_started = now;
+  std::unordered_map<BackendServerId, ServiceId> previous_services;
+  for (auto& [id, presence] : m_presence) {
+    previous_services[id] = std::exchange(presence.service, ServiceId());
+  }
+  for (const BackendServer& server : m_declaration->backend_servers) {
+    Presence& presence = m_presence[server.id];
+    // A score belongs to one subset and keeps its tier, so a server that moved gets a new one.
+    const bool moved =
+        presence.score && (m_scores[*presence.score].Tier() != TierOf(m_place, server) ||
+                           previous_services[server.id] != server.service);
+    if (moved) DropScore(presence);
+    presence.service = server.service;
+  }
+  for (auto& entry : m_presence) {
+    if (entry.second.service.IsEmpty()) DropScore(entry.second);
+  }
+  std::erase_if(m_presence, [](const auto& entry) { return entry.second.service.IsEmpty(); });
+  std::erase_if(m_subsets, [this](const auto& entry) {
+    return m_declaration->FindService(entry.first) == nullptr;
+  });
+  for (const Service& service : m_declaration->services) RebuildSubset(service, now);
+  const std::size_t nodes =
+      std::max<std::size_t>(ServersInRegion(*m_declaration, m_place.region), 1);
+  m_paid_link.SetRate(static_cast<double>(m_declaration->budgets.paid_link_bytes_per_second) /
+                          static_cast<double>(nodes),
+                      now);
 }
 
-void Router::SetEligible(const BackendServerId& server, bool eligible, TimePoint) {
-  m_servers[server].eligible = eligible;
+void Router::RebuildSubset(const Service& service, TimePoint now) {
+  std::vector<const BackendServer*> servers = m_declaration->ServersOf(service.id);
+  const std::size_t size = SubsetSize(service, servers.size());
+  std::erase_if(
+      servers, [this](const BackendServer* server) { return !m_presence.at(server->id).eligible; });
+  const std::vector<const BackendServer*> chosen = SelectSubset(m_place, size, servers);
+  ServiceSubset& subset = m_subsets[service.id];
+  const auto previous = std::exchange(subset.tiers, {});
+  for (const BackendServer* server : chosen) {
+    Presence& presence = m_presence.at(server->id);
+    const std::size_t index = presence.score ? *presence.score : AddScore(*server, presence, now);
+    subset.tiers[static_cast<std::size_t>(TierOf(m_place, *server))].push_back(index);
+  }
+  for (const std::vector<std::size_t>& tier : previous) {
+    for (const std::size_t index : tier) {
+      // The place of a score that was dropped may have been taken by another server since.
+      const auto found = m_presence.find(m_scores[index].Id());
+      if (found == m_presence.end() || found->second.service != service.id) continue;
+      if (found->second.score == index && !subset.Contains(index)) DropScore(found->second);
+    }
+  }
 }
 
-void Router::SetReachable(const BackendServerId& server, bool reachable, TimePoint) {
-  m_servers[server].reachable = reachable;
+std::size_t Router::AddScore(const BackendServer& server, Presence& presence, TimePoint now) {
+  ServerScore score(server.id, TierOf(m_place, server), server.id == m_place.server);
+  score.SetReachable(presence.reachable, now);
+  if (m_free_scores.empty()) {
+    m_scores.push_back(std::move(score));
+    presence.score = m_scores.size() - 1;
+  } else {
+    presence.score = m_free_scores.back();
+    m_free_scores.pop_back();
+    m_scores[*presence.score] = std::move(score);
+  }
+  return *presence.score;
 }
 
-void Router::NoteLoad(const BackendServerId& server, const ReportedLoad& load, TimePoint) {
-  m_servers[server].load = load;
+void Router::DropScore(Presence& presence) {
+  if (!presence.score) return;
+  m_free_scores.push_back(*presence.score);
+  presence.score.reset();
 }
 
-void Router::NoteSent(const BackendServerId&, CallId, TimePoint) {}
+ServerScore* Router::FindScore(const BackendServerId& server) {
+  const auto found = m_presence.find(server);
+  if (found == m_presence.end() || !found->second.score) return nullptr;
+  return &m_scores[*found->second.score];
+}
 
-void Router::NoteEnded(const BackendServerId&, CallId, AttemptResult, TimePoint) {}
+void Router::SetEligible(const BackendServerId& server, bool eligible, TimePoint now) {
+  Presence& presence = m_presence[server];
+  if (presence.eligible == eligible) return;
+  presence.eligible = eligible;
+  if (!m_declaration || presence.service.IsEmpty()) return;
+  RebuildSubset(*m_declaration->FindService(presence.service), now);
+}
 
-RoutingChoice Router::Choose(const RoutingRequest& request, TimePoint) {
-  std::vector<const BackendServer*> usable;
-  for (const BackendServer* server : m_declaration->ServersOf(request.service)) {
-    const ServerState& state = m_servers[server->id];
-    const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), server->id) !=
-                          request.excluded.end();
-    if (state.eligible && state.reachable && !state.load.draining && !excluded) {
-      usable.push_back(server);
-    }
+void Router::SetReachable(const BackendServerId& server, bool reachable, TimePoint now) {
+  m_presence[server].reachable = reachable;
+  if (ServerScore* score = FindScore(server)) score->SetReachable(reachable, now);
+}
+
+void Router::NoteLoad(const BackendServerId& server, const ReportedLoad& load, TimePoint now) {
+  ServerScore* score = FindScore(server);
+  if (score == nullptr) return;
+  score->NoteLoad(load, m_started && now - *m_started > kFirstLinks, now);
+}
+
+void Router::NoteSent(const BackendServerId& server, CallId attempt, TimePoint now) {
+  if (ServerScore* score = FindScore(server)) score->NoteSent(attempt, now);
+}
+
+void Router::NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result,
+                       TimePoint now) {
+  ServerScore* score = FindScore(server);
+  if (score == nullptr) return;
+  ServiceSubset& subset = m_subsets.at(m_presence.at(server).service);
+  score->NoteEnded(attempt, result, MaySuspend(subset), now);
+  if (result != AttemptResult::kAnswered) return;
+  const Duration service_time = score->Load().service_time;
+  Duration& typical = subset.typical_service_time;
+  typical =
+      typical.count() == 0 ? service_time : typical + (service_time - typical) / kTypicalSmoothing;
+}
+
+bool Router::MaySuspend(const ServiceSubset& subset) const {
+  std::size_t ejected = 0;
+  for (const std::vector<std::size_t>& tier : subset.tiers) {
+    for (const std::size_t index : tier) ejected += m_scores[index].IsEjected() ? 1 : 0;
+  }
+  return (ejected + 1) * 2 <= subset.Size();
+}
+
+void Router::NotePaidLinkBytes(std::size_t bytes, TimePoint now) { m_paid_link.Spend(bytes, now); }
+
+RoutingChoice Router::Choose(const RoutingRequest& request, TimePoint now) {
+  const auto found = m_subsets.find(request.service);
+  if (found == m_subsets.end()) return RoutingChoice{Reason::kNoServer, {}, false};
+  const bool has_room = request.may_cross_regions && m_paid_link.HasRoom(now);
+  const RoutingPool pool(m_scores, found->second, request, has_room ? kTierCount : kNearTiers);
+  const std::optional<std::size_t> picked = m_strategy->Pick(pool, m_random, now);
+  if (!picked) {
+    const bool lacks_bytes = request.may_cross_regions && !has_room && HasOpenServerFarAway(pool);
+    return RoutingChoice{lacks_bytes ? Reason::kPaidLinkBudget : Reason::kNoServer, {}, false};
+  }
+  const ServerScore& score = m_scores[*picked];
+  const bool crosses = score.Tier() == ServerTier::kOtherRegion;
+  if (crosses) m_paid_link.Spend(request.bytes + kCallOverheadBytes, now);
+  return RoutingChoice{Reason::kNone, score.Id(), crosses};
+}
+
+bool Router::HasOpenServerFarAway(const RoutingPool& pool) const {
+  const std::span<const std::size_t> far =
+      pool.Tier(static_cast<std::size_t>(ServerTier::kOtherRegion));
+  return std::any_of(far.begin(), far.end(), [&](std::size_t index) { return pool.IsOpen(index); });
+}
+
+std::vector<BackendServerId> Router::SubsetOf(const ServiceId& service) const {
+  std::vector<BackendServerId> servers;
+  const auto found = m_subsets.find(service);
+  if (found == m_subsets.end()) return servers;
+  for (const std::vector<std::size_t>& tier : found->second.tiers) {
+    for (const std::size_t index : tier) servers.push_back(m_scores[index].Id());
   }
-  if (usable.empty()) return RoutingChoice{Reason::kNoServer, {}};
-  return RoutingChoice{Reason::kNone, usable[m_next++ % usable.size()]->id};
+  return servers;
 }
 
 }  // namespace damaskhollow
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -2,10 +2,10 @@
 #define DAMASKHOLLOW_POLICY_ROUTER_H_
 
 #include <cstddef>
-#include <map>
 #include <memory>
-#include <span>
+#include <optional>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
@@ -13,52 +13,23 @@
 #include "base/reason.h"
 #include "base/time.h"
 #include "declaration/declaration.h"
+#include "policy/paidlinkbudget.h"
+#include "policy/routingpool.h"
+#include "policy/routingstrategy.h"
+#include "policy/serverscores.h"
+#include "policy/serversubset.h"
 
 namespace damaskhollow {
 
-// Where this node stands.
-struct Place {
-  BackendServerId server;
-  RegionId region;
-  DataCentreId data_centre;
-};
-
-// What an owner reported of its load.
-struct ReportedLoad {
-  Incarnation incarnation;
-  std::size_t in_flight = 0;
-  std::size_t queued = 0;
-  std::size_t limit = 0;
-  Duration queue_delay{};
-  Duration service_time{};
-  bool draining = false;
-};
-
-// How one attempt ended, as the ingress sees it.
-enum class AttemptResult {
-  kAnswered,   // An answer below 500.
-  kError,      // An answer of 500 or above.
-  kRefused,    // The owner refused it before it ran.
-  kFailed,     // It broke off or timed out.
-  kCancelled,  // The caller left.
-};
-
-// What routing needs to know of a call.
-struct RoutingRequest {
-  ServiceId service;
-  bool idempotent = false;
-  bool may_cross_regions = false;
-  std::size_t bytes = 0;
-  std::span<const BackendServerId> excluded;  // Servers that this call has been to.
-};
-
 // The chosen server, or the reason why there is none.
 struct RoutingChoice {
   Reason refusal = Reason::kNone;
   BackendServerId server;
+  bool crosses_regions = false;
 };
 
-// Chooses backend servers for calls. Not thread-safe.
+// Chooses backend servers for calls. Subsets are computed when the declaration or the membership
+// changes, so a choice looks only at the subset of its service. Not thread-safe.
 class Router {
  public:
   // `strategy` is adaptive, round_robin, random or least_reported.
@@ -77,21 +48,41 @@
   void NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result,
                  TimePoint now);
 
+  // Notes bytes of a call on the link to other regions that no choice has counted, such as those of
+  // its answer.
+  void NotePaidLinkBytes(std::size_t bytes, TimePoint now);
+
   RoutingChoice Choose(const RoutingRequest& request, TimePoint now);
 
+  // The servers of a service that this node uses, nearest tier first.
+  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
+
  private:
-  struct ServerState {
+  // One per inventory entry, so that a server that enters a subset is known.
+  struct Presence {
     bool eligible = true;
     bool reachable = false;
-    ReportedLoad load;
+    std::optional<std::size_t> score;  // Set while it is in a subset.
+    ServiceId service;                 // Empty if it is not in the inventory.
   };
 
-  std::string m_strategy;
+  void RebuildSubset(const Service& service, TimePoint now);
+  std::size_t AddScore(const BackendServer& server, Presence& presence, TimePoint now);
+  void DropScore(Presence& presence);
+  ServerScore* FindScore(const BackendServerId& server);
+  bool MaySuspend(const ServiceSubset& subset) const;
+  bool HasOpenServerFarAway(const RoutingPool& pool) const;
+
   Place m_place;
   RandomSource m_random;
+  std::unique_ptr<RoutingStrategy> m_strategy;
   std::shared_ptr<const Declaration> m_declaration;
-  std::map<BackendServerId, ServerState> m_servers;
-  std::size_t m_next = 0;
+  std::unordered_map<BackendServerId, Presence> m_presence;
+  std::unordered_map<ServiceId, ServiceSubset> m_subsets;
+  std::vector<ServerScore> m_scores;
+  std::vector<std::size_t> m_free_scores;
+  PaidLinkBudget m_paid_link;
+  std::optional<TimePoint> m_started;  // When the first declaration came.
 };
 
 }  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/policy/routingpool.h
@@ -0,0 +1,60 @@
+#ifndef DAMASKHOLLOW_POLICY_ROUTINGPOOL_H_
+#define DAMASKHOLLOW_POLICY_ROUTINGPOOL_H_
+
+#include <array>
+#include <cstddef>
+#include <span>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "policy/serverscores.h"
+
+namespace damaskhollow {
+
+// What routing needs to know of a call.
+struct RoutingRequest {
+  ServiceId service;
+  bool idempotent = false;
+  bool may_cross_regions = false;
+  std::size_t bytes = 0;
+  std::span<const BackendServerId> excluded;  // Servers that this call has been to.
+};
+
+// The servers of one service that this node uses.
+struct ServiceSubset {
+  std::array<std::vector<std::size_t>, kTierCount> tiers;  // Indices of scores.
+  Duration typical_service_time{};                         // Smoothed over all answers.
+
+  std::size_t Size() const;
+  bool Contains(std::size_t index) const;
+};
+
+// The servers among which a strategy chooses for one call. It refers to its parts, so it lives as
+// long as the choice takes.
+class RoutingPool {
+ public:
+  // `tier_count` is below kTierCount if the call may not leave the region.
+  RoutingPool(std::vector<ServerScore>& scores, const ServiceSubset& subset,
+              const RoutingRequest& request, std::size_t tier_count)
+      : m_scores(scores), m_subset(subset), m_request(request), m_tier_count(tier_count) {}
+
+  std::size_t TierCount() const { return m_tier_count; }
+  std::span<const std::size_t> Tier(std::size_t tier) const { return m_subset.tiers[tier]; }
+  ServerScore& Score(std::size_t index) const { return m_scores[index]; }
+  const RoutingRequest& Request() const { return m_request; }
+  Duration TypicalServiceTime() const { return m_subset.typical_service_time; }
+
+  // Whether a message can be sent to the server, it does not drain, and the call was not there yet.
+  bool IsOpen(std::size_t index) const;
+
+ private:
+  std::vector<ServerScore>& m_scores;
+  const ServiceSubset& m_subset;
+  const RoutingRequest& m_request;
+  const std::size_t m_tier_count;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_POLICY_ROUTINGPOOL_H_
--- /dev/null
+++ b/src/libs/policy/serverscores.cpp
@@ -0,0 +1,162 @@
+#include "policy/serverscores.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace damaskhollow {
+
+namespace {
+
+// Round trips that are assumed, twice the one-way delays of the served systems (0.5 ms between data
+// centres, 30 ms between regions).
+constexpr std::array<Duration, kTierCount> kRoundTrips{Duration(300), Duration(1000),
+                                                       Duration(60000)};
+
+// A reported queue is worked off or grown within about this time.
+constexpr double kQueueAgeUs = 250e3;
+// A server that looks slow gets no calls and so no news; after a few times this it gets one again.
+constexpr double kServiceTimeAgeUs = 5e6;
+
+constexpr double kSuccessSmoothing = 1.0 / 16.0;
+constexpr double kLowestSuccess = 0.02;
+
+constexpr unsigned kFailuresToSuspend = 5;
+constexpr std::chrono::seconds kFirstSuspension{1};
+constexpr unsigned kMostDoublings = 6;  // 64 s.
+
+constexpr std::chrono::seconds kRampTime{10};
+constexpr double kRampFloor = 0.05;
+
+double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
+
+}  // namespace
+
+ServerScore::ServerScore(BackendServerId id, ServerTier tier, bool is_self)
+    : m_id(std::move(id)),
+      m_tier(tier),
+      m_round_trip(is_self ? Duration(0) : kRoundTrips[static_cast<std::size_t>(tier)]) {}
+
+void ServerScore::SetReachable(bool reachable, TimePoint now) {
+  if (reachable == m_reachable) return;
+  m_reachable = reachable;
+  if (!reachable) return;
+  const bool is_return = m_was_reachable;
+  m_was_reachable = true;
+  if (!is_return || m_standing == Standing::kSuspended) return;
+  m_standing = Standing::kTrialDue;
+  m_standing_until = now;
+}
+
+void ServerScore::NoteLoad(const ReportedLoad& load, bool ramp_first, TimePoint now) {
+  const bool is_first = m_load.incarnation.value == 0;
+  const bool is_new = load.incarnation != m_load.incarnation;
+  if (is_new && (!is_first || ramp_first)) m_ramp_from = now;
+  if (is_new) {
+    m_consecutive_failures = 0;
+    m_success = 1.0;
+  }
+  // A Pong repeats the service time although no call has finished, so only a change is news.
+  if (is_new || load.service_time != m_load.service_time) m_service_time_at = now;
+  m_load = load;
+  m_load_at = now;
+}
+
+void ServerScore::NoteSent(CallId attempt, TimePoint now) {
+  m_outstanding.emplace_back(attempt, now);
+  if (m_standing != Standing::kTrialDue) return;
+  m_standing = Standing::kTrialRunning;
+  m_trial = attempt;
+}
+
+void ServerScore::NoteEnded(CallId attempt, AttemptResult result, bool may_suspend, TimePoint now) {
+  const auto found = std::find_if(m_outstanding.begin(), m_outstanding.end(),
+                                  [&](const auto& entry) { return entry.first == attempt; });
+  if (found == m_outstanding.end()) return;
+  m_outstanding.erase(found);
+  const bool was_trial = m_standing == Standing::kTrialRunning && m_trial == attempt;
+  switch (result) {
+    case AttemptResult::kAnswered:
+      return NoteSuccess(was_trial, now);
+    case AttemptResult::kError:
+    case AttemptResult::kFailed:
+      return NoteFailure(was_trial, may_suspend, now);
+    case AttemptResult::kRefused:
+    case AttemptResult::kCancelled:
+      if (was_trial) {
+        m_standing = Standing::kTrialDue;
+        m_standing_until = now;
+      }
+      return;
+  }
+}
+
+void ServerScore::NoteSuccess(bool was_trial, TimePoint now) {
+  m_last_answer = now;
+  m_consecutive_failures = 0;
+  m_success += (1.0 - m_success) * kSuccessSmoothing;
+  if (was_trial) {
+    m_standing = Standing::kNormal;
+    m_ejected = false;
+    m_ramp_from = now;
+    m_success = 1.0;
+  } else if (m_standing == Standing::kNormal && m_ramp_from && now - *m_ramp_from > kRampTime) {
+    m_ramp_from.reset();
+    m_suspensions = 0;
+  }
+}
+
+void ServerScore::NoteFailure(bool was_trial, bool may_suspend, TimePoint now) {
+  ++m_consecutive_failures;
+  m_success -= m_success * kSuccessSmoothing;
+  if (was_trial) return Suspend(now);
+  const bool is_due =
+      m_standing == Standing::kNormal && m_consecutive_failures >= kFailuresToSuspend;
+  if (is_due && may_suspend) Suspend(now);
+}
+
+void ServerScore::Suspend(TimePoint now) {
+  m_standing = Standing::kSuspended;
+  m_ejected = true;
+  m_standing_until = now + kFirstSuspension * (1U << std::min(m_suspensions, kMostDoublings));
+  ++m_suspensions;
+}
+
+void ServerScore::Refresh(TimePoint now) {
+  if (m_standing == Standing::kSuspended && now >= m_standing_until) {
+    m_standing = Standing::kTrialDue;
+  }
+}
+
+double ServerScore::RampShare(TimePoint now) const {
+  if (!m_ramp_from || now - *m_ramp_from >= kRampTime) return 1.0;
+  const double part = Microseconds(now - *m_ramp_from) / Microseconds(kRampTime);
+  return std::max(part, kRampFloor);
+}
+
+double ServerScore::ServiceTime(Duration typical, TimePoint now) const {
+  const double usual = Microseconds(typical);
+  if (m_load.service_time.count() == 0) return usual;
+  const double age = Microseconds(now - m_service_time_at);
+  return usual + (Microseconds(m_load.service_time) - usual) * std::exp(-age / kServiceTimeAgeUs);
+}
+
+// Time since the server last showed that it works, while it has calls of this ingress. A long call
+// beside short ones that are answered is no stall.
+double ServerScore::StalledTime(TimePoint now) const {
+  if (m_outstanding.empty()) return 0.0;
+  const TimePoint since = std::max(m_outstanding.front().second + m_round_trip, m_last_answer);
+  return now <= since ? 0.0 : Microseconds(now - since);
+}
+
+Duration ServerScore::ExpectedDelay(Duration typical, TimePoint now) const {
+  const double age = Microseconds(now - m_load_at);
+  const double queue = Microseconds(m_load.queue_delay) * std::exp(-age / kQueueAgeUs);
+  const double service = std::max(ServiceTime(typical, now), StalledTime(now));
+  const double limit = static_cast<double>(std::max<std::size_t>(m_load.limit, 1));
+  const double own = static_cast<double>(m_outstanding.size()) * service / limit;
+  const double run = (queue + own + service) / std::max(m_success, kLowestSuccess);
+  return Duration(static_cast<Duration::rep>(run)) + m_round_trip;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/policy/serversubset.cpp
@@ -0,0 +1,91 @@
+#include "policy/serversubset.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+#include "base/randomsource.h"
+
+namespace damaskhollow {
+
+namespace {
+
+// Services of both present systems have at most 6 servers; all of them fit.
+constexpr std::size_t kFullSubset = 12;
+constexpr double kServersPerDoubling = 2.0;
+constexpr std::size_t kOtherRegionDivisor = 4;    // A quarter of the subset.
+constexpr std::size_t kOwnDataCentreDivisor = 2;  // Half of what is left.
+
+using Ranked = std::pair<std::uint64_t, const BackendServer*>;
+using Tiers = std::array<std::vector<Ranked>, kTierCount>;
+
+Tiers RankByTier(const Place& place, std::span<const BackendServer* const> servers) {
+  Tiers tiers;
+  for (const BackendServer* server : servers) {
+    const std::uint64_t rank = server->id == place.server
+                                   ? std::numeric_limits<std::uint64_t>::max()
+                                   : StableHash(place.server.Value(), server->id.Value());
+    tiers[static_cast<std::size_t>(TierOf(place, *server))].emplace_back(rank, server);
+  }
+  for (std::vector<Ranked>& tier : tiers) {
+    std::sort(tier.begin(), tier.end(), [](const Ranked& left, const Ranked& right) {
+      if (left.first != right.first) return left.first > right.first;
+      return left.second->id < right.second->id;
+    });
+  }
+  return tiers;
+}
+
+std::array<std::size_t, kTierCount> SharePlaces(const Tiers& tiers, std::size_t size) {
+  const std::size_t other_region = size / kOtherRegionDivisor;
+  const std::size_t own_data_centre = (size - other_region) / kOwnDataCentreDivisor;
+  std::array<std::size_t, kTierCount> places{own_data_centre, size - other_region - own_data_centre,
+                                             other_region};
+  std::size_t left = 0;
+  for (std::size_t tier = 0; tier < kTierCount; ++tier) {
+    const std::size_t usable = std::min(places[tier], tiers[tier].size());
+    left += places[tier] - usable;
+    places[tier] = usable;
+  }
+  for (std::size_t tier = 0; tier < kTierCount; ++tier) {
+    const std::size_t more = std::min(left, tiers[tier].size() - places[tier]);
+    places[tier] += more;
+    left -= more;
+  }
+  return places;
+}
+
+}  // namespace
+
+ServerTier TierOf(const Place& place, const BackendServer& server) {
+  if (server.region != place.region) return ServerTier::kOtherRegion;
+  return server.data_centre == place.data_centre ? ServerTier::kOwnDataCentre
+                                                 : ServerTier::kOwnRegion;
+}
+
+std::size_t SubsetSize(const Service& service, std::size_t fleet) {
+  if (service.subset_size > 0) return std::min(service.subset_size, fleet);
+  if (fleet <= kFullSubset) return fleet;
+  const double doublings = std::log2(static_cast<double>(fleet) / static_cast<double>(kFullSubset));
+  return std::min(
+      fleet, kFullSubset + static_cast<std::size_t>(std::ceil(kServersPerDoubling * doublings)));
+}
+
+std::vector<const BackendServer*> SelectSubset(const Place& place, std::size_t size,
+                                               std::span<const BackendServer* const> servers) {
+  const Tiers tiers = RankByTier(place, servers);
+  const std::array<std::size_t, kTierCount> places = SharePlaces(tiers, size);
+  std::vector<const BackendServer*> subset;
+  subset.reserve(size);
+  for (std::size_t tier = 0; tier < kTierCount; ++tier) {
+    for (std::size_t index = 0; index < places[tier]; ++index) {
+      subset.push_back(tiers[tier][index].second);
+    }
+  }
+  return subset;
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/auto/policy/queueingsimulation.h
@@ -0,0 +1,109 @@
+#ifndef DAMASKHOLLOW_TESTS_AUTO_POLICY_QUEUEINGSIMULATION_H_
+#define DAMASKHOLLOW_TESTS_AUTO_POLICY_QUEUEINGSIMULATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string_view>
+#include <vector>
+
+#include "policy/router.h"
+
+namespace damaskhollow::test {
+
+// How a simulated server behaves from now on.
+struct ServerBehaviour {
+  double slowdown = 1.0;    // Factor on service times.
+  bool fails_fast = false;  // Answers 500 after 1 ms.
+};
+
+// A declaration with one service "s" and `near` servers n0.. in region "west" and `far` servers
+// f0.. in region "east", nine slots each.
+std::shared_ptr<const Declaration> SimulatedDeclaration(std::size_t near, std::size_t far,
+                                                        std::size_t paid_link_bytes_per_second);
+
+// Several ingresses that send calls to servers with queues, in simulated time. The same seed gives
+// the same run.
+class QueueingSimulation {
+ public:
+  // Mean service time of a healthy server.
+  static constexpr Duration kServiceTime{10000};
+
+  QueueingSimulation(std::string_view strategy,
+                     const std::shared_ptr<const Declaration>& declaration, std::size_t ingresses,
+                     std::uint64_t seed);
+
+  void SetBehaviour(std::size_t server, const ServerBehaviour& behaviour);
+  // A new process takes the server's place; its queue is lost.
+  void Restart(std::size_t server);
+  void SetReachable(std::size_t server, bool reachable);
+
+  // Sends calls at random times, on average `per_second`, for `time`. Latencies and counts of
+  // earlier runs are forgotten.
+  void Run(Duration time, double per_second);
+
+  Duration Percentile(double part) const;
+  // Calls sent to the server in this run.
+  std::size_t Sent(std::size_t server) const { return m_servers[server].sent; }
+  std::size_t TotalSent() const;
+  std::size_t Refused(Reason reason) const;
+  TimePoint Now() const { return m_now; }
+
+  // Bytes of each call; counted on the paid link for far servers.
+  static constexpr std::size_t kCallBytes = 2000;
+
+ private:
+  struct Call {
+    std::size_t ingress = 0;
+    std::size_t server = 0;
+    CallId id;
+    TimePoint sent{};
+    std::uint64_t generation = 0;  // Of the server's process.
+  };
+  struct Server {
+    BackendServerId id;
+    Duration one_way{};
+    ServerBehaviour behaviour;
+    std::uint64_t generation = 1;
+    std::size_t running = 0;
+    std::deque<Call> queue;
+    Duration service_time{kServiceTime};
+    std::size_t sent = 0;
+  };
+  struct Event {
+    TimePoint at{};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator>(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  void At(TimePoint time, std::function<void()> action);
+  void Send();
+  void Arrive(const Call& call);
+  void Start(const Call& call);
+  void Finish(const Call& call, Duration service_time);
+  void Answer(const Call& call, const ReportedLoad& load, AttemptResult result);
+  ReportedLoad LoadOf(const Server& server) const;
+  double Exponential(double mean);
+
+  TimePoint m_now{std::chrono::seconds(1000)};
+  RandomSource m_random;
+  std::vector<Router> m_ingresses;
+  std::vector<Server> m_servers;
+  std::map<BackendServerId, std::size_t> m_index;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  std::uint64_t m_next_order = 0;
+  std::uint64_t m_next_call = 1;
+  std::vector<Duration> m_latencies;
+  std::map<Reason, std::size_t> m_refused;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_AUTO_POLICY_QUEUEINGSIMULATION_H_
--- /dev/null
+++ b/tests/auto/policy/tst_router.cpp
@@ -0,0 +1,335 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
+
+#include "auto/policy/queueingsimulation.h"
+#include "policy/router.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using test::QueueingSimulation;
+using test::ServerBehaviour;
+using test::SimulatedDeclaration;
+
+constexpr std::array<std::uint64_t, 3> kSeeds{1, 20, 300};
+constexpr std::size_t kServers = 9;
+constexpr std::size_t kIngresses = 4;
+// 60 % of what nine servers with nine slots and 10 ms can do.
+constexpr double kCallsPerSecond = 4860.0;
+constexpr std::chrono::seconds kWarmUp{15};
+constexpr std::chrono::seconds kRunTime{20};
+
+// The 99th percentile with `slowdown` on the first server, from the moment of the slowdown on.
+Duration TailWithSlowServer(std::string_view strategy, double slowdown, std::uint64_t seed) {
+  QueueingSimulation simulation(strategy, SimulatedDeclaration(kServers, 0, 0), kIngresses, seed);
+  simulation.Run(kWarmUp, kCallsPerSecond);
+  simulation.SetBehaviour(0, ServerBehaviour{slowdown, false});
+  simulation.Run(kRunTime, kCallsPerSecond);
+  return simulation.Percentile(0.99);
+}
+
+double ShareOf(const QueueingSimulation& simulation, std::size_t server) {
+  return static_cast<double>(simulation.Sent(server)) / static_cast<double>(simulation.TotalSent());
+}
+
+std::vector<BackendServerId> SubsetWith(std::size_t servers, const std::string& node) {
+  const Place place{BackendServerId(node), RegionId("west"), DataCentreId("west-1")};
+  Router router("adaptive", place, 1);
+  router.SetDeclaration(SimulatedDeclaration(servers, 0, 0), TimePoint{});
+  return router.SubsetOf(ServiceId("s"));
+}
+
+std::size_t CountMissing(const std::vector<BackendServerId>& from,
+                         const std::vector<BackendServerId>& in) {
+  return static_cast<std::size_t>(std::count_if(from.begin(), from.end(), [&](const auto& id) {
+    return std::find(in.begin(), in.end(), id) == in.end();
+  }));
+}
+
+ReportedLoad IdleLoad(std::uint64_t incarnation) {
+  ReportedLoad load;
+  load.incarnation = Incarnation{incarnation};
+  load.limit = 9;
+  load.service_time = Duration(10000);
+  return load;
+}
+
+}  // namespace
+
+class RouterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouterTest);
+  CPPUNIT_TEST(KeepsTailWithOneSlowServer);
+  CPPUNIT_TEST(GivesFailFastServerFewCalls);
+  CPPUNIT_TEST(RampsColdServer);
+  CPPUNIT_TEST(KeepsPaidLinkBudgetAfterCut);
+  CPPUNIT_TEST(RefusesForPaidLinkBudget);
+  CPPUNIT_TEST(KeepsSubsetStable);
+  CPPUNIT_TEST(SpreadsSubsetsEvenly);
+  CPPUNIT_TEST(GivesNothingToDrainingServers);
+  CPPUNIT_TEST(TakesHealedServerBackByTrial);
+  CPPUNIT_TEST(EjectsAtMostHalf);
+  CPPUNIT_TEST(ReplacesServersOfASubset);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a slow server that drags the tail of the whole service.
+  void KeepsTailWithOneSlowServer() {
+    for (const std::uint64_t seed : kSeeds) {
+      const Duration healthy = TailWithSlowServer("adaptive", 1.0, seed);
+      const Duration slow = TailWithSlowServer("adaptive", 10.0, seed);
+      const Duration round_robin = TailWithSlowServer("round_robin", 10.0, seed);
+      const Duration least_reported = TailWithSlowServer("least_reported", 10.0, seed);
+      std::cout << "  seed " << seed << ": p99 us healthy " << healthy.count() << ", one slow "
+                << slow.count() << ", round robin " << round_robin.count() << ", least reported "
+                << least_reported.count() << '\n';
+      CPPUNIT_ASSERT(slow * 2 <= healthy * 3);
+      CPPUNIT_ASSERT(slow * 5 <= round_robin);
+    }
+  }
+
+  // Guards against taking fast errors for low latency.
+  void GivesFailFastServerFewCalls() {
+    for (const std::uint64_t seed : kSeeds) {
+      QueueingSimulation simulation("adaptive", SimulatedDeclaration(kServers, 0, 0), kIngresses,
+                                    seed);
+      simulation.Run(kWarmUp, kCallsPerSecond);
+      simulation.SetBehaviour(0, ServerBehaviour{1.0, true});
+      simulation.Run(kRunTime, kCallsPerSecond);
+      const double share = ShareOf(simulation, 0);
+      std::cout << "  seed " << seed << ": fail-fast server got " << share * 100 << " %\n";
+      CPPUNIT_ASSERT(share < 0.02);
+      simulation.SetBehaviour(0, ServerBehaviour{});
+      simulation.Run(std::chrono::seconds(100), kCallsPerSecond / 10);
+      simulation.Run(kRunTime, kCallsPerSecond);
+      std::cout << "  seed " << seed << ": after it recovered " << ShareOf(simulation, 0) * 100
+                << " %\n";
+      CPPUNIT_ASSERT(ShareOf(simulation, 0) > 0.05);
+    }
+  }
+
+  // Guards against a flood on a server whose caches are empty.
+  void RampsColdServer() {
+    for (const std::uint64_t seed : kSeeds) {
+      QueueingSimulation simulation("adaptive", SimulatedDeclaration(kServers, 0, 0), kIngresses,
+                                    seed);
+      simulation.Run(kWarmUp, kCallsPerSecond);
+      simulation.Restart(0);
+      std::array<double, 3> shares{};
+      for (double& share : shares) {
+        simulation.Run(std::chrono::seconds(1), kCallsPerSecond);
+        share = ShareOf(simulation, 0);
+        simulation.Run(std::chrono::seconds(4), kCallsPerSecond);
+      }
+      std::cout << "  seed " << seed
+                << ": share of cold server in second 0, 5, 10: " << shares[0] * 100 << " %, "
+                << shares[1] * 100 << " %, " << shares[2] * 100 << " %\n";
+      CPPUNIT_ASSERT(shares[0] < 0.03);
+      CPPUNIT_ASSERT(shares[1] > shares[0] && shares[1] < shares[2]);
+      CPPUNIT_ASSERT(shares[2] > 0.08);
+    }
+  }
+
+  // Guards against a surge on the paid link when a region comes back.
+  void KeepsPaidLinkBudgetAfterCut() {
+    constexpr std::size_t kNear = 4;
+    constexpr std::size_t kFar = 4;
+    constexpr std::size_t kBudget = 400000;  // Bytes a second of the region.
+    // Above what the near servers can do, so that every call would like to cross.
+    constexpr double kOverload = 4500.0;
+    for (const std::uint64_t seed : kSeeds) {
+      QueueingSimulation simulation("adaptive", SimulatedDeclaration(kNear, kFar, kBudget), kNear,
+                                    seed);
+      simulation.Run(std::chrono::seconds(5), kOverload);
+      for (std::size_t server = kNear; server < kNear + kFar; ++server) {
+        simulation.SetReachable(server, false);
+      }
+      simulation.Run(std::chrono::seconds(5), kOverload);
+      for (std::size_t server = kNear; server < kNear + kFar; ++server) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, simulation.Sent(server));
+        simulation.SetReachable(server, true);
+      }
+      for (int second = 0; second < 5; ++second) {
+        simulation.Run(std::chrono::seconds(1), kOverload);
+        std::size_t crossed = 0;
+        for (std::size_t server = kNear; server < kNear + kFar; ++server) {
+          crossed += simulation.Sent(server) * QueueingSimulation::kCallBytes;
+        }
+        std::cout << "  seed " << seed << ": bytes across in second " << second << ": " << crossed
+                  << '\n';
+        // The full bucket of one second comes on top once.
+        CPPUNIT_ASSERT(crossed <= kBudget * (second == 0 ? 2 : 1) + kBudget / 20);
+        CPPUNIT_ASSERT(crossed > 0);
+      }
+    }
+  }
+
+  void RefusesForPaidLinkBudget() {
+    Router router("adaptive", Place{BackendServerId("n0"), RegionId("west"), DataCentreId("w")}, 1);
+    const TimePoint now{std::chrono::seconds(1)};
+    router.SetDeclaration(SimulatedDeclaration(1, 1, 1000), now);
+    router.NoteLoad(BackendServerId("f0"), IdleLoad(1), now);
+    router.SetReachable(BackendServerId("f0"), true, now);
+    RoutingRequest request{ServiceId("s"), true, true, 5000, {}};
+    const RoutingChoice first = router.Choose(request, now);
+    CPPUNIT_ASSERT(first.refusal == Reason::kNone && first.crosses_regions);
+    CPPUNIT_ASSERT(router.Choose(request, now).refusal == Reason::kPaidLinkBudget);
+    request.may_cross_regions = false;
+    CPPUNIT_ASSERT(router.Choose(request, now).refusal == Reason::kNoServer);
+    request.may_cross_regions = true;
+    const TimePoint later = now + std::chrono::seconds(6);
+    CPPUNIT_ASSERT(router.Choose(request, later).refusal == Reason::kNone);
+    router.NotePaidLinkBytes(100000, later);
+    CPPUNIT_ASSERT(router.Choose(request, later + std::chrono::seconds(6)).refusal ==
+                   Reason::kPaidLinkBudget);
+  }
+
+  // Guards against links that are all replaced when one server joins.
+  void KeepsSubsetStable() {
+    constexpr std::size_t kFleet = 200;
+    std::size_t changed = 0;
+    for (int node = 0; node < 50; ++node) {
+      const std::string name = "node" + std::to_string(node);
+      const std::vector<BackendServerId> before = SubsetWith(kFleet, name);
+      const std::vector<BackendServerId> after = SubsetWith(kFleet + 1, name);
+      CPPUNIT_ASSERT(before.size() >= 12 && before.size() <= 24);
+      CPPUNIT_ASSERT(CountMissing(before, after) <= 1);
+      changed += CountMissing(before, after);
+    }
+    std::cout << "  " << changed << " of 50 nodes replaced a server\n";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, SubsetWith(12, "node").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, SubsetWith(5, "node").size());
+  }
+
+  // Guards against servers that no ingress uses.
+  void SpreadsSubsetsEvenly() {
+    constexpr std::size_t kFleet = 60;
+    constexpr int kNodes = 600;
+    std::map<BackendServerId, std::size_t> uses;
+    std::size_t total = 0;
+    for (int node = 0; node < kNodes; ++node) {
+      for (const BackendServerId& id : SubsetWith(kFleet, "node" + std::to_string(node))) {
+        ++uses[id];
+        ++total;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(kFleet, uses.size());
+    for (const auto& entry : uses) CPPUNIT_ASSERT(entry.second * kFleet * 2 > total);
+  }
+
+  void GivesNothingToDrainingServers() {
+    for (const std::string_view strategy :
+         {"adaptive", "round_robin", "random", "least_reported"}) {
+      Router router(strategy, Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 7);
+      const TimePoint now{std::chrono::seconds(1)};
+      router.SetDeclaration(SimulatedDeclaration(2, 0, 0), now);
+      ReportedLoad draining = IdleLoad(1);
+      draining.draining = true;
+      router.NoteLoad(BackendServerId("n0"), draining, now);
+      router.NoteLoad(BackendServerId("n1"), IdleLoad(2), now);
+      router.SetReachable(BackendServerId("n0"), true, now);
+      router.SetReachable(BackendServerId("n1"), true, now);
+      const RoutingRequest request{ServiceId("s"), true, true, 0, {}};
+      for (int call = 0; call < 50; ++call) {
+        CPPUNIT_ASSERT_EQUAL(std::string("n1"), router.Choose(request, now).server.Value());
+      }
+      router.SetEligible(BackendServerId("n1"), false, now);
+      CPPUNIT_ASSERT(router.Choose(request, now).refusal == Reason::kNoServer);
+    }
+  }
+
+  // Guards against sending many calls at once to a server whose link has just come back.
+  void TakesHealedServerBackByTrial() {
+    Router router("adaptive", Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 3);
+    const TimePoint now{std::chrono::seconds(1)};
+    router.SetDeclaration(SimulatedDeclaration(2, 0, 0), now);
+    const BackendServerId healed("n0");
+    const BackendServerId other("n1");
+    for (const BackendServerId& id : {healed, other}) {
+      router.NoteLoad(id, IdleLoad(1), now);
+      router.SetReachable(id, true, now);
+    }
+    router.SetReachable(healed, false, now);
+    router.SetReachable(healed, true, now);
+    RoutingRequest request{ServiceId("s"), false, true, 0, {}};
+    CPPUNIT_ASSERT(router.Choose(request, now).server == other);
+    request.idempotent = true;
+    CPPUNIT_ASSERT(router.Choose(request, now).server == healed);
+    router.NoteSent(healed, CallId{1}, now);
+    for (int call = 0; call < 50; ++call) {
+      CPPUNIT_ASSERT(router.Choose(request, now).server == other);
+    }
+    router.NoteEnded(healed, CallId{1}, AttemptResult::kAnswered, now);
+    int chosen = 0;
+    for (int call = 0; call < 1000; ++call) {
+      if (router.Choose(request, now).server == healed) ++chosen;
+    }
+    CPPUNIT_ASSERT(chosen > 0 && chosen < 100);
+  }
+
+  // Guards against a service without servers when the calls themselves are at fault.
+  void EjectsAtMostHalf() {
+    Router router("adaptive", Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 3);
+    TimePoint now{std::chrono::seconds(1)};
+    router.SetDeclaration(SimulatedDeclaration(5, 0, 0), now);
+    for (int server = 0; server < 5; ++server) {
+      const BackendServerId id("n" + std::to_string(server));
+      router.NoteLoad(id, IdleLoad(1), now);
+      router.SetReachable(id, true, now);
+    }
+    const RoutingRequest request{ServiceId("s"), true, true, 0, {}};
+    std::map<std::string, int> last_calls;
+    for (std::uint64_t call = 1; call <= 400; ++call) {
+      const RoutingChoice choice = router.Choose(request, now);
+      router.NoteSent(choice.server, CallId{call}, now);
+      router.NoteEnded(choice.server, CallId{call}, AttemptResult::kError, now);
+      now += std::chrono::microseconds(100);
+      if (call > 200) ++last_calls[choice.server.Value()];
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, last_calls.size());
+  }
+
+  // Guards against scores that are mixed up when servers move between services and regions.
+  void ReplacesServersOfASubset() {
+    Router router("adaptive", Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 3);
+    const TimePoint now{std::chrono::seconds(1)};
+    RandomSource random(11);
+    for (int round = 0; round < 200; ++round) {
+      Declaration declaration;
+      declaration.budgets.paid_link_bytes_per_second = 1000;
+      for (const char* name : {"a", "b"}) {
+        Service service;
+        service.id = ServiceId(name);
+        service.subset_size = 3;
+        declaration.services.push_back(service);
+      }
+      for (int server = 0; server < 8; ++server) {
+        if (random.Below(4) == 0) continue;
+        BackendServer entry;
+        entry.id = BackendServerId("n" + std::to_string(server));
+        entry.service = ServiceId(random.Below(2) == 0 ? "a" : "b");
+        entry.region = RegionId(random.Below(2) == 0 ? "west" : "east");
+        entry.data_centre = DataCentreId("w");
+        declaration.backend_servers.push_back(entry);
+      }
+      router.SetDeclaration(std::make_shared<const Declaration>(declaration), now);
+      router.SetEligible(BackendServerId("n1"), random.Below(2) == 0, now);
+      for (const Service& service : declaration.services) {
+        const std::vector<BackendServerId> subset = router.SubsetOf(service.id);
+        for (const BackendServerId& id : subset) {
+          CPPUNIT_ASSERT(declaration.FindServer(id) != nullptr);
+          CPPUNIT_ASSERT(declaration.FindServer(id)->service == service.id);
+          CPPUNIT_ASSERT_EQUAL(1L, std::count(subset.begin(), subset.end(), id));
+        }
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouterTest);
+
+}  // namespace damaskhollow
