--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -84,7 +84,6 @@
     BackendServerId server;
     ExpiryStamp expiry;
     std::uint32_t next_sequence = 0;
-    bool head_arrived = false;
     bool in_doubt = false;  // Its link went silent.
     bool crosses_regions = false;
     bool is_error = false;  // The answer has a status of 500 or above.
@@ -93,8 +92,8 @@
   void Route(ConnectionId connection, PendingCall& call);
   void SendAttempt(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
                    const ExpiryStamp& expiry);
+  bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
   void NotePaidLinkBytes(std::size_t bytes);
-  void HandleHead(const wire::ResponseHead& head);
   void HandleChunk(const wire::ResponseChunk& chunk);
   void HandleNotRun(CallId attempt, Reason reason);
   void HandleUnknown(CallId attempt, Reason reason);
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -2,6 +2,7 @@
 #define DAMASKHOLLOW_NODE_SHAREDROUTER_H_
 
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -29,6 +30,9 @@
   void NoteSent(const BackendServerId& server, CallId attempt);
   void NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result);
 
+  // Attempts sent to the server that have not ended.
+  std::size_t Outstanding(const BackendServerId& server) const;
+
   // Notes bytes of an answer from another region.
   void NotePaidLinkBytes(std::size_t bytes);
 
@@ -39,6 +43,7 @@
   mutable std::mutex m_lock;
   Router m_router;
   OwnerClocks m_clocks;
+  std::map<BackendServerId, std::size_t> m_outstanding;
 };
 
 }  // namespace damaskhollow
