Answer idempotent calls over fresh links and keep doubt of earlier runs

Cause: tests with real processes showed two faults of the ingress. 1. BackendAbortThenRefusal: GET /read was read and cut by s2, its retry was shed by s3, and the caller was told not-run although s2 ran it (trace: attempt 1 backend_closed, unknown; attempt 2 backend_shed, answered as the call's result). 2. SilentLink, idempotent rows: with all links silent the attempt was dropped when its link was replaced, no other server was left, and the caller got unknown instead of its answer.

Change: a call remembers that an ended attempt may have run and is then never answered not-run. An idempotent call keeps its attempt in doubt beside the new one, so the status query on the fresh link can still bring the answer; a server that proves that it never saw the call may be chosen again.

--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -91,6 +91,7 @@
       return SendAttempt(connection, call, choice.server, *expiry);
     }
   }
+  if (!call.attempts.empty()) return;  // One in doubt may still be answered.
   const Reason reason = choice.refusal == Reason::kNone ? Reason::kLinkUnavailable : choice.refusal;
   if (!call.waiting) {
     call.waiting = true;
@@ -210,6 +211,7 @@
   const bool was_relayed = call.relayed == id;
   EndAttempt(id, AttemptResult::kFailed);
   call.last_reason = reason;
+  call.doubt = reason;
   if (was_relayed) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
     CancelAttempts(call);
@@ -235,16 +237,23 @@
 }
 
 void IngressShard::HandleLinkDown(const BackendServerId& owner) {
-  std::vector<CallId> idempotent;
+  std::vector<ConnectionId> idempotent;
   for (auto& [id, attempt] : m_attempts) {
-    if (attempt.server != owner) continue;
+    if (attempt.server != owner || attempt.in_doubt) continue;
     attempt.in_doubt = true;
     if (m_calls.at(attempt.connection).call_class.idempotent && attempt.next_sequence == 0) {
-      idempotent.push_back(id);
+      idempotent.push_back(attempt.connection);
     }
   }
-  // An idempotent call does not wait for the new link.
-  for (const CallId id : idempotent) HandleUnknown(id, Reason::kLinkSilent);
+  for (const ConnectionId connection : idempotent) RouteBeside(connection);
+}
+
+void IngressShard::RouteBeside(ConnectionId connection) {
+  PendingCall& call = m_calls.at(connection);
+  if (!MayRetry(call, Reason::kLinkSilent) || call.deadline <= MonotonicNow()) return;
+  const std::size_t attempts = call.attempts.size();
+  Route(connection, call);
+  if (call.attempts.size() > attempts) m_context.metrics.CountRetry(Reason::kLinkSilent);
 }
 
 void IngressShard::HandleLinkUp(const BackendServerId& owner) {
@@ -276,6 +285,8 @@
   switch (state) {
     case wire::CALL_STATE_NEVER_SEEN:
     case wire::CALL_STATE_CANCELLED:
+      // The owner itself is well, so the call may go there again.
+      std::erase(m_calls.at(FindAttempt(id)->connection).tried, FindAttempt(id)->server);
       return HandleNotRun(id, Reason::kLinkUnavailable);
     case wire::CALL_STATE_DONE:
       if (!answer_follows) HandleUnknown(id, Reason::kLinkSilent);
@@ -308,6 +319,9 @@
 
 void IngressShard::AnswerReason(ConnectionId connection, Reason reason) {
   if (PendingCall* call = FindCall(connection); call != nullptr) {
+    // A refused attempt does not prove that an earlier one did not run.
+    const bool is_doubtful = call->doubt != Reason::kNone;
+    if (is_doubtful && InfoOf(reason).outcome == Outcome::kNotRun) reason = call->doubt;
     CancelAttempts(*call);
     EndCall(connection);
   }
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -76,6 +76,7 @@
     bool waiting = false;          // For a server that can take it.
     TimePoint waiting_until{};
     Reason last_reason = Reason::kNone;
+    Reason doubt = Reason::kNone;  // Why an ended attempt may have run.
   };
 
   // One sending of a call to an owner.
@@ -88,6 +89,11 @@
   };
 
   void Route(ConnectionId connection, PendingCall& call);
+
+  // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
+  // wait for the new link. The first answer counts.
+  void RouteBeside(ConnectionId connection);
+
   void SendAttempt(ConnectionId connection, PendingCall& call, const BackendServerId& server,
                    const ExpiryStamp& expiry);
   bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
--- /dev/null
+++ b/tests/integration/tst_pausedowner.cpp
@@ -0,0 +1,92 @@
+#include <cppunit/TestAssert.h>
+#include <signal.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "support/fleet.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+struct PauseCase {
+  std::string_view name;
+  bool queue_before_pause;  // Else the requests reach the owner while it is paused.
+  std::string_view method;
+  std::string_view path;
+};
+
+constexpr std::array kCases{
+    PauseCase{"queued before the pause", true, "POST", "/book"},
+    PauseCase{"idempotent, queued before the pause", true, "GET", "/read"},
+    PauseCase{"sent during the pause", false, "POST", "/book"},
+    PauseCase{"idempotent, sent during the pause", false, "GET", "/read"},
+};
+
+constexpr std::size_t kCalls = 5;
+constexpr std::chrono::milliseconds kShortDeadline{1500};
+
+std::string IdOf(std::size_t call) { return "paused-" + std::to_string(call); }
+
+// Guards against work that an owner runs after a pause although its caller has long been told that
+// it failed.
+void RunsNoExpiredWork(const PauseCase& row) {
+  Fleet fleet({.servers = FrontedFleet(2, 1), .deadline_ms = 60000});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  fleet.SetBackend(1, "hold=1");
+  // Takes the only slot until the backend server is released.
+  bool blocker_ended = false;
+  fleet.Send(0, MakeRequest("GET", "/page?ms=0", {{"X-Test-Id", "blocker"}}),
+             [&](const HttpAnswer&) { blocker_ended = true; });
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.RunsOf("blocker").ran == 1; }));
+
+  if (!row.queue_before_pause) fleet.Node(1).Signal(SIGSTOP);
+  std::array<HttpAnswer, kCalls> answers;
+  std::size_t ended = 0;
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    const HttpRequest request =
+        MakeRequest(row.method, std::string(row.path) + "?ms=0",
+                    {{"X-Test-Id", IdOf(call)},
+                     {"Damaskhollow-Deadline-Ms", std::to_string(kShortDeadline.count())}});
+    fleet.Send(0, request, [&, call](const HttpAnswer& answer) {
+      answers[call] = answer;
+      ++ended;
+    });
+  }
+  if (row.queue_before_pause) {
+    CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitUntil([&] {
+                             return fleet.Status(1)["queued"].toInt() == static_cast<int>(kCalls);
+                           }));
+    fleet.Node(1).Signal(SIGSTOP);
+  }
+  const auto all_sent = std::chrono::steady_clock::now();
+  const bool all_ended = WaitUntil([&] {
+    return ended == kCalls && std::chrono::steady_clock::now() > all_sent + kShortDeadline;
+  });
+  fleet.Node(1).Signal(SIGCONT);
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), all_ended);
+  fleet.SetBackend(1, "hold=0");
+
+  CPPUNIT_ASSERT(WaitUntil([&] { return blocker_ended; }));
+  // Once the owner serves again and its queue is empty, nothing can run late.
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitUntil([&] {
+                           return fleet.Call(0, "GET", "/read").Outcome() == "answered" &&
+                                  fleet.Status(1)["queued"].toInt() == 0;
+                         }));
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answers[call].Describe(), 0, fleet.RunsOf(IdOf(call)).ran);
+    CPPUNIT_ASSERT_MESSAGE(answers[call].Describe(), answers[call].Outcome() != "answered");
+  }
+  CPPUNIT_ASSERT_EQUAL(1, fleet.RunsOf("blocker").ran);
+}
+
+const TableTest<PauseCase> registration("PausedOwner", kCases, &RunsNoExpiredWork);
+
+}  // namespace
+
+}  // namespace damaskhollow::test
--- /dev/null
+++ b/tests/support/loadgenerator.h
@@ -0,0 +1,84 @@
+#ifndef DAMASKHOLLOW_TESTS_SUPPORT_LOADGENERATOR_H_
+#define DAMASKHOLLOW_TESTS_SUPPORT_LOADGENERATOR_H_
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/randomsource.h"
+#include "support/httpclient.h"
+
+namespace damaskhollow::test {
+
+// Calls of one kind that arrive at a rate of their own.
+struct LoadStream {
+  std::string name;  // Sent as X-Test-Class.
+  HttpRequest request;
+  double rate_per_second = 0.0;
+  std::vector<Endpoint> targets;  // Each call goes to one, chosen at random.
+};
+
+// What became of the calls of one stream.
+struct LoadCounts {
+  std::size_t sent = 0;
+  std::size_t skipped = 0;  // Due, but too many calls were pending in this process.
+  std::map<std::string, std::size_t> by_outcome;
+  std::map<std::string, std::size_t> by_reason;
+  std::vector<double> latencies_ms;  // From the planned start to the end of answered calls.
+
+  std::size_t Count(const std::string& outcome) const;
+
+  // The latency below which this part of the answered calls stayed; 0 without calls.
+  double Quantile(double part) const;
+};
+
+// Sends calls at given rates however long the answers take, with seeded exponential gaps. Runs on
+// the calling thread's event loop.
+class LoadGenerator : public QObject {
+ public:
+  LoadGenerator(std::vector<LoadStream> streams, std::uint64_t seed,
+                std::size_t max_pending = 4096);
+
+  // Sends for this long; latencies count from when a call was due.
+  void Start(std::chrono::milliseconds duration);
+
+  // Changes the rate of a stream from now on.
+  void SetRate(std::size_t stream, double rate_per_second);
+
+  // Whether all calls have been sent and have ended.
+  bool IsDone() const { return m_stopped && m_client.Pending() == 0 && m_pending == 0; }
+
+  // Sends no more calls.
+  void Stop();
+
+  const LoadCounts& Counts(std::size_t stream) const { return m_counts[stream]; }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  void SendDue();
+  void SendOne(std::size_t stream, Clock::time_point due);
+  void NoteAnswer(std::size_t stream, Clock::time_point due, const HttpAnswer& answer);
+  Clock::duration NextGap(std::size_t stream);
+
+  std::vector<LoadStream> m_streams;
+  std::vector<LoadCounts> m_counts;
+  std::vector<Clock::time_point> m_next;
+  RandomSource m_random;
+  const std::size_t m_max_pending;
+  std::size_t m_pending = 0;
+  bool m_stopped = true;
+  Clock::time_point m_end{};
+  HttpClient m_client{true};
+  QTimer m_timer;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_SUPPORT_LOADGENERATOR_H_
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,69 @@
+#include "support/process.h"
+
+#include <signal.h>
+#include <sys/prctl.h>
+
+#include <QFile>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds kKillLimit{10000};
+constexpr int kStartLimitMs = 10000;
+
+}  // namespace
+
+Process::Process(std::string_view program, std::vector<std::string> arguments, std::string log_file)
+    : m_program(std::string(DAMASKHOLLOW_BIN_DIR "/").append(program)),
+      m_arguments(std::move(arguments)),
+      m_log_file(std::move(log_file)) {
+  m_process.setProcessChannelMode(QProcess::MergedChannels);
+  m_process.setStandardOutputFile(QString::fromStdString(m_log_file), QIODevice::Append);
+  m_process.setChildProcessModifier([] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+}
+
+Process::~Process() { Kill(); }
+
+void Process::Start() {
+  QStringList arguments;
+  for (const std::string& argument : m_arguments) arguments << QString::fromStdString(argument);
+  m_process.start(QString::fromStdString(m_program), arguments);
+  m_process.waitForStarted(kStartLimitMs);
+}
+
+void Process::Signal(int signal) {
+  if (IsRunning()) ::kill(static_cast<pid_t>(m_process.processId()), signal);
+}
+
+void Process::Kill() {
+  Signal(SIGKILL);
+  m_process.waitForFinished(static_cast<int>(kKillLimit.count()));
+}
+
+bool Process::WaitForExit(std::chrono::milliseconds limit) {
+  return WaitUntil([this] { return !IsRunning(); }, limit);
+}
+
+std::size_t Process::PeakResidentKilobytes() const {
+  std::ifstream status("/proc/" + std::to_string(m_process.processId()) + "/status");
+  constexpr std::string_view kKey = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kKey)) return std::stoul(line.substr(kKey.size()));
+  }
+  return 0;
+}
+
+std::string Process::Output() const {
+  std::ifstream file(m_log_file);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace damaskhollow::test
