Report processor time and memory of the node in its metrics

Cause: the cost of a node could only be read from outside the process. Change: /metrics has damaskhollow_process_cpu_seconds_total and damaskhollow_process_resident_memory_bytes; a text table for the programs that measure.

--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "metrics/processusage.h"
+
 namespace damaskhollow {
 
 namespace {
@@ -123,6 +125,7 @@
         << info.name << ' ' << info.type << "\ndamaskhollow_" << info.name << ' '
         << Value(info.metric) << '\n';
   }
+  out << damaskhollow::PrometheusText(ReadProcessUsage());
   WriteReasonCounters(out, "refusals_total", "Calls refused or failed, by reason.", m_refusals);
   WriteReasonCounters(out, "retries_by_reason_total", "Calls tried again, by reason.", m_retries);
 
