Keep room for urgent callers when the connection limit is reached

Cause: a node refused every caller beyond its connection limit before it had read a request. A flood of bulk calls, or idle connections, shut out urgent callers (test CrowdedIngress, 2 of 2 rows failed: "Expected: answered, Actual: not-run, reason ingress_overloaded").

Change: beyond the limit only calls of the most urgent priority are taken, up to a quarter more; others are refused after classification and their connection closes. Connections idle for 1 s are closed then.

--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -14,6 +14,7 @@
 
 #include "base/ids.h"
 #include "base/reason.h"
+#include "base/time.h"
 #include "http/bodybudget.h"
 #include "http/message.h"
 
@@ -74,6 +75,9 @@
   // Closes the connection after the present answer, at once if there is none.
   void CloseWhenIdle();
 
+  // Closes the connection if no byte of a request has arrived for `at_least`.
+  void CloseIfIdle(Duration at_least);
+
   bool IsAnswering() const { return m_state == State::kAnswering; }
 
  private:
@@ -109,6 +113,7 @@
   std::size_t m_head_pending =
       0;  // Bytes of answer heads and framing not yet handed to the network.
   std::size_t m_discarded = 0;
+  TimePoint m_idle_since{};
   bool m_keep_alive = true;
   bool m_is_http_10 = false;
   bool m_chunked_answer = false;
--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr int kListenBacklog = 512;
+// A flood of other work may fill the connection limit; a quarter more is kept for the most urgent.
+constexpr std::size_t kUrgentReserveDivisor = 4;
+constexpr std::chrono::milliseconds kIdleCloseInterval{100};
 
 // The call that an owner's message belongs to; 0 for messages that belong to none.
 std::uint64_t CallOf(const wire::Envelope& message) {
@@ -32,9 +35,8 @@
 }  // namespace
 
 IngressService::IngressService(const IngressContext& context,
-                               std::span<const std::unique_ptr<EventThread>> workers,
-                               std::size_t max_connections)
-    : m_context(context), m_max_connections(max_connections) {
+                               std::span<const std::unique_ptr<EventThread>> workers)
+    : m_context(context) {
   for (std::size_t index = 0; index < workers.size(); ++index) {
     Slot slot{workers[index].get(), nullptr};
     // A shard lives on its thread, as its timer does.
@@ -55,7 +57,10 @@
 }
 
 void IngressService::incomingConnection(qintptr descriptor) {
-  if (m_context.caller_connections.load() >= m_max_connections) {
+  const std::size_t connections = m_context.caller_connections.load();
+  const std::size_t limit = m_context.max_caller_connections;
+  if (connections >= limit) CloseIdleConnections();
+  if (connections >= limit + limit / kUrgentReserveDivisor) {
     m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
     const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded);
     auto* socket = new QTcpSocket(this);
@@ -70,6 +75,15 @@
   slot.thread->Post([shard = slot.shard.get(), descriptor] { shard->AddCaller(descriptor); });
 }
 
+void IngressService::CloseIdleConnections() {
+  const TimePoint now = MonotonicNow();
+  if (now - m_idle_closed_at < kIdleCloseInterval) return;
+  m_idle_closed_at = now;
+  for (Slot& slot : m_slots) {
+    slot.thread->Post([shard = slot.shard.get()] { shard->CloseIdleConnections(); });
+  }
+}
+
 void IngressService::HandleOwnerMessage(const BackendServerId& owner, wire::Envelope message) {
   const std::uint64_t call = CallOf(message);
   if (call == 0) return;
--- a/src/libs/node/ingressservice.h
+++ b/src/libs/node/ingressservice.h
@@ -22,8 +22,7 @@
 class IngressService : public QTcpServer {
  public:
   IngressService(const IngressContext& context,
-                 std::span<const std::unique_ptr<EventThread>> workers,
-                 std::size_t max_connections);
+                 std::span<const std::unique_ptr<EventThread>> workers);
   ~IngressService() override;
 
   // Fails with kSocket.
@@ -49,6 +48,9 @@
  protected:
   void incomingConnection(qintptr descriptor) override;
 
+  // Makes room when the connection limit is reached, at most every 100 ms.
+  void CloseIdleConnections();
+
  private:
   struct Slot {
     EventThread* thread;
@@ -58,9 +60,9 @@
   Slot& SlotOf(std::uint64_t call_id) { return m_slots[call_id % m_slots.size()]; }
 
   IngressContext m_context;
-  const std::size_t m_max_connections;
   std::vector<Slot> m_slots;
   std::size_t m_next_slot = 0;
+  TimePoint m_idle_closed_at{};
 };
 
 }  // namespace damaskhollow
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kServerWait{1000};
 // The owner answers at the deadline; its answer needs this long to arrive, also between regions.
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
+// A connection that was just opened has not sent its request yet and must not count as idle.
+constexpr std::chrono::milliseconds kCrowdedIdle{1000};
 constexpr std::size_t kMaxAttempts = 3;
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
 constexpr std::uint32_t kFirstErrorStatus = 500;
@@ -69,6 +71,10 @@
   if (classification.refusal != Reason::kNone) {
     return AnswerReason(connection, classification.refusal);
   }
+  if (IsCrowdedOut(classification.call_class)) {
+    m_connections.at(connection)->CloseWhenIdle();
+    return AnswerReason(connection, Reason::kIngressOverloaded);
+  }
   call.call_class = std::move(classification.call_class);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
@@ -388,6 +394,19 @@
   m_context.caller_connections.fetch_sub(1);
 }
 
+bool IngressShard::IsCrowdedOut(const CallClass& call_class) const {
+  return call_class.priority_index > 0 &&
+         m_context.caller_connections.load() > m_context.max_caller_connections;
+}
+
+void IngressShard::CloseIdleConnections() {
+  std::vector<ConnectionId> connections;
+  for (const auto& entry : m_connections) {
+    if (!entry.second->IsAnswering()) connections.push_back(entry.first);
+  }
+  for (const ConnectionId id : connections) m_connections.at(id)->CloseIfIdle(kCrowdedIdle);
+}
+
 void IngressShard::CloseConnections() {
   std::vector<ConnectionId> connections;
   connections.reserve(m_connections.size());
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -30,6 +30,8 @@
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
+  std::size_t max_caller_connections =
+      0;  // Beyond it, only calls of the most urgent priority are taken.
 };
 
 // The calls of some caller connections, on one worker thread. All members run on that thread.
@@ -54,6 +56,9 @@
   // Closes idle connections, and the others after their present answer.
   void CloseConnections();
 
+  // Closes the connections that carry no call.
+  void CloseIdleConnections();
+
   std::size_t BodyLimit(const HttpRequest& head) const override;
   void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
   void OnBadRequest(ConnectionId connection, Reason reason) override;
@@ -90,6 +95,9 @@
     bool is_error = false;  // The answer has a status of 500 or above.
   };
 
+  // Whether the call is refused because its node holds too many caller connections.
+  bool IsCrowdedOut(const CallClass& call_class) const;
+
   void Route(ConnectionId connection, PendingCall& call);
 
   // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -56,8 +56,8 @@
       *this);
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_body_budget, m_declaration,
-                     m_caller_connections},
-      m_workers, m_settings.caller_connections);
+                     m_caller_connections, m_settings.caller_connections},
+      m_workers);
   if (Result<void> result = m_transport->Start(); !result) return result;
   if (Result<void> result = LoadDeclarationFile(); !result) return result;
   if (Result<void> result = m_ingress->Listen(m_settings.listen); !result) return result;
