Add the pure decisions of at-most-once execution

Cause: the checks against a second run were spread over the owner service and could not be explored; a request id was carried but not used.

Change: SendGuard holds the owner's proof for one sending: expiry, incarnation, tombstones. RequestHome orders the homes of a request id. RequestRegistry decides whether a home accepts, asks other servers to release the id, replays a kept answer, or refuses. It also asks servers that may still act on another inventory, whatever their place in the order.

Not wired in yet.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -99,6 +99,10 @@
     {Reason::kHomeUnreachable, "home_unreachable", kNotRun, 503, false,
      "A node that may remember this request id cannot be asked; this send was not run.",
      "Check that node with `damaskhollow status`."},
+    {Reason::kHomeReleased, "home_released", kNotRun, 503, true,
+     "This node gave the request id up to another home, which may have run the request; this send "
+     "was not run.",
+     "None; the ingress asks the next home."},
     {Reason::kRequestIdExpired, "request_id_expired", kUnknown, 409, false,
      "The request id is older than it is remembered.",
      "The caller must check whether its request took effect."},
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -56,6 +56,7 @@
   // Request ids.
   kHomeRestarted,
   kHomeUnreachable,
+  kHomeReleased,
   kRequestIdExpired,
   kRegistryFull,
   kAlreadyRunning,
--- a/src/libs/node/keptanswers.h
+++ b/src/libs/node/keptanswers.h
@@ -1,7 +1,6 @@
 #ifndef DAMASKHOLLOW_NODE_KEPTANSWERS_H_
 #define DAMASKHOLLOW_NODE_KEPTANSWERS_H_
 
-#include <compare>
 #include <cstddef>
 #include <deque>
 #include <list>
@@ -11,19 +10,11 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "policy/sendguard.h"
 #include "wire/messages.pb.h"
 
 namespace damaskhollow {
 
-// Names a call among all ingresses.
-struct CallKey {
-  BackendServerId ingress;
-  Incarnation incarnation;
-  CallId call;
-
-  auto operator<=>(const CallKey&) const = default;
-};
-
 // The part of an answer that its ingress may not have received: the head and the chunks that it has
 // not given credit for.
 struct AnswerTail {
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -94,8 +94,8 @@
   double work = own_work;  // Slot time, in microseconds.
   for (std::size_t index = 0; index < lane; ++index) {
     const Lane& ahead = m_lanes[index];
-    work += static_cast<double>(ahead.queue.size()) *
-            static_cast<double>(ServiceTimeOf(ahead).count());
+    work +=
+        static_cast<double>(ahead.queue.size()) * static_cast<double>(ServiceTimeOf(ahead).count());
   }
   const double available = std::max(1.0 - ShareOfLessUrgent(lane), kLeastShare);
   const double by_order = work / (limit * available);
--- /dev/null
+++ b/src/libs/policy/requestregistry.cpp
@@ -0,0 +1,209 @@
+#include "policy/requestregistry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace damaskhollow {
+
+namespace {
+
+// Ids are kept a little longer than they are accepted.
+constexpr std::chrono::milliseconds kKeptAge = kRequestIdAge + 2 * kClockAllowance;
+
+RequestDecision Refuse(Reason reason) {
+  return RequestDecision{RequestDecision::Kind::kRefuse, reason, {}, nullptr};
+}
+
+}  // namespace
+
+RequestRegistry::RequestRegistry(BackendServerId self, WallTime started, RegistryLimits limits)
+    : m_self(std::move(self)), m_started(started), m_limits(limits) {}
+
+void RequestRegistry::SetInventory(std::span<const BackendServerId> members, std::uint64_t version,
+                                   WallTime now) {
+  const std::set<BackendServerId> wanted(members.begin(), members.end());
+  const bool is_member = wanted.contains(m_self);
+  std::set<BackendServerId> present;
+  for (const auto& [id, member] : m_members) {
+    if (member.is_present) present.insert(id);
+  }
+  std::set<BackendServerId> others = wanted;
+  others.erase(m_self);
+  if (m_inventory_version != 0 && is_member == m_is_member && others == present) return;
+
+  m_is_member = is_member;
+  m_inventory_version = version;
+  for (auto& [id, member] : m_members) member.is_present = others.contains(id);
+  for (const BackendServerId& id : others) m_members[id].is_present = true;
+  for (auto& [id, member] : m_members) {
+    member.current_since.reset();
+    if (member.version >= version) member.current_since = now;
+  }
+}
+
+void RequestRegistry::NoteVersion(const BackendServerId& server, Incarnation incarnation,
+                                  std::uint64_t version, WallTime now) {
+  const auto found = m_members.find(server);
+  if (found == m_members.end()) return;
+  Member& member = found->second;
+  if (member.incarnation != incarnation) {
+    // A restarted process may have started with an older configuration.
+    member.incarnation = incarnation;
+    member.version = 0;
+    member.current_since.reset();
+  }
+  member.version = std::max(member.version, version);
+  if (!member.current_since && member.version >= m_inventory_version) member.current_since = now;
+}
+
+Reason RequestRegistry::CheckTime(WallTime created, WallTime now) const {
+  if (created > now + kClockAllowance) return Reason::kRequestIdInvalid;
+  if (created < m_latest - kRequestIdAge) return Reason::kRequestIdExpired;
+  // What this process did not see may have run under its predecessor.
+  if (m_started >= created - kClockAllowance) return Reason::kHomeRestarted;
+  return Reason::kNone;
+}
+
+RequestDecision RequestRegistry::DecideKnown(const Entry& entry) const {
+  switch (entry.state) {
+    case State::kRunning:
+      return Refuse(Reason::kAlreadyRunning);
+    case State::kReleased:
+      return Refuse(Reason::kHomeReleased);
+    case State::kDone:
+      break;
+  }
+  if (!entry.answer) return Refuse(entry.reason);
+  return RequestDecision{RequestDecision::Kind::kReplay, Reason::kNone, {}, &*entry.answer};
+}
+
+std::vector<BackendServerId> RequestRegistry::ServersToAsk(const Key& key,
+                                                           const AbsentSince& absent_since) const {
+  const WallTime limit = key.created - kClockAllowance;
+  std::vector<BackendServerId> ask;
+  for (const auto& [id, member] : m_members) {
+    // A server that still acts on another inventory may take itself for the home, whatever its
+    // place in the present order.
+    const bool is_current = member.current_since && *member.current_since < limit;
+    const bool is_higher = member.is_present && IsBefore(id, m_self, key.id);
+    if (is_current && !is_higher) continue;
+    const std::optional<WallTime> absent = absent_since ? absent_since(id) : std::nullopt;
+    if (absent && *absent < limit) continue;
+    ask.push_back(id);
+  }
+  return ask;
+}
+
+RequestDecision RequestRegistry::Arrive(std::string_view request_id,
+                                        const AbsentSince& absent_since, WallTime now) {
+  m_latest = std::max(m_latest, now);
+  const std::optional<WallTime> created = CreationTime(request_id);
+  if (!created) return Refuse(Reason::kRequestIdInvalid);
+  Key key{*created, std::string(request_id)};
+  const auto known = m_entries.find(key);
+  if (known != m_entries.end()) return DecideKnown(known->second);
+  if (const Reason reason = CheckTime(*created, now); reason != Reason::kNone) {
+    return Refuse(reason);
+  }
+  if (!m_is_member) return Refuse(Reason::kWrongServer);
+  SweepEntries();
+  if (m_entries.size() >= m_limits.entries) return Refuse(Reason::kRegistryFull);
+  RequestDecision decision;
+  decision.ask = ServersToAsk(key, absent_since);
+  decision.kind =
+      decision.ask.empty() ? RequestDecision::Kind::kAccept : RequestDecision::Kind::kAsk;
+  m_entries.emplace(std::move(key), Entry{});
+  return decision;
+}
+
+RequestRegistry::Entries::iterator RequestRegistry::Find(std::string_view request_id) {
+  const std::optional<WallTime> created = CreationTime(request_id);
+  if (!created) return m_entries.end();
+  return m_entries.find(Key{*created, std::string(request_id)});
+}
+
+void RequestRegistry::NoteNotRun(std::string_view request_id) {
+  const auto found = Find(request_id);
+  if (found != m_entries.end() && found->second.state == State::kRunning) m_entries.erase(found);
+}
+
+void RequestRegistry::NoteRan(std::string_view request_id, KeptRequestAnswer answer) {
+  const auto found = Find(request_id);
+  if (found == m_entries.end()) return;
+  found->second.state = State::kDone;
+  found->second.reason = Reason::kAlreadyRan;
+  KeepAnswer(found, std::move(answer));
+}
+
+void RequestRegistry::NoteUnknown(std::string_view request_id, Reason reason) {
+  const auto found = Find(request_id);
+  if (found == m_entries.end()) return;
+  found->second.state = State::kDone;
+  found->second.reason = reason;
+}
+
+void RequestRegistry::KeepAnswer(Entries::iterator entry, KeptRequestAnswer answer) {
+  const std::size_t bytes = answer.Bytes();
+  if (bytes > m_limits.answer_bytes) return;
+  DropAnswersOver(m_limits.all_answers_bytes - bytes);
+  m_answers_bytes += bytes;
+  entry->second.answer = std::move(answer);
+  m_answer_order.push_back(entry->first);
+}
+
+void RequestRegistry::DropAnswersOver(std::size_t bytes) {
+  while (m_answers_bytes > bytes) {
+    const auto oldest = m_entries.find(m_answer_order.front());
+    m_answer_order.pop_front();
+    if (oldest == m_entries.end()) continue;
+    m_answers_bytes -= oldest->second.answer->Bytes();
+    oldest->second.answer.reset();
+  }
+}
+
+ReleaseAnswer RequestRegistry::Release(std::string_view request_id, WallTime now) {
+  m_latest = std::max(m_latest, now);
+  const std::optional<WallTime> created = CreationTime(request_id);
+  if (!created) return {false, Reason::kRequestIdInvalid};
+  Key key{*created, std::string(request_id)};
+  const auto known = m_entries.find(key);
+  if (known != m_entries.end()) {
+    const Entry& entry = known->second;
+    if (entry.state == State::kReleased) return {true, Reason::kNone};
+    return {false, entry.state == State::kRunning ? Reason::kAlreadyRunning : entry.reason};
+  }
+  if (const Reason reason = CheckTime(*created, now); reason != Reason::kNone) {
+    return {false, reason};
+  }
+  SweepEntries();
+  if (m_entries.size() >= m_limits.entries) return {false, Reason::kRegistryFull};
+  m_entries.emplace(std::move(key), Entry{State::kReleased, Reason::kNone, std::nullopt});
+  return {true, Reason::kNone};
+}
+
+void RequestRegistry::SweepEntries() {
+  while (!m_entries.empty() && m_entries.begin()->first.created < m_latest - kKeptAge) {
+    const auto oldest = m_entries.begin();
+    if (oldest->second.answer) {
+      m_answers_bytes -= oldest->second.answer->Bytes();
+      std::erase(m_answer_order, oldest->first);
+    }
+    m_entries.erase(oldest);
+  }
+}
+
+void RequestRegistry::Sweep(const AbsentSince& absent_since, WallTime now) {
+  m_latest = std::max(m_latest, now);
+  SweepEntries();
+  const WallTime horizon = m_latest - kKeptAge;
+  std::erase_if(m_members, [&](const auto& entry) {
+    const auto& [id, member] = entry;
+    if (member.is_present) return false;
+    const std::optional<WallTime> absent = absent_since ? absent_since(id) : std::nullopt;
+    return (member.current_since && *member.current_since < horizon) ||
+           (absent && *absent < horizon);
+  });
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/auto/policy/tst_sendguard.cpp
@@ -0,0 +1,94 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "policy/sendguard.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr Incarnation kOwner{7};
+constexpr std::uint64_t kNowUs = 1000000;
+constexpr std::uint64_t kExpiryUs = 2000000;
+
+CallKey KeyOf(std::uint64_t call) {
+  return {BackendServerId("ingress"), Incarnation{1}, CallId{call}};
+}
+
+}  // namespace
+
+class SendGuardTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SendGuardTest);
+  CPPUNIT_TEST(RefusesLateCallsAndOtherIncarnations);
+  CPPUNIT_TEST(SettledCallNeverRuns);
+  CPPUNIT_TEST(SecondDeliveryNeverRuns);
+  CPPUNIT_TEST(QueryAfterExpiryProvesNothing);
+  CPPUNIT_TEST(ForgetsOnlyExpiredCalls);
+  CPPUNIT_TEST(BoundsRefusedCalls);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RefusesLateCallsAndOtherIncarnations() {
+    const SendGuard guard(kOwner);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), kOwner, kExpiryUs, kNowUs).refusal == Reason::kNone);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), kOwner, kNowUs, kNowUs).refusal == Reason::kExpired);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), Incarnation{8}, kExpiryUs, kNowUs).refusal ==
+                   Reason::kWrongIncarnation);
+  }
+
+  // Guards against a call that arrives after its ingress was told that it had not run.
+  void SettledCallNeverRuns() {
+    SendGuard guard(kOwner);
+    CPPUNIT_ASSERT(guard.Settle(KeyOf(1), kExpiryUs, kNowUs) == EndedCall::kNeverSeen);
+    CPPUNIT_ASSERT(guard.Settle(KeyOf(1), kExpiryUs, kNowUs) == EndedCall::kNotRun);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), kOwner, kExpiryUs, kNowUs).refusal == Reason::kCancelled);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(2), kOwner, kExpiryUs, kNowUs).refusal == Reason::kNone);
+  }
+
+  void SecondDeliveryNeverRuns() {
+    SendGuard guard(kOwner);
+    guard.NoteEnded(KeyOf(1), kExpiryUs, kNowUs);
+    guard.NoteCancelled(KeyOf(1), kExpiryUs, kNowUs);  // Too late to change what happened.
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), kOwner, kExpiryUs, kNowUs).ignore);
+    CPPUNIT_ASSERT(guard.Settle(KeyOf(1), kExpiryUs, kNowUs) == EndedCall::kMayHaveRun);
+    guard.NoteRefused(KeyOf(2), kExpiryUs, kNowUs);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(2), kOwner, kExpiryUs, kNowUs).refusal == Reason::kCancelled);
+    CPPUNIT_ASSERT(guard.Settle(KeyOf(2), kExpiryUs, kNowUs) == EndedCall::kNotRun);
+  }
+
+  // Guards against "not run" for a call that ran and whose tombstone was swept.
+  void QueryAfterExpiryProvesNothing() {
+    SendGuard guard(kOwner);
+    guard.NoteEnded(KeyOf(1), kExpiryUs, kNowUs);
+    guard.Sweep(kExpiryUs + 1);
+    CPPUNIT_ASSERT(guard.Settle(KeyOf(1), kExpiryUs, kExpiryUs + 1) == EndedCall::kMayHaveRun);
+  }
+
+  void ForgetsOnlyExpiredCalls() {
+    SendGuard guard(kOwner);
+    guard.NoteEnded(KeyOf(1), kExpiryUs, kNowUs);
+    guard.Sweep(kExpiryUs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, guard.Count());
+    guard.Sweep(kExpiryUs + 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, guard.Count());
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), kOwner, kExpiryUs, kExpiryUs + 1).refusal ==
+                   Reason::kExpired);
+  }
+
+  // Guards against memory that grows with a flood; calls that may have run are not forgotten for
+  // it.
+  void BoundsRefusedCalls() {
+    SendGuard guard(kOwner);
+    guard.NoteEnded(KeyOf(1), kExpiryUs, kNowUs);
+    for (std::uint64_t call = 2; call < 40000; ++call) {
+      guard.NoteRefused(KeyOf(call), kExpiryUs, kNowUs);
+    }
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(39999), kOwner, kExpiryUs, kNowUs).refusal ==
+                   Reason::kCancelled);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(2), kOwner, kExpiryUs, kNowUs).refusal == Reason::kNone);
+    CPPUNIT_ASSERT(guard.Arrive(KeyOf(1), kOwner, kExpiryUs, kNowUs).ignore);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SendGuardTest);
+
+}  // namespace damaskhollow
