--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -14,8 +14,6 @@
 // The call that an owner's message belongs to; 0 for messages that belong to none.
 std::uint64_t CallOf(const wire::Envelope& message) {
   switch (message.body_case()) {
-    case wire::Envelope::kResponseHead:
-      return message.response_head().call_id();
     case wire::Envelope::kResponseChunk:
       return message.response_chunk().call_id();
     case wire::Envelope::kRefused:
@@ -61,14 +59,9 @@
     m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
     const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded);
     auto* socket = new QTcpSocket(this);
-    socket->setSocketDescriptor(descriptor);
-    const QByteArray bytes =
-        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nDamaskhollow-Outcome: not-run\r\n"
-        "Damaskhollow-Reason: ingress_overloaded\r\nContent-Length: " +
-        QByteArray::number(static_cast<qulonglong>(answer.body.size())) + "\r\n\r\n" +
-        QByteArray::fromStdString(answer.body);
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-    socket->write(bytes);
+    socket->setSocketDescriptor(descriptor);
+    socket->write(QByteArray::fromStdString(SerializeResponseHead(answer.head, {}) + answer.body));
     socket->disconnectFromHost();
     return;
   }
--- a/src/libs/node/keptanswers.h
+++ b/src/libs/node/keptanswers.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <list>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "base/ids.h"
@@ -15,10 +14,9 @@
 
 namespace damaskhollow {
 
-// The part of an answer that its ingress may not have received: the head and the chunks that it has
-// not given credit for.
+// The part of an answer that its ingress may not have received: the chunks that it has not given
+// credit for.
 struct AnswerTail {
-  std::optional<wire::ResponseHead> head;
   std::deque<wire::ResponseChunk> chunks;
   std::size_t bytes = 0;
 
@@ -28,7 +26,7 @@
   void NoteCredit(std::size_t credited);
 
   // The messages that an ingress lacks.
-  std::vector<wire::Envelope> Missing(bool head_arrived, std::uint32_t next_sequence) const;
+  std::vector<wire::Envelope> Missing(std::uint32_t next_sequence) const;
 
  private:
   std::size_t m_credited = 0;  // Credit that does not cover the first chunk yet.
