Run requests with an id at most once, and dispatch nothing after a pause

Cause: a request id was ignored, so a caller that sent again after an unknown outcome could have its request run twice. A status query after a call's expiry could answer 'never seen' for a call that had run, since its tombstone had been swept. A second delivery of an ended call was refused as not run. A paused process could dispatch before it swept its queue.

Change: the ingress sends a request with an id to its home. The owner decides before admission by RequestRegistry; ClaimService asks other servers with ClaimRelease and copies small answers. SendGuard replaces the tombstones. PauseDetector holds dispatch between waking and the next tick.

--- /dev/null
+++ b/src/libs/node/claimservice.cpp
@@ -0,0 +1,137 @@
+#include "node/claimservice.h"
+
+#include <utility>
+
+namespace damaskhollow {
+
+namespace {
+
+// Covers a round trip between regions and the replacement of a silent link.
+constexpr std::chrono::milliseconds kReleaseTimeout{1000};
+constexpr std::chrono::seconds kSweepInterval{1};
+
+}  // namespace
+
+ClaimService::ClaimService(BackendServerId self, WallTime started, Messenger& messenger)
+    : m_messenger(messenger), m_registry(std::move(self), started, m_limits) {}
+
+void ClaimService::SetInventory(const Declaration& declaration, const ServiceId& service,
+                                std::uint64_t version, WallTime wall) {
+  std::vector<BackendServerId> members;
+  for (const BackendServer* server : declaration.ServersOf(service)) members.push_back(server->id);
+  m_registry.SetInventory(members, version, wall);
+}
+
+void ClaimService::NotePeerState(const BackendServerId& peer, const wire::OwnerState& state,
+                                 WallTime wall) {
+  m_registry.NoteVersion(peer, Incarnation{state.incarnation()}, state.configuration_version(),
+                         wall);
+}
+
+RequestDecision ClaimService::Start(OwnedCallId call, const std::string& request_id, TimePoint now,
+                                    WallTime wall) {
+  RequestDecision decision = m_registry.Arrive(request_id, m_absent_since, wall);
+  if (decision.kind == RequestDecision::Kind::kRefuse ||
+      decision.kind == RequestDecision::Kind::kReplay) {
+    return decision;
+  }
+  Claim& claim = m_claims[call];
+  claim.request_id = request_id;
+  if (decision.kind == RequestDecision::Kind::kAccept) return decision;
+  claim.query = m_next_query++;
+  claim.awaited = {decision.ask.begin(), decision.ask.end()};
+  claim.give_up_at = now + kReleaseTimeout;
+  m_queries[claim.query] = call;
+  for (const BackendServerId& server : decision.ask) {
+    wire::Envelope message;
+    message.mutable_claim_release()->set_query_id(claim.query);
+    message.mutable_claim_release()->set_request_id(request_id);
+    m_messenger.Send(server, std::move(message));
+  }
+  return decision;
+}
+
+void ClaimService::HandleRelease(const ReplyRoute& route, const wire::ClaimRelease& release,
+                                 const wire::OwnerState& state, WallTime wall) {
+  const ReleaseAnswer answer = m_registry.Release(release.request_id(), wall);
+  wire::Envelope message;
+  wire::ClaimReleased& released = *message.mutable_claim_released();
+  released.set_query_id(release.query_id());
+  released.set_released(answer.released);
+  released.set_reason(static_cast<std::uint32_t>(answer.reason));
+  *released.mutable_state() = state;
+  m_messenger.Reply(route, std::move(message));
+}
+
+std::vector<SettledClaim> ClaimService::HandleReleased(const BackendServerId& peer,
+                                                       const wire::ClaimReleased& released,
+                                                       WallTime wall) {
+  NotePeerState(peer, released.state(), wall);
+  const auto query = m_queries.find(released.query_id());
+  if (query == m_queries.end()) return {};
+  if (!released.released()) {
+    const auto reason = released.reason() < static_cast<std::uint32_t>(Reason::kCount)
+                            ? static_cast<Reason>(released.reason())
+                            : Reason::kAlreadyRunning;
+    return {Settle(query, reason)};
+  }
+  Claim& claim = m_claims.at(query->second);
+  claim.awaited.erase(peer);
+  if (!claim.awaited.empty()) return {};
+  return {Settle(query, Reason::kNone)};
+}
+
+std::vector<SettledClaim> ClaimService::HandleSendFailed(const wire::ClaimRelease& release) {
+  const auto query = m_queries.find(release.query_id());
+  if (query == m_queries.end()) return {};
+  return {Settle(query, Reason::kHomeUnreachable)};
+}
+
+SettledClaim ClaimService::Settle(std::map<std::uint64_t, OwnedCallId>::iterator query,
+                                  Reason refusal) {
+  const OwnedCallId call = query->second;
+  m_queries.erase(query);
+  m_claims.at(call).query = 0;
+  return {call, refusal};
+}
+
+std::vector<SettledClaim> ClaimService::Tick(TimePoint now, WallTime wall) {
+  std::vector<SettledClaim> settled;
+  // Queries are numbered in the order in which they time out.
+  while (!m_queries.empty() && m_claims.at(m_queries.begin()->second).give_up_at <= now) {
+    settled.push_back(Settle(m_queries.begin(), Reason::kHomeUnreachable));
+  }
+  if (now >= m_next_sweep) {
+    m_next_sweep = now + kSweepInterval;
+    m_registry.Sweep(m_absent_since, wall);
+  }
+  return settled;
+}
+
+void ClaimService::NoteChunk(OwnedCallId call, const wire::ResponseChunk& chunk) {
+  const auto found = m_claims.find(call);
+  if (found == m_claims.end()) return;
+  KeptRequestAnswer& answer = found->second.answer;
+  if (chunk.has_head()) answer.head = chunk.head().SerializeAsString();
+  // One byte over the limit is enough to show that the answer is too large.
+  if (answer.Bytes() > m_limits.answer_bytes) return;
+  answer.body.append(chunk.data(), 0, m_limits.answer_bytes + 1);
+}
+
+void ClaimService::End(OwnedCallId call, ClaimEnd end, Reason reason) {
+  const auto found = m_claims.find(call);
+  if (found == m_claims.end()) return;
+  Claim claim = std::move(found->second);
+  m_claims.erase(found);
+  m_queries.erase(claim.query);
+  switch (end) {
+    case ClaimEnd::kNotRun:
+      return m_registry.NoteNotRun(claim.request_id);
+    case ClaimEnd::kRan:
+      return m_registry.NoteRan(claim.request_id, std::move(claim.answer));
+    case ClaimEnd::kMayHaveRun:
+      return m_registry.NoteUnknown(claim.request_id, reason);
+  }
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/node/claimservice.h
@@ -0,0 +1,96 @@
+#ifndef DAMASKHOLLOW_NODE_CLAIMSERVICE_H_
+#define DAMASKHOLLOW_NODE_CLAIMSERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "declaration/declaration.h"
+#include "node/messenger.h"
+#include "policy/admissionqueue.h"
+#include "policy/requestregistry.h"
+
+namespace damaskhollow {
+
+// A call that waited for other servers and may now run, or is refused.
+struct SettledClaim {
+  OwnedCallId call;
+  Reason refusal = Reason::kNone;
+};
+
+// How a call with a request id ended.
+enum class ClaimEnd {
+  kNotRun,
+  kRan,
+  kMayHaveRun,
+};
+
+// Runs the protocol of the request registry with other owners: asks them to release a request id,
+// answers their questions, and copies small answers for the registry. Its user holds a lock around
+// each member.
+class ClaimService {
+ public:
+  ClaimService(BackendServerId self, WallTime started, Messenger& messenger);
+
+  // From the fleet's membership; without it no server counts as absent.
+  void SetAbsentSince(AbsentSince absent_since) { m_absent_since = std::move(absent_since); }
+
+  // Takes the inventory of this server's service.
+  void SetInventory(const Declaration& declaration, const ServiceId& service, std::uint64_t version,
+                    WallTime wall);
+
+  // Notes what another owner says of itself.
+  void NotePeerState(const BackendServerId& peer, const wire::OwnerState& state, WallTime wall);
+
+  // Decides about a call with a request id. After kAsk the call is named by a SettledClaim. After
+  // kAccept and kAsk its end is to be reported by End.
+  RequestDecision Start(OwnedCallId call, const std::string& request_id, TimePoint now,
+                        WallTime wall);
+
+  // Copies a part of the call's answer.
+  void NoteChunk(OwnedCallId call, const wire::ResponseChunk& chunk);
+
+  // `reason` is for kMayHaveRun. Does nothing for a call without a request id.
+  void End(OwnedCallId call, ClaimEnd end, Reason reason = Reason::kNone);
+
+  // Answers another home that asks for an id. `state` is this owner's own.
+  void HandleRelease(const ReplyRoute& route, const wire::ClaimRelease& release,
+                     const wire::OwnerState& state, WallTime wall);
+
+  std::vector<SettledClaim> HandleReleased(const BackendServerId& peer,
+                                           const wire::ClaimReleased& released, WallTime wall);
+
+  // A ClaimRelease was not handed to the network.
+  std::vector<SettledClaim> HandleSendFailed(const wire::ClaimRelease& release);
+
+  // Gives up on servers that do not answer, and forgets old ids.
+  std::vector<SettledClaim> Tick(TimePoint now, WallTime wall);
+
+ private:
+  struct Claim {
+    std::string request_id;
+    std::uint64_t query = 0;  // 0 when no answer is awaited.
+    std::set<BackendServerId> awaited;
+    TimePoint give_up_at{};
+    KeptRequestAnswer answer;  // What has arrived of it, up to the limit.
+  };
+
+  SettledClaim Settle(std::map<std::uint64_t, OwnedCallId>::iterator query, Reason refusal);
+
+  Messenger& m_messenger;
+  const RegistryLimits m_limits;
+  RequestRegistry m_registry;
+  AbsentSince m_absent_since;
+  std::map<OwnedCallId, Claim> m_claims;
+  std::map<std::uint64_t, OwnedCallId> m_queries;  // Those that await answers.
+  std::uint64_t m_next_query = 1;
+  TimePoint m_next_sweep{};
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_NODE_CLAIMSERVICE_H_
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -75,16 +75,24 @@
   Route(connection, call);
 }
 
-void IngressShard::Route(ConnectionId connection, PendingCall& call) {
-  const TimePoint now = MonotonicNow();
-  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
+RoutingChoice IngressShard::ChooseServer(const PendingCall& call) {
+  if (!call.call_class.request_id.empty()) {
+    return ChooseHome(*m_context.declaration.load(), call.call_class.service,
+                      call.call_class.request_id, call.tried, m_context.absent_since);
+  }
   RoutingRequest request;
   request.service = call.call_class.service;
   request.idempotent = call.call_class.idempotent;
   request.may_cross_regions = call.call_class.may_cross_regions;
   request.bytes = call.request.body.size();
   request.excluded = call.tried;
-  const RoutingChoice choice = m_context.router.Choose(request);
+  return m_context.router.Choose(request);
+}
+
+void IngressShard::Route(ConnectionId connection, PendingCall& call) {
+  const TimePoint now = MonotonicNow();
+  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
+  const RoutingChoice choice = ChooseServer(call);
   if (choice.refusal == Reason::kNone) {
     if (const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now)) {
       call.waiting = false;
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -18,6 +18,7 @@
 #include "node/ownerservice.h"
 #include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
+#include "policy/requesthome.h"
 
 namespace damaskhollow {
 
@@ -30,6 +31,7 @@
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
+  AbsentSince absent_since = {};
 };
 
 // The calls of some caller connections, on one worker thread. All members run on that thread.
@@ -87,6 +89,8 @@
     bool in_doubt = false;  // Its link went silent.
   };
 
+  // A request with an id goes to its home, any other to where the router sends it.
+  RoutingChoice ChooseServer(const PendingCall& call);
   void Route(ConnectionId connection, PendingCall& call);
   void SendAttempt(ConnectionId connection, PendingCall& call, const BackendServerId& server,
                    const ExpiryStamp& expiry);
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -162,6 +162,7 @@
 
 void Node::OnLinkUp(const BackendServerId& peer, const wire::OwnerState& state) {
   m_router.NoteState(peer, state);
+  m_owner.NotePeerState(peer, state);
   m_router.SetReachable(peer, true);
   {
     const std::lock_guard lock(m_peers_lock);
@@ -188,10 +189,13 @@
     case wire::Envelope::kCancel:
     case wire::Envelope::kStatusQuery:
     case wire::Envelope::kCredit:
+    case wire::Envelope::kClaimRelease:
+    case wire::Envelope::kClaimReleased:
       m_owner.HandleMessage(route, std::move(message));
       return;
     case wire::Envelope::kPong:
       m_router.NoteState(route.peer, message.pong().state());
+      m_owner.NotePeerState(route.peer, message.pong().state());
       return;
     default:
       m_ingress->HandleOwnerMessage(route.peer, std::move(message));
@@ -200,6 +204,7 @@
 }
 
 void Node::OnSendFailed(const BackendServerId&, wire::Envelope message) {
+  m_owner.HandleSendFailed(message);
   m_ingress->HandleSendFailed(message);
 }
 
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -15,8 +15,23 @@
 constexpr std::size_t kKeptAnswerBytes = 1024UL * 1024UL;
 // Covers the detection of a silent link and the handshake of a new one between regions.
 constexpr std::chrono::seconds kKeptAnswerAge{3};
-constexpr std::uint64_t kTombstoneSweepUs = 1000000;
-constexpr std::uint64_t kLongestTombstoneUs = 86400000000ULL;
+constexpr std::chrono::seconds kTombstoneSweep{1};
+
+wire::CallState ToWire(EndedCall state) {
+  switch (state) {
+    case EndedCall::kNeverSeen:
+      return wire::CALL_STATE_NEVER_SEEN;
+    case EndedCall::kNotRun:
+      return wire::CALL_STATE_CANCELLED;
+    case EndedCall::kMayHaveRun:
+      break;
+  }
+  return wire::CALL_STATE_DONE;
+}
+
+TimePoint DeadlineOf(const wire::CallRequest& request) {
+  return TimePoint(Duration(static_cast<Duration::rep>(request.expires_at_us())));
+}
 
 }  // namespace
 
@@ -25,6 +40,8 @@
       m_metrics(metrics),
       m_messenger(messenger),
       m_admission(AdmissionLimits{}, {}),
+      m_guard(m_identity.incarnation),
+      m_claims(m_identity.server, m_identity.started, m_messenger),
       m_kept(kKeptAnswerBytes, kKeptAnswerAge) {}
 
 void OwnerService::ApplyDeclaration(std::shared_ptr<const Declaration> declaration,
@@ -39,6 +56,7 @@
         << "this backend server is not in the inventory; refusing new calls";
     return;
   }
+  m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
   AdmissionLimits limits;
   limits.slots = server->slots;
   m_admission.Reconfigure(limits, m_declaration->priorities);
@@ -57,62 +75,126 @@
     HandleStatusQuery(route, message.status_query());
   } else if (message.has_credit()) {
     HandleCredit(route, message.credit());
+  } else if (message.has_claim_release()) {
+    m_claims.HandleRelease(route, message.claim_release(), LockedState(), WallNow());
+  } else if (message.has_claim_released()) {
+    Continue(m_claims.HandleReleased(route.peer, message.claim_released(), WallNow()));
   }
 }
 
-Reason OwnerService::CheckRequest(const CallKey& key, const wire::CallRequest& request,
-                                  TimePoint now) const {
+void OwnerService::HandleSendFailed(const wire::Envelope& message) {
+  if (!message.has_claim_release()) return;
+  const std::lock_guard lock(m_lock);
+  Continue(m_claims.HandleSendFailed(message.claim_release()));
+}
+
+void OwnerService::NotePeerState(const BackendServerId& peer, const wire::OwnerState& state) {
+  const std::lock_guard lock(m_lock);
+  m_claims.NotePeerState(peer, state, WallNow());
+}
+
+void OwnerService::SetAbsentSince(AbsentSince absent_since) {
+  const std::lock_guard lock(m_lock);
+  m_claims.SetAbsentSince(std::move(absent_since));
+}
+
+SendDecision OwnerService::CheckRequest(const CallKey& key, const wire::CallRequest& request,
+                                        TimePoint now) const {
   if (request.server_id() != m_identity.server.Value() || m_service == nullptr) {
-    return Reason::kWrongServer;
+    return {Reason::kWrongServer, false};
   }
-  if (request.owner_incarnation() != m_identity.incarnation.value) return Reason::kWrongIncarnation;
-  if (request.expires_at_us() <= ToClockMicroseconds(now)) return Reason::kExpired;
-  if (m_tombstones.contains(key)) return Reason::kCancelled;
-  if (m_draining) return Reason::kDraining;
-  return Reason::kNone;
+  const SendDecision decision = m_guard.Arrive(key, Incarnation{request.owner_incarnation()},
+                                               request.expires_at_us(), ToClockMicroseconds(now));
+  if (decision.refusal != Reason::kNone || decision.ignore) return decision;
+  return {m_draining ? Reason::kDraining : Reason::kNone, false};
 }
 
 void OwnerService::HandleCallRequest(const ReplyRoute& route, wire::CallRequest request) {
   const TimePoint now = MonotonicNow();
   const CallKey key = KeyOf(route, request.ingress_incarnation(), request.call_id());
   if (m_call_ids.contains(key)) return;  // Delivered twice.
-  if (const Reason reason = CheckRequest(key, request, now); reason != Reason::kNone) {
-    return Refuse(route, request.call_id(), reason);
+  const SendDecision decision = CheckRequest(key, request, now);
+  if (decision.ignore) return;
+  if (decision.refusal != Reason::kNone) {
+    m_guard.NoteRefused(key, request.expires_at_us(), ToClockMicroseconds(now));
+    return Refuse(route, request.call_id(), decision.refusal);
   }
   const OwnedCallId id{m_next_call++};
+  OwnedCall& call = m_calls[id];
+  call.key = key;
+  call.route = route;
+  call.request = std::move(request);
+  m_call_ids[key] = id;
+  if (call.request.request_id().empty()) return Admit(id, now);
+  Claim(id, call, now);
+}
+
+void OwnerService::Claim(OwnedCallId id, OwnedCall& call, TimePoint now) {
+  const RequestDecision decision = m_claims.Start(id, call.request.request_id(), now, WallNow());
+  switch (decision.kind) {
+    case RequestDecision::Kind::kAccept:
+      return Admit(id, now);
+    case RequestDecision::Kind::kAsk:
+      call.state = OwnedCallState::kClaiming;
+      return;
+    case RequestDecision::Kind::kRefuse:
+      return RefuseUnrun(id, decision.reason);
+    case RequestDecision::Kind::kReplay:
+      return Replay(id, call, *decision.answer);
+  }
+}
+
+void OwnerService::Continue(std::span<const SettledClaim> claims) {
+  const TimePoint now = MonotonicNow();
+  for (const SettledClaim& claim : claims) {
+    if (claim.refusal != Reason::kNone) {
+      RefuseUnrun(claim.call, claim.refusal);
+    } else {
+      Admit(claim.call, now);
+    }
+  }
+}
+
+void OwnerService::Admit(OwnedCallId id, TimePoint now) {
+  OwnedCall& owned = m_calls.at(id);
+  owned.state = OwnedCallState::kQueued;
   AdmissionCall call;
   call.id = id;
-  call.deadline = TimePoint(Duration(static_cast<Duration::rep>(request.expires_at_us())));
-  call.bytes = request.ByteSizeLong();
-  const Priority* priority = m_declaration->FindPriority(PriorityId(request.priority()));
+  call.deadline = DeadlineOf(owned.request);
+  call.bytes = owned.request.ByteSizeLong();
+  const Priority* priority = m_declaration->FindPriority(PriorityId(owned.request.priority()));
   call.priority_index = priority == nullptr
                             ? m_declaration->priorities.size() - 1
                             : static_cast<std::size_t>(priority - m_declaration->priorities.data());
   const Admission admission = m_admission.Offer(call, now);
   for (const OwnedCallId evicted : admission.evicted) {
-    RefuseQueued(evicted, admission.eviction_reason);
-  }
-  if (admission.refusal != Reason::kNone) {
-    return Refuse(route, request.call_id(), admission.refusal);
+    RefuseUnrun(evicted, admission.eviction_reason);
   }
-  OwnedCall owned;
-  owned.key = key;
-  owned.route = route;
-  owned.request = std::move(request);
-  m_call_ids[key] = id;
-  m_calls.emplace(id, std::move(owned));
+  if (admission.refusal != Reason::kNone) return RefuseUnrun(id, admission.refusal);
   Dispatch(now);
 }
 
+void OwnerService::Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer) {
+  AnswerPart part;
+  part.data = answer.body;
+  part.last = true;
+  wire::ResponseHead head;
+  head.ParseFromString(answer.head);
+  head.set_replayed(true);
+  SendPart(id, call, std::move(part), &head);
+  m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
+  Forget(id, EndedCall::kMayHaveRun);
+}
+
 void OwnerService::Dispatch(TimePoint now) {
+  if (m_pause.IsOverdue(now)) return;  // The next tick refuses what has expired first.
   for (const OwnedCallId id : m_admission.TakeDispatchable(now)) RunCall(id, m_calls.at(id), now);
 }
 
 void OwnerService::RunCall(OwnedCallId id, OwnedCall& call, TimePoint now) {
-  const TimePoint deadline =
-      TimePoint(Duration(static_cast<Duration::rep>(call.request.expires_at_us())));
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
-  call.running = true;
+  const auto remaining =
+      std::chrono::duration_cast<std::chrono::milliseconds>(DeadlineOf(call.request) - now);
+  call.state = OwnedCallState::kRunning;
   BackendRequest request;
   request.request = BackendRequestOf(call.request, remaining);
   request.credit = kAnswerWindowBytes;
@@ -130,19 +212,20 @@
   result.set_call_id(cancel.call_id());
   const auto found = m_call_ids.find(key);
   if (found == m_call_ids.end()) {
-    result.set_call_state(StateOfUnknownCall(key));
-    AddTombstone(key, cancel.expires_at_us(), wire::CALL_STATE_CANCELLED);
-  } else if (const OwnedCallId id = found->second; m_admission.Cancel(id)) {
+    result.set_call_state(
+        ToWire(m_guard.Settle(key, cancel.expires_at_us(), ToClockMicroseconds(MonotonicNow()))));
+  } else if (const OwnedCallId id = found->second;
+             m_calls.at(id).state == OwnedCallState::kClaiming || m_admission.Cancel(id)) {
     result.set_call_state(wire::CALL_STATE_CANCELLED);
-    AddTombstone(key, cancel.expires_at_us(), wire::CALL_STATE_CANCELLED);
-    m_call_ids.erase(found);
-    m_calls.erase(id);
+    m_claims.End(id, ClaimEnd::kNotRun);
+    Forget(id, EndedCall::kNotRun);
   } else {
     result.set_call_state(wire::CALL_STATE_RUNNING);
     OwnedCall& call = m_calls.at(id);
     call.discard_answer = true;
     if (call.request.idempotent()) {
       m_pool->Cancel(id);
+      m_claims.End(id, ClaimEnd::kNotRun);  // An idempotent request may run again.
       Finish(id, SlotResult::kFailed);
     } else {
       // Cutting it off would leave its effect uncertain, so it runs to its end and the answer is
@@ -164,16 +247,15 @@
   if (found != m_call_ids.end()) {
     OwnedCall& call = m_calls.at(found->second);
     call.route = route;
-    result.set_call_state(call.running ? wire::CALL_STATE_RUNNING : wire::CALL_STATE_QUEUED);
+    result.set_call_state(call.state == OwnedCallState::kRunning ? wire::CALL_STATE_RUNNING
+                                                                 : wire::CALL_STATE_QUEUED);
     missing = call.tail.Missing(query.next_sequence());
   } else if (const AnswerTail* kept = m_kept.Find(key); kept != nullptr) {
     result.set_call_state(wire::CALL_STATE_DONE);
     missing = kept->Missing(query.next_sequence());
   } else {
-    result.set_call_state(StateOfUnknownCall(key));
-    if (result.call_state() == wire::CALL_STATE_NEVER_SEEN) {
-      AddTombstone(key, query.expires_at_us(), wire::CALL_STATE_CANCELLED);
-    }
+    result.set_call_state(
+        ToWire(m_guard.Settle(key, query.expires_at_us(), ToClockMicroseconds(MonotonicNow()))));
   }
   result.set_answer_follows(!missing.empty());
   *result.mutable_state() = LockedState();
@@ -191,19 +273,26 @@
 void OwnerService::Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason) {
   m_metrics.CountRefusal(reason);
   wire::Envelope message;
-  message.mutable_refused()->set_call_id(call_id);
-  message.mutable_refused()->set_reason(static_cast<std::uint32_t>(reason));
-  *message.mutable_refused()->mutable_state() = LockedState();
+  // Some refusals concern an earlier send of the request, which may have run.
+  if (InfoOf(reason).outcome == Outcome::kNotRun) {
+    message.mutable_refused()->set_call_id(call_id);
+    message.mutable_refused()->set_reason(static_cast<std::uint32_t>(reason));
+    *message.mutable_refused()->mutable_state() = LockedState();
+  } else {
+    message.mutable_call_failed()->set_call_id(call_id);
+    message.mutable_call_failed()->set_reason(static_cast<std::uint32_t>(reason));
+    *message.mutable_call_failed()->mutable_state() = LockedState();
+  }
   m_messenger.Reply(route, std::move(message));
 }
 
-void OwnerService::RefuseQueued(OwnedCallId id, Reason reason) {
-  const auto found = m_calls.find(id);
-  Refuse(found->second.route, found->second.key.call.value, reason);
-  AddTombstone(found->second.key, found->second.request.expires_at_us(),
-               wire::CALL_STATE_CANCELLED);
-  m_call_ids.erase(found->second.key);
-  m_calls.erase(found);
+void OwnerService::RefuseUnrun(OwnedCallId id, Reason reason) {
+  const OwnedCall& call = m_calls.at(id);
+  m_claims.End(id, ClaimEnd::kNotRun);
+  Refuse(call.route, call.key.call.value, reason);
+  m_guard.NoteRefused(call.key, call.request.expires_at_us(), ToClockMicroseconds(MonotonicNow()));
+  m_call_ids.erase(call.key);
+  m_calls.erase(id);
 }
 
 void OwnerService::OnAnswerPart(OwnedCallId id, AnswerPart part) {
@@ -212,19 +301,23 @@
   if (call == nullptr) return;
   if (part.head) call->shed = m_service != nullptr && m_service->shed_status == part.head->status;
   const bool last = part.last;
-  if (!call->shed && !call->discard_answer) SendPart(*call, std::move(part));
+  if (!call->shed) SendPart(id, *call, std::move(part), nullptr);
   if (last) FinishAnswered(id, *call);
 }
 
-void OwnerService::SendPart(OwnedCall& call, AnswerPart part) {
+void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
+                            const wire::ResponseHead* replayed_head) {
   wire::Envelope message;
   wire::ResponseChunk& chunk = *message.mutable_response_chunk();
   chunk.set_call_id(call.key.call.value);
   chunk.set_sequence(call.next_sequence++);
   if (part.head) *chunk.mutable_head() = ToWire(*part.head);
+  if (replayed_head != nullptr) *chunk.mutable_head() = *replayed_head;
   chunk.set_data(std::move(part.data));
   chunk.set_last(part.last);
-  if (part.head || part.last) *chunk.mutable_state() = LockedState();
+  m_claims.NoteChunk(id, chunk);
+  if (call.discard_answer) return;
+  if (chunk.has_head() || chunk.last()) *chunk.mutable_state() = LockedState();
   call.tail.Add(chunk);
   m_messenger.Reply(call.route, std::move(message));
 }
@@ -233,10 +326,12 @@
   if (call.shed) {
     const ReplyRoute route = call.route;
     const std::uint64_t call_id = call.key.call.value;
+    m_claims.End(id, ClaimEnd::kNotRun);
     Finish(id, SlotResult::kShed);
     return Refuse(route, call_id, Reason::kBackendShed);
   }
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
+  m_claims.End(id, ClaimEnd::kRan);
   Finish(id, SlotResult::kCompleted);
 }
 
@@ -247,53 +342,51 @@
   const ReplyRoute route = call->route;
   const std::uint64_t call_id = call->key.call.value;
   const bool discard = call->discard_answer;
+  const bool may_run_again = !may_have_run || call->request.idempotent();
+  m_claims.End(id, may_run_again ? ClaimEnd::kNotRun : ClaimEnd::kMayHaveRun, reason);
   Finish(id, SlotResult::kFailed);
   if (discard) return;
-  if (!may_have_run) return Refuse(route, call_id, Reason::kBackendUnreachable);
-  m_metrics.CountRefusal(reason);
-  wire::Envelope message;
-  message.mutable_call_failed()->set_call_id(call_id);
-  message.mutable_call_failed()->set_reason(static_cast<std::uint32_t>(reason));
-  *message.mutable_call_failed()->mutable_state() = LockedState();
-  m_messenger.Reply(route, std::move(message));
+  Refuse(route, call_id, may_have_run ? reason : Reason::kBackendUnreachable);
 }
 
 void OwnerService::Finish(OwnedCallId id, SlotResult result) {
   const TimePoint now = MonotonicNow();
-  const auto found = m_calls.find(id);
-  AddTombstone(found->second.key, found->second.request.expires_at_us(), wire::CALL_STATE_DONE);
-  m_call_ids.erase(found->second.key);
-  m_calls.erase(found);
+  Forget(id, EndedCall::kMayHaveRun);
   m_admission.NoteFinished(id, result, now);
   Dispatch(now);
 }
 
-void OwnerService::AddTombstone(const CallKey& key, std::uint64_t expires_at_us,
-                                wire::CallState state) {
+void OwnerService::Forget(OwnedCallId id, EndedCall state) {
+  const auto found = m_calls.find(id);
+  const OwnedCall& call = found->second;
   const std::uint64_t now_us = ToClockMicroseconds(MonotonicNow());
-  m_tombstones.emplace(key,
-                       Tombstone{std::min(expires_at_us, now_us + kLongestTombstoneUs), state});
-}
-
-wire::CallState OwnerService::StateOfUnknownCall(const CallKey& key) const {
-  const auto found = m_tombstones.find(key);
-  return found == m_tombstones.end() ? wire::CALL_STATE_NEVER_SEEN : found->second.state;
+  if (state == EndedCall::kMayHaveRun) {
+    m_guard.NoteEnded(call.key, call.request.expires_at_us(), now_us);
+  } else {
+    m_guard.NoteCancelled(call.key, call.request.expires_at_us(), now_us);
+  }
+  m_call_ids.erase(call.key);
+  m_calls.erase(found);
 }
 
 void OwnerService::Tick(TimePoint now) {
   const std::lock_guard lock(m_lock);
   for (const OwnedCallId id : m_admission.TakeExpired(now)) {
-    RefuseQueued(id, Reason::kQueueExpired);
+    RefuseUnrun(id, Reason::kQueueExpired);
   }
+  if (m_pause.NoteTick(now)) {
+    m_metrics.Add(Metric::kPausesSeen);
+    DAMASKHOLLOW_LOG(kOwner, kWarning) << "the process was paused; refused what had expired";
+  }
+  Continue(m_claims.Tick(now, WallNow()));
+  Dispatch(now);
   m_kept.DropOld(now);
   const AdmissionLoad load = m_admission.Load();
   m_metrics.Set(Metric::kQueuedCalls, load.queued);
   m_metrics.Set(Metric::kInFlightCalls, load.in_flight);
-  const std::uint64_t now_us = ToClockMicroseconds(now);
-  if (now_us < m_next_tombstone_sweep_us) return;
-  m_next_tombstone_sweep_us = now_us + kTombstoneSweepUs;
-  std::erase_if(m_tombstones,
-                [&](const auto& entry) { return entry.second.expires_at_us < now_us; });
+  if (now < m_next_sweep) return;
+  m_next_sweep = now + kTombstoneSweep;
+  m_guard.Sweep(ToClockMicroseconds(now));
 }
 
 void OwnerService::StartDrain() {
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -5,14 +5,18 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 
 #include "declaration/declaration.h"
 #include "metrics/metricsregistry.h"
 #include "node/backendpool.h"
+#include "node/claimservice.h"
 #include "node/keptanswers.h"
 #include "node/messenger.h"
 #include "policy/admissionqueue.h"
+#include "policy/pausedetector.h"
+#include "policy/sendguard.h"
 
 namespace damaskhollow {
 
@@ -35,9 +39,18 @@
   // Applies a declaration: address, slots, priorities, limits of the backend server.
   void ApplyDeclaration(std::shared_ptr<const Declaration> declaration, std::uint64_t version);
 
-  // Handles CallRequest, Cancel, StatusQuery and Credit.
+  // Handles CallRequest, Cancel, StatusQuery, Credit, ClaimRelease and ClaimReleased.
   void HandleMessage(const ReplyRoute& route, wire::Envelope message);
 
+  // A message of this role was not handed to the network.
+  void HandleSendFailed(const wire::Envelope& message);
+
+  // Notes what another owner says of itself.
+  void NotePeerState(const BackendServerId& peer, const wire::OwnerState& state);
+
+  // From the fleet's membership; without it no server counts as absent.
+  void SetAbsentSince(AbsentSince absent_since);
+
   // Refuses new calls from now on; those queued and in flight are finished.
   void StartDrain();
 
@@ -53,11 +66,17 @@
   void OnAnswerFailed(OwnedCallId call, Reason reason, bool may_have_run) override;
 
  private:
+  enum class OwnedCallState {
+    kClaiming,  // Other servers are asked to release its request id.
+    kQueued,
+    kRunning,
+  };
+
   struct OwnedCall {
     CallKey key;
     ReplyRoute route;
     wire::CallRequest request;  // Without its body once it is dispatched.
-    bool running = false;
+    OwnedCallState state = OwnedCallState::kQueued;
     bool discard_answer = false;  // The ingress no longer waits for it.
     bool shed = false;
     std::uint32_t next_sequence = 0;
@@ -69,26 +88,27 @@
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
   void HandleStatusQuery(const ReplyRoute& route, const wire::StatusQuery& query);
   void HandleCredit(const ReplyRoute& route, const wire::Credit& credit);
-  Reason CheckRequest(const CallKey& key, const wire::CallRequest& request, TimePoint now) const;
+  SendDecision CheckRequest(const CallKey& key, const wire::CallRequest& request,
+                            TimePoint now) const;
+  void Claim(OwnedCallId id, OwnedCall& call, TimePoint now);
+  void Continue(std::span<const SettledClaim> claims);
+  void Admit(OwnedCallId id, TimePoint now);
+  void Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer);
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
   void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason);
-  // Refuses a call that admission has taken out of its queue.
-  void RefuseQueued(OwnedCallId id, Reason reason);
-  void SendPart(OwnedCall& call, AnswerPart part);
+  // Refuses a call that is not running, and forgets it.
+  void RefuseUnrun(OwnedCallId id, Reason reason);
+  // `replayed_head` stands for the part's own head if it is not null.
+  void SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
+                const wire::ResponseHead* replayed_head);
   void FinishAnswered(OwnedCallId id, OwnedCall& call);
   void Finish(OwnedCallId id, SlotResult result);
-  void AddTombstone(const CallKey& key, std::uint64_t expires_at_us, wire::CallState state);
-  wire::CallState StateOfUnknownCall(const CallKey& key) const;
+  void Forget(OwnedCallId id, EndedCall state);
   wire::OwnerState LockedState() const;
   CallKey KeyOf(const ReplyRoute& route, std::uint64_t incarnation, std::uint64_t call_id) const;
   OwnedCall* FindCall(OwnedCallId id);
 
-  struct Tombstone {
-    std::uint64_t expires_at_us = 0;
-    wire::CallState state = wire::CALL_STATE_DONE;
-  };
-
   const NodeIdentity m_identity;
   MetricsRegistry& m_metrics;
   Messenger& m_messenger;
@@ -101,8 +121,10 @@
   AdmissionQueue m_admission;
   std::map<OwnedCallId, OwnedCall> m_calls;
   std::map<CallKey, OwnedCallId> m_call_ids;
-  std::map<CallKey, Tombstone> m_tombstones;
-  std::uint64_t m_next_tombstone_sweep_us = 0;
+  SendGuard m_guard;
+  ClaimService m_claims;
+  PauseDetector m_pause;
+  TimePoint m_next_sweep{};
   KeptAnswers m_kept;
   std::uint64_t m_next_call = 1;
   bool m_draining = false;
--- a/src/libs/policy/callclassifier.cpp
+++ b/src/libs/policy/callclassifier.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <optional>
 
+#include "policy/requesthome.h"
+
 namespace damaskhollow {
 
 namespace {
@@ -51,6 +53,9 @@
   call_class.priority_index = static_cast<std::size_t>(priority - declaration.priorities.data());
   call_class.idempotent = rule->idempotent;
   call_class.may_cross_regions = priority->may_cross_regions;
+  if (!call.request_id.empty() && !CreationTime(call.request_id)) {
+    return Refuse(Reason::kRequestIdInvalid);
+  }
   call_class.request_id = std::string(call.request_id);
   call_class.deadline = rule->deadline.value_or(service->default_deadline);
   if (!call.deadline.empty()) {
--- /dev/null
+++ b/src/libs/policy/pausedetector.h
@@ -0,0 +1,35 @@
+#ifndef DAMASKHOLLOW_POLICY_PAUSEDETECTOR_H_
+#define DAMASKHOLLOW_POLICY_PAUSEDETECTOR_H_
+
+#include <optional>
+
+#include "base/time.h"
+
+namespace damaskhollow {
+
+// A periodic tick that is later than this shows that the process did not run.
+constexpr std::chrono::seconds kPauseThreshold{1};
+
+// Notices from the gaps between periodic ticks that the process was paused and woke late.
+class PauseDetector {
+ public:
+  // Notes a tick. Returns true if the process was paused since the last one.
+  bool NoteTick(TimePoint now) {
+    const bool was_paused = IsOverdue(now);
+    m_last_tick = now;
+    return was_paused;
+  }
+
+  // Whether the process woke from a pause and no tick has come yet. What was decided before the
+  // pause is not to be acted upon until then.
+  bool IsOverdue(TimePoint now) const {
+    return m_last_tick.has_value() && now - *m_last_tick > kPauseThreshold;
+  }
+
+ private:
+  std::optional<TimePoint> m_last_tick;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_POLICY_PAUSEDETECTOR_H_
