Move the table of calls out of the owner service

Change: OwnedCalls holds the calls of an owner and what it remembers of ended ones. No change of behaviour.

--- /dev/null
+++ b/src/libs/node/ownedcalls.cpp
@@ -0,0 +1,80 @@
+#include "node/ownedcalls.h"
+
+#include <utility>
+
+namespace damaskhollow {
+
+TimePoint OwnedCall::Deadline() const {
+  return TimePoint(Duration(static_cast<Duration::rep>(request.expires_at_us())));
+}
+
+SendDecision OwnedCalls::Arrive(const CallKey& key, const wire::CallRequest& request,
+                                TimePoint now) const {
+  if (m_ids.contains(key)) return {Reason::kNone, true};
+  return m_guard.Arrive(key, Incarnation{request.owner_incarnation()}, request.expires_at_us(),
+                        ToClockMicroseconds(now));
+}
+
+void OwnedCalls::NoteRefused(const CallKey& key, const wire::CallRequest& request, TimePoint now) {
+  m_guard.NoteRefused(key, request.expires_at_us(), ToClockMicroseconds(now));
+}
+
+OwnedCallId OwnedCalls::Add(const CallKey& key, const ReplyRoute& route,
+                            wire::CallRequest request) {
+  const OwnedCallId id{m_next_id++};
+  OwnedCall& call = m_calls[id];
+  call.key = key;
+  call.route = route;
+  call.request = std::move(request);
+  m_ids[key] = id;
+  return id;
+}
+
+OwnedCallId OwnedCalls::IdOf(const CallKey& key) const {
+  const auto found = m_ids.find(key);
+  return found == m_ids.end() ? OwnedCallId{} : found->second;
+}
+
+OwnedCall* OwnedCalls::Find(OwnedCallId id) {
+  const auto found = m_calls.find(id);
+  return found == m_calls.end() ? nullptr : &found->second;
+}
+
+void OwnedCalls::RemoveRefused(OwnedCallId id, TimePoint now) {
+  const OwnedCall& call = m_calls.at(id);
+  NoteRefused(call.key, call.request, now);
+  Remove(id);
+}
+
+void OwnedCalls::RemoveCancelled(OwnedCallId id, TimePoint now) {
+  const OwnedCall& call = m_calls.at(id);
+  m_guard.NoteCancelled(call.key, call.request.expires_at_us(), ToClockMicroseconds(now));
+  Remove(id);
+}
+
+void OwnedCalls::RemoveRun(OwnedCallId id, TimePoint now) {
+  const OwnedCall& call = m_calls.at(id);
+  m_guard.NoteEnded(call.key, call.request.expires_at_us(), ToClockMicroseconds(now));
+  Remove(id);
+}
+
+void OwnedCalls::Remove(OwnedCallId id) {
+  m_ids.erase(m_calls.at(id).key);
+  m_calls.erase(id);
+}
+
+wire::CallState OwnedCalls::Settle(const CallKey& key, std::uint64_t expires_at_us, TimePoint now) {
+  switch (m_guard.Settle(key, expires_at_us, ToClockMicroseconds(now))) {
+    case EndedCall::kNeverSeen:
+      return wire::CALL_STATE_NEVER_SEEN;
+    case EndedCall::kNotRun:
+      return wire::CALL_STATE_CANCELLED;
+    case EndedCall::kMayHaveRun:
+      break;
+  }
+  return wire::CALL_STATE_DONE;
+}
+
+void OwnedCalls::Sweep(TimePoint now) { m_guard.Sweep(ToClockMicroseconds(now)); }
+
+}  // namespace damaskhollow
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -17,22 +17,6 @@
 constexpr std::chrono::seconds kKeptAnswerAge{3};
 constexpr std::chrono::seconds kTombstoneSweep{1};
 
-wire::CallState ToWire(EndedCall state) {
-  switch (state) {
-    case EndedCall::kNeverSeen:
-      return wire::CALL_STATE_NEVER_SEEN;
-    case EndedCall::kNotRun:
-      return wire::CALL_STATE_CANCELLED;
-    case EndedCall::kMayHaveRun:
-      break;
-  }
-  return wire::CALL_STATE_DONE;
-}
-
-TimePoint DeadlineOf(const wire::CallRequest& request) {
-  return TimePoint(Duration(static_cast<Duration::rep>(request.expires_at_us())));
-}
-
 }  // namespace
 
 OwnerService::OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger)
@@ -40,7 +24,7 @@
       m_metrics(metrics),
       m_messenger(messenger),
       m_admission(AdmissionLimits{}, {}),
-      m_guard(m_identity.incarnation),
+      m_calls(m_identity.incarnation),
       m_claims(m_identity.server, m_identity.started, m_messenger),
       m_kept(kKeptAnswerBytes, kKeptAnswerAge) {}
 
@@ -103,8 +87,7 @@
   if (request.server_id() != m_identity.server.Value() || m_service == nullptr) {
     return {Reason::kWrongServer, false};
   }
-  const SendDecision decision = m_guard.Arrive(key, Incarnation{request.owner_incarnation()},
-                                               request.expires_at_us(), ToClockMicroseconds(now));
+  const SendDecision decision = m_calls.Arrive(key, request, now);
   if (decision.refusal != Reason::kNone || decision.ignore) return decision;
   return {m_draining ? Reason::kDraining : Reason::kNone, false};
 }
@@ -112,19 +95,14 @@
 void OwnerService::HandleCallRequest(const ReplyRoute& route, wire::CallRequest request) {
   const TimePoint now = MonotonicNow();
   const CallKey key = KeyOf(route, request.ingress_incarnation(), request.call_id());
-  if (m_call_ids.contains(key)) return;  // Delivered twice.
   const SendDecision decision = CheckRequest(key, request, now);
-  if (decision.ignore) return;
+  if (decision.ignore) return;  // Delivered twice.
   if (decision.refusal != Reason::kNone) {
-    m_guard.NoteRefused(key, request.expires_at_us(), ToClockMicroseconds(now));
+    m_calls.NoteRefused(key, request, now);
     return Refuse(route, request.call_id(), decision.refusal);
   }
-  const OwnedCallId id{m_next_call++};
-  OwnedCall& call = m_calls[id];
-  call.key = key;
-  call.route = route;
-  call.request = std::move(request);
-  m_call_ids[key] = id;
+  const OwnedCallId id = m_calls.Add(key, route, std::move(request));
+  OwnedCall& call = m_calls.At(id);
   if (call.request.request_id().empty()) return Admit(id, now);
   Claim(id, call, now);
 }
@@ -156,11 +134,11 @@
 }
 
 void OwnerService::Admit(OwnedCallId id, TimePoint now) {
-  OwnedCall& owned = m_calls.at(id);
+  OwnedCall& owned = m_calls.At(id);
   owned.state = OwnedCallState::kQueued;
   AdmissionCall call;
   call.id = id;
-  call.deadline = DeadlineOf(owned.request);
+  call.deadline = owned.Deadline();
   call.bytes = owned.request.ByteSizeLong();
   const Priority* priority = m_declaration->FindPriority(PriorityId(owned.request.priority()));
   call.priority_index = priority == nullptr
@@ -183,17 +161,17 @@
   head.set_replayed(true);
   SendPart(id, call, std::move(part), &head);
   m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
-  Forget(id, EndedCall::kMayHaveRun);
+  m_calls.RemoveRun(id, MonotonicNow());
 }
 
 void OwnerService::Dispatch(TimePoint now) {
   if (m_pause.IsOverdue(now)) return;  // The next tick refuses what has expired first.
-  for (const OwnedCallId id : m_admission.TakeDispatchable(now)) RunCall(id, m_calls.at(id), now);
+  for (const OwnedCallId id : m_admission.TakeDispatchable(now)) RunCall(id, m_calls.At(id), now);
 }
 
 void OwnerService::RunCall(OwnedCallId id, OwnedCall& call, TimePoint now) {
   const auto remaining =
-      std::chrono::duration_cast<std::chrono::milliseconds>(DeadlineOf(call.request) - now);
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.Deadline() - now);
   call.state = OwnedCallState::kRunning;
   BackendRequest request;
   request.request = BackendRequestOf(call.request, remaining);
@@ -210,20 +188,19 @@
   wire::Envelope answer;
   wire::CancelResult& result = *answer.mutable_cancel_result();
   result.set_call_id(cancel.call_id());
-  const auto found = m_call_ids.find(key);
-  if (found == m_call_ids.end()) {
-    result.set_call_state(
-        ToWire(m_guard.Settle(key, cancel.expires_at_us(), ToClockMicroseconds(MonotonicNow()))));
-  } else if (const OwnedCallId id = found->second;
-             m_calls.at(id).state == OwnedCallState::kClaiming || m_admission.Cancel(id)) {
+  const TimePoint now = MonotonicNow();
+  const OwnedCallId id = m_calls.IdOf(key);
+  OwnedCall* call = m_calls.Find(id);
+  if (call == nullptr) {
+    result.set_call_state(m_calls.Settle(key, cancel.expires_at_us(), now));
+  } else if (call->state == OwnedCallState::kClaiming || m_admission.Cancel(id)) {
     result.set_call_state(wire::CALL_STATE_CANCELLED);
     m_claims.End(id, ClaimEnd::kNotRun);
-    Forget(id, EndedCall::kNotRun);
+    m_calls.RemoveCancelled(id, now);
   } else {
     result.set_call_state(wire::CALL_STATE_RUNNING);
-    OwnedCall& call = m_calls.at(id);
-    call.discard_answer = true;
-    if (call.request.idempotent()) {
+    call->discard_answer = true;
+    if (call->request.idempotent()) {
       m_pool->Cancel(id);
       m_claims.End(id, ClaimEnd::kNotRun);  // An idempotent request may run again.
       Finish(id, SlotResult::kFailed);
@@ -243,19 +220,16 @@
   wire::StatusResult& result = *answer.mutable_status_result();
   result.set_call_id(query.call_id());
   std::vector<wire::Envelope> missing;
-  const auto found = m_call_ids.find(key);
-  if (found != m_call_ids.end()) {
-    OwnedCall& call = m_calls.at(found->second);
-    call.route = route;
-    result.set_call_state(call.state == OwnedCallState::kRunning ? wire::CALL_STATE_RUNNING
-                                                                 : wire::CALL_STATE_QUEUED);
-    missing = call.tail.Missing(query.next_sequence());
+  if (OwnedCall* call = m_calls.Find(m_calls.IdOf(key)); call != nullptr) {
+    call->route = route;
+    result.set_call_state(call->state == OwnedCallState::kRunning ? wire::CALL_STATE_RUNNING
+                                                                  : wire::CALL_STATE_QUEUED);
+    missing = call->tail.Missing(query.next_sequence());
   } else if (const AnswerTail* kept = m_kept.Find(key); kept != nullptr) {
     result.set_call_state(wire::CALL_STATE_DONE);
     missing = kept->Missing(query.next_sequence());
   } else {
-    result.set_call_state(
-        ToWire(m_guard.Settle(key, query.expires_at_us(), ToClockMicroseconds(MonotonicNow()))));
+    result.set_call_state(m_calls.Settle(key, query.expires_at_us(), MonotonicNow()));
   }
   result.set_answer_follows(!missing.empty());
   *result.mutable_state() = LockedState();
@@ -264,10 +238,11 @@
 }
 
 void OwnerService::HandleCredit(const ReplyRoute& route, const wire::Credit& credit) {
-  const auto found = m_call_ids.find(KeyOf(route, credit.ingress_incarnation(), credit.call_id()));
-  if (found == m_call_ids.end()) return;
-  m_calls.at(found->second).tail.NoteCredit(credit.bytes());
-  m_pool->AddCredit(found->second, credit.bytes());
+  const OwnedCallId id = m_calls.IdOf(KeyOf(route, credit.ingress_incarnation(), credit.call_id()));
+  OwnedCall* call = m_calls.Find(id);
+  if (call == nullptr) return;
+  call->tail.NoteCredit(credit.bytes());
+  m_pool->AddCredit(id, credit.bytes());
 }
 
 void OwnerService::Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason) {
@@ -287,17 +262,15 @@
 }
 
 void OwnerService::RefuseUnrun(OwnedCallId id, Reason reason) {
-  const OwnedCall& call = m_calls.at(id);
+  const OwnedCall& call = m_calls.At(id);
   m_claims.End(id, ClaimEnd::kNotRun);
   Refuse(call.route, call.key.call.value, reason);
-  m_guard.NoteRefused(call.key, call.request.expires_at_us(), ToClockMicroseconds(MonotonicNow()));
-  m_call_ids.erase(call.key);
-  m_calls.erase(id);
+  m_calls.RemoveRefused(id, MonotonicNow());
 }
 
 void OwnerService::OnAnswerPart(OwnedCallId id, AnswerPart part) {
   const std::lock_guard lock(m_lock);
-  OwnedCall* call = FindCall(id);
+  OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) return;
   if (part.head) call->shed = m_service != nullptr && m_service->shed_status == part.head->status;
   const bool last = part.last;
@@ -337,7 +310,7 @@
 
 void OwnerService::OnAnswerFailed(OwnedCallId id, Reason reason, bool may_have_run) {
   const std::lock_guard lock(m_lock);
-  OwnedCall* call = FindCall(id);
+  OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) return;
   const ReplyRoute route = call->route;
   const std::uint64_t call_id = call->key.call.value;
@@ -351,24 +324,11 @@
 
 void OwnerService::Finish(OwnedCallId id, SlotResult result) {
   const TimePoint now = MonotonicNow();
-  Forget(id, EndedCall::kMayHaveRun);
+  m_calls.RemoveRun(id, now);
   m_admission.NoteFinished(id, result, now);
   Dispatch(now);
 }
 
-void OwnerService::Forget(OwnedCallId id, EndedCall state) {
-  const auto found = m_calls.find(id);
-  const OwnedCall& call = found->second;
-  const std::uint64_t now_us = ToClockMicroseconds(MonotonicNow());
-  if (state == EndedCall::kMayHaveRun) {
-    m_guard.NoteEnded(call.key, call.request.expires_at_us(), now_us);
-  } else {
-    m_guard.NoteCancelled(call.key, call.request.expires_at_us(), now_us);
-  }
-  m_call_ids.erase(call.key);
-  m_calls.erase(found);
-}
-
 void OwnerService::Tick(TimePoint now) {
   const std::lock_guard lock(m_lock);
   for (const OwnedCallId id : m_admission.TakeExpired(now)) {
@@ -386,7 +346,7 @@
   m_metrics.Set(Metric::kInFlightCalls, load.in_flight);
   if (now < m_next_sweep) return;
   m_next_sweep = now + kTombstoneSweep;
-  m_guard.Sweep(ToClockMicroseconds(now));
+  m_calls.Sweep(now);
 }
 
 void OwnerService::StartDrain() {
@@ -424,7 +384,7 @@
 
 bool OwnerService::IsIdle() const {
   const std::lock_guard lock(m_lock);
-  return m_calls.empty();
+  return m_calls.IsEmpty();
 }
 
 CallKey OwnerService::KeyOf(const ReplyRoute& route, std::uint64_t incarnation,
@@ -432,9 +392,4 @@
   return CallKey{route.peer, Incarnation{incarnation}, CallId{call_id}};
 }
 
-OwnerService::OwnedCall* OwnerService::FindCall(OwnedCallId id) {
-  const auto found = m_calls.find(id);
-  return found == m_calls.end() ? nullptr : &found->second;
-}
-
 }  // namespace damaskhollow
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -2,7 +2,6 @@
 #define DAMASKHOLLOW_NODE_OWNERSERVICE_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <span>
@@ -14,9 +13,9 @@
 #include "node/claimservice.h"
 #include "node/keptanswers.h"
 #include "node/messenger.h"
+#include "node/ownedcalls.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
-#include "policy/sendguard.h"
 
 namespace damaskhollow {
 
@@ -66,23 +65,6 @@
   void OnAnswerFailed(OwnedCallId call, Reason reason, bool may_have_run) override;
 
  private:
-  enum class OwnedCallState {
-    kClaiming,  // Other servers are asked to release its request id.
-    kQueued,
-    kRunning,
-  };
-
-  struct OwnedCall {
-    CallKey key;
-    ReplyRoute route;
-    wire::CallRequest request;  // Without its body once it is dispatched.
-    OwnedCallState state = OwnedCallState::kQueued;
-    bool discard_answer = false;  // The ingress no longer waits for it.
-    bool shed = false;
-    std::uint32_t next_sequence = 0;
-    AnswerTail tail;
-  };
-
   // The members below expect m_lock to be held.
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
@@ -104,10 +86,8 @@
                 const wire::ResponseHead* replayed_head);
   void FinishAnswered(OwnedCallId id, OwnedCall& call);
   void Finish(OwnedCallId id, SlotResult result);
-  void Forget(OwnedCallId id, EndedCall state);
   wire::OwnerState LockedState() const;
   CallKey KeyOf(const ReplyRoute& route, std::uint64_t incarnation, std::uint64_t call_id) const;
-  OwnedCall* FindCall(OwnedCallId id);
 
   const NodeIdentity m_identity;
   MetricsRegistry& m_metrics;
@@ -119,14 +99,11 @@
   std::uint64_t m_version = 0;
   const Service* m_service = nullptr;  // In m_declaration.
   AdmissionQueue m_admission;
-  std::map<OwnedCallId, OwnedCall> m_calls;
-  std::map<CallKey, OwnedCallId> m_call_ids;
-  SendGuard m_guard;
+  OwnedCalls m_calls;
   ClaimService m_claims;
   PauseDetector m_pause;
   TimePoint m_next_sweep{};
   KeptAnswers m_kept;
-  std::uint64_t m_next_call = 1;
   bool m_draining = false;
 };
 
