--- a/src/libs/configuration/fetchplan.cpp
+++ b/src/libs/configuration/fetchplan.cpp
@@ -49,6 +49,11 @@
   if (found != m_peers.end()) found->second.not_before = now + kPeerRetry;
 }
 
+void FetchPlan::NoteHeld(std::uint64_t version) {
+  m_held = std::max(m_held, version);
+  NoteSeen(version);
+}
+
 void FetchPlan::NoteSeen(std::uint64_t version) { m_seen = std::max(m_seen, version); }
 
 int FetchPlan::DistanceOf(const Peer& peer) const {
@@ -66,9 +71,10 @@
 }
 
 bool FetchPlan::MayAsk(const Peer& peer, TimePoint now) const {
-  if (peer.version <= m_seen) return false;
+  if (peer.version <= m_held) return false;
   if (peer.not_before && now < *peer.not_before) return false;
   if (DistanceOf(peer) < 2 || m_place.region_readers.empty()) return true;
+  if (m_place.region_readers.empty()) return true;  // Nobody else here could fetch it.
   const std::optional<TimePoint> turn = TurnToCross();
   return turn && now >= *turn;
 }
@@ -99,7 +105,9 @@
     return StoreRead{m_seen, {}};
   }
   if (m_reading) return std::nullopt;
-  if (m_requested_read && now >= *m_requested_read) return StoreRead{m_seen, {}};
+  if (m_requested_read && now >= std::max(*m_requested_read, m_retry_not_before)) {
+    return StoreRead{m_seen, {}};
+  }
   if (m_place.role == ReaderRole::kFollower || now < m_next_read) return std::nullopt;
   const bool is_watcher = m_place.role == ReaderRole::kWatcher;
   return StoreRead{m_seen, is_watcher ? kStoreReadInterval : std::chrono::milliseconds(0)};
--- a/src/libs/configuration/fetchplan.h
+++ b/src/libs/configuration/fetchplan.h
@@ -48,10 +48,14 @@
   // only, or for this one after a pause.
   void NotePeerFailed(const BackendServerId& peer, TimePoint now);
 
-  // This node holds `version` now, or has read it from the service and refused it.
+  // This node holds `version` now.
+  void NoteHeld(std::uint64_t version);
+
+  // The service gave `version`. If it was refused, it is not read again; an older one that peers
+  // hold is still of use.
   void NoteSeen(std::uint64_t version);
 
-  // The peer to ask for a version above the one seen: the highest version first, then the own data
+  // The peer to ask for a version above the one held: the highest version first, then the own data
   // centre, then the own region. A peer across the paid link is asked by a reader only, in the
   // order of the region's readers, so that one copy crosses the link.
   std::optional<BackendServerId> PeerToAsk(RandomSource& random, TimePoint now) const;
@@ -68,10 +72,10 @@
   // that has to be confirmed.
   void RequestStoreRead(TimePoint at);
 
-  std::uint64_t Seen() const { return m_seen; }
+  std::uint64_t Held() const { return m_held; }
 
-  // The highest version that this node has seen or heard of.
-  std::uint64_t HighestKnown() const { return std::max(m_seen, m_highest_known); }
+  // The highest version that this node holds or has heard of from peers.
+  std::uint64_t HighestKnown() const { return std::max(m_held, m_highest_known); }
 
   ReaderRole Role() const { return m_place.role; }
   bool StoreAnswers() const { return m_failures == 0; }
@@ -90,7 +94,8 @@
   const FleetNode m_self;
   ReaderPlace m_place;
   std::map<BackendServerId, Peer> m_peers;
-  std::uint64_t m_seen = 0;
+  std::uint64_t m_held = 0;
+  std::uint64_t m_seen = 0;  // At least m_held.
   std::uint64_t m_highest_known = 0;
   TimePoint m_highest_known_since{};
   bool m_reading = false;
--- /dev/null
+++ b/src/libs/configuration/platformreader.cpp
@@ -0,0 +1,94 @@
+#include "configuration/platformreader.h"
+
+#include <QNetworkProxy>
+#include <QNetworkRequest>
+#include <QUrlQuery>
+#include <utility>
+
+#include "configuration/versionguard.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotModified = 304;
+// Beyond the wait that was asked for: covers 1 MB over a paid link that is in use.
+constexpr std::chrono::milliseconds kAnswerTimeout{3000};
+constexpr char kVersionHeader[] = "Damaskhollow-Version";
+
+}  // namespace
+
+PlatformReader::PlatformReader(const std::string& url, const std::string& default_path,
+                               PlatformEvents& events)
+    : m_url(QString::fromStdString(url)), m_events(events) {
+  if (m_url.path().size() <= 1) m_url.setPath(QString::fromStdString(default_path));
+  m_network.setProxy(QNetworkProxy(QNetworkProxy::NoProxy));
+  m_timer.setSingleShot(true);
+  connect(&m_timer, &QTimer::timeout, this, [this] { Fail("no answer in time"); });
+}
+
+PlatformReader::~PlatformReader() { Drop(); }
+
+void PlatformReader::Start(const StoreRead& read) {
+  Drop();
+  QUrl url = m_url;
+  if (read.after > 0) {
+    QUrlQuery query;
+    query.addQueryItem("after", QString::number(read.after));
+    query.addQueryItem("wait_ms", QString::number(read.wait.count()));
+    url.setQuery(query);
+  }
+  QNetworkRequest request(url);
+  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
+  request.setRawHeader("Accept-Encoding", "identity");
+  // An open connection may be silent for good while new ones work, so each read opens its own.
+  request.setRawHeader("Connection", "close");
+  m_reply = m_network.get(request);
+  connect(m_reply, &QNetworkReply::downloadProgress, this, &PlatformReader::CheckSize);
+  connect(m_reply, &QNetworkReply::finished, this, &PlatformReader::Finish);
+  m_timer.start(read.wait + kAnswerTimeout);
+}
+
+void PlatformReader::CheckSize() {
+  if (m_reply == nullptr) return;
+  if (m_reply->bytesAvailable() > static_cast<qint64>(kMaxConfigurationBytes)) {
+    Fail("the answer is longer than 1 MB");
+  }
+}
+
+void PlatformReader::Finish() {
+  if (m_reply == nullptr) return;
+  const int status = m_reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  if (m_reply->error() != QNetworkReply::NoError && status != kStatusNotModified) {
+    return Fail(m_reply->errorString().toStdString());
+  }
+  if (status == kStatusNotModified) {
+    Drop();
+    return m_events.OnPlatformUnchanged();
+  }
+  bool has_version = false;
+  const quint64 version = m_reply->rawHeader(kVersionHeader).toULongLong(&has_version);
+  if (status != kStatusOk || !has_version) return Fail("the answer is not one of this protocol");
+  const QByteArray text = m_reply->readAll();
+  Drop();
+  m_events.OnPlatformChanged(version, {text.constData(), static_cast<std::size_t>(text.size())});
+}
+
+void PlatformReader::Drop() {
+  m_timer.stop();
+  QNetworkReply* reply = std::exchange(m_reply, nullptr);
+  if (reply == nullptr) return;
+  reply->disconnect(this);
+  reply->abort();
+  reply->deleteLater();
+}
+
+void PlatformReader::Fail(std::string_view detail) {
+  Drop();
+  m_events.OnPlatformFailed(detail);
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/configuration/platformreader.h
@@ -0,0 +1,54 @@
+#ifndef DAMASKHOLLOW_CONFIGURATION_PLATFORMREADER_H_
+#define DAMASKHOLLOW_CONFIGURATION_PLATFORMREADER_H_
+
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QObject>
+#include <QTimer>
+#include <QUrl>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "configuration/fetchplan.h"
+
+namespace damaskhollow {
+
+// Gets what came of reads of one of the platform's services.
+class PlatformEvents {
+ public:
+  virtual ~PlatformEvents() = default;
+
+  virtual void OnPlatformChanged(std::uint64_t version, std::string_view text) = 0;
+  virtual void OnPlatformUnchanged() = 0;
+
+  // No answer in time, an unexpected one, or one of over 1 MB.
+  virtual void OnPlatformFailed(std::string_view detail) = 0;
+};
+
+// Reads one of the platform's services over HTTP (docs/platform.md).
+class PlatformReader : public QObject {
+ public:
+  // `url` is the service's address; if it has no path, `default_path` is added.
+  PlatformReader(const std::string& url, const std::string& default_path, PlatformEvents& events);
+  ~PlatformReader() override;
+
+  // Starts a read and gives up one that still runs, without an event for that.
+  void Start(const StoreRead& read);
+
+ private:
+  void CheckSize();
+  void Finish();
+  void Drop();
+  void Fail(std::string_view detail);
+
+  QUrl m_url;
+  PlatformEvents& m_events;
+  QNetworkAccessManager m_network;
+  QNetworkReply* m_reply = nullptr;
+  QTimer m_timer;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_CONFIGURATION_PLATFORMREADER_H_
--- a/src/libs/fleet/fleetview.cpp
+++ b/src/libs/fleet/fleetview.cpp
@@ -28,6 +28,15 @@
   return kNames[static_cast<std::size_t>(standing)];
 }
 
+std::string_view StandingReason(Standing standing) {
+  static constexpr std::array<std::string_view, 5> kReasons{
+      "Nothing speaks against it.", "Its owner states that it takes no new work.",
+      "The VM list says that it leaves, or it has left the list while its link lives.",
+      "It has been absent from the VM list for 10 s and has no live link, or is not declared.",
+      "The link to its node is down."};
+  return kReasons[static_cast<std::size_t>(standing)];
+}
+
 bool MayGetWork(Standing standing) {
   return standing == Standing::kLive || standing == Standing::kUnreachable;
 }
--- a/src/libs/fleet/fleetview.h
+++ b/src/libs/fleet/fleetview.h
@@ -27,6 +27,9 @@
 // The name shown in the status, for instance "draining".
 std::string_view StandingName(Standing standing);
 
+// One sentence on why a server has this standing.
+std::string_view StandingReason(Standing standing);
+
 // Whether a server with this standing may get new work, as far as membership is concerned. An
 // unreachable one is kept from work by its link until an answer arrives on a new one.
 bool MayGetWork(Standing standing);
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -26,7 +26,7 @@
     {Metric::kControlBytesReceived, "control_bytes_received_total", "counter",
      "Control bytes received from peers."},
     {Metric::kControlPaidLinkBytes, "control_paid_link_bytes_total", "counter",
-     "Control bytes sent to other regions."},
+     "Control bytes sent to other regions or read from a service there."},
     {Metric::kCallPaidLinkBytes, "call_paid_link_bytes_total", "counter",
      "Bytes of calls sent to other regions."},
     {Metric::kProbes, "probes_total", "counter", "Health probes of the backend server."},
--- /dev/null
+++ b/src/libs/node/controlservice.cpp
@@ -0,0 +1,531 @@
+#include "node/controlservice.h"
+
+#include <QMetaObject>
+#include <algorithm>
+#include <utility>
+
+#include "fleet/overlay.h"
+#include "logging/logger.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr std::chrono::seconds kSecond{1};
+// Neighbours exchange versions at least this often; news is sent at once.
+constexpr std::chrono::seconds kGossipPeriod{5};
+// On links that are not of the overlay, so that each end knows how to reach the other.
+constexpr std::chrono::seconds kWideGossipPeriod{20};
+constexpr std::chrono::milliseconds kRefreshTime{500};
+constexpr std::size_t kRefreshPeers = 3;
+// Each takes about 45 bytes.
+constexpr std::size_t kStatementsPerGossip = 50;
+constexpr std::size_t kMaxSeeds = 4;
+// Successors of a data centre's readers that keep links to them, to notice their loss at once.
+constexpr std::size_t kReaderCandidates = kReadersPerDataCentre + 2;
+// Gossip sent gets a quarter of the budget: as much is received, and the rest is for pings and
+// handshakes.
+constexpr std::size_t kGossipPartOfBudget = 4;
+
+PeerStatement StatementFrom(const BackendServerId& server, const wire::OwnerState& state) {
+  return PeerStatement{server,           Incarnation{state.incarnation()}, state.clock_us(),
+                       state.draining(), state.configuration_version(),    state.started_ms()};
+}
+
+PeerStatement StatementFrom(const wire::PeerState& state) {
+  return PeerStatement{BackendServerId(state.server_id()),
+                       Incarnation{state.incarnation()},
+                       state.sequence(),
+                       state.draining(),
+                       state.configuration_version(),
+                       state.started_ms()};
+}
+
+}  // namespace
+
+ControlService::ControlService(ControlContext context, ConfigurationKeeper::ApplyFunction apply)
+    : m_context(context),
+      m_apply(std::move(apply)),
+      m_self{context.identity.server, context.settings.region, context.settings.data_centre},
+      m_random(SystemSeed()),
+      m_membership(context.router),
+      m_links(context.transport, context.messenger),
+      m_configuration(context.metrics,
+                      [this](const auto& declaration, std::uint64_t version) {
+                        NoteApplied(declaration, version);
+                      }),
+      m_vm_list(m_membership, [this] { m_view_changed = m_announce = true; }),
+      m_configuration_sync(wire::DOCUMENT_CONFIGURATION, m_self, context.settings.configuration_url,
+                           "/v1/configuration", m_configuration, context.metrics,
+                           [this](const BackendServerId& peer, wire::Envelope message) {
+                             m_links.Send(peer, std::move(message), MonotonicNow());
+                           }),
+      m_vm_list_sync(wire::DOCUMENT_VM_LIST, m_self, context.settings.vm_list_url, "/v1/vms",
+                     m_vm_list, context.metrics,
+                     [this](const BackendServerId& peer, wire::Envelope message) {
+                       m_links.Send(peer, std::move(message), MonotonicNow());
+                     }),
+      m_probe(context.metrics,
+              [this](ProbeResult result) { m_drain.NoteProbe(result, MonotonicNow()); }) {
+  const RegionId& store_region = context.settings.configuration_region;
+  const bool is_far = !store_region.IsEmpty() && store_region != m_self.region;
+  m_configuration_sync.SetStoreFar(is_far);
+  m_vm_list_sync.SetStoreFar(is_far);
+}
+
+ControlService::~ControlService() = default;
+
+Result<void> ControlService::Start() {
+  const NodeSettings& settings = m_context.settings;
+  const std::string& file = settings.declaration_file;
+  if (!file.empty()) return m_configuration.LoadFile(file);
+  const TimePoint now = MonotonicNow();
+  const bool has_seeds = !settings.seed_peers.empty() || !settings.peer_overrides.empty();
+  const bool is_seed = settings.seed_peers.contains(m_self.id);
+  m_fresh.emplace(has_seeds, is_seed, m_random, now);
+  DialSeeds();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void ControlService::DialSeeds() {
+  std::map<BackendServerId, Endpoint> seeds = m_context.settings.peer_overrides;
+  for (const auto& [peer, endpoint] : m_context.settings.seed_peers) seeds.emplace(peer, endpoint);
+  seeds.erase(m_self.id);
+  std::vector<PeerLinks::Target> targets;
+  targets.reserve(seeds.size());
+  for (const auto& [peer, endpoint] : seeds) targets.push_back({peer, endpoint, {}});
+  while (targets.size() > kMaxSeeds) {
+    targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(m_random.Below(targets.size())));
+  }
+  m_links.SetWanted(targets, MonotonicNow());
+}
+
+void ControlService::NoteApplied(const std::shared_ptr<const Declaration>& declaration,
+                                 std::uint64_t version) {
+  const TimePoint now = MonotonicNow();
+  m_fresh.reset();
+  m_declaration = declaration;
+  m_apply(declaration, version);
+  const std::vector<FleetNode> nodes = NodesOf(*declaration);
+  auto regions = std::make_shared<RegionMap>();
+  for (const FleetNode& node : nodes) regions->emplace(node.id, node.region);
+  m_regions.store(std::move(regions));
+  m_membership.SetInventory(nodes);
+  for (const FleetNode& node : nodes) {
+    if (m_links.IsUp(node.id)) m_membership.NoteLinkUp(node.id);
+  }
+  m_gossip_budget.SetRate(declaration->budgets.measuring_bytes_per_second / kGossipPartOfBudget);
+  if (m_context.settings.declaration_file.empty()) m_configuration_sync.Plan().NoteHeld(version);
+  m_announce = true;
+  TakeView(now);
+  const BackendServer* own = declaration->FindServer(m_self.id);
+  const Service* service = own == nullptr ? nullptr : declaration->FindService(own->service);
+  if (service == nullptr) return;
+  if (const Result<Endpoint> address = ParseEndpoint(own->address)) {
+    m_probe.Configure(service->health, address.value(), declaration->budgets.probes_per_second);
+  }
+}
+
+void ControlService::Tick(TimePoint now) {
+  TickPause(now);
+  TickDrain(now);
+  if (m_fresh) TickFreshStart(now);
+  for (const ServiceId& service : m_context.router.TakeUsedServices()) {
+    const std::vector<ServiceId> used = m_link_plan.UsedServices(now);
+    const bool is_new = std::find(used.begin(), used.end(), service) == used.end();
+    m_link_plan.NoteUse(service, now);
+    if (is_new && m_declaration) UpdateLinks(*m_declaration, now);
+  }
+  if (m_context.settings.declaration_file.empty()) m_configuration_sync.Tick(now);
+  m_vm_list_sync.Tick(now);
+  if (now >= m_next_second) TickSecond(now);
+  if (std::exchange(m_view_changed, false)) TakeView(now);
+  TickGossip(now);
+}
+
+void ControlService::TickSecond(TimePoint now) {
+  m_next_second = now + kSecond;
+  m_configuration.CheckFile();
+  const bool list_answers =
+      m_vm_list_sync.Plan().Role() == ReaderRole::kFollower || m_vm_list_sync.Plan().StoreAnswers();
+  m_vm_list.Tick(now, list_answers);
+  for (const BackendServerId& peer : m_links.Overdue(now)) m_membership.NoteLinkDown(peer);
+  TakeView(now);
+  if (m_declaration) UpdateLinks(*m_declaration, now);
+}
+
+void ControlService::TakeView(TimePoint now) {
+  if (!m_membership.Refresh(now)) return;
+  UpdateOverlay(m_membership.PresentNodes());
+  UpdatePlace(now);
+  if (m_declaration) UpdateLinks(*m_declaration, now);
+}
+
+void ControlService::UpdatePlace(TimePoint now) {
+  const ReaderPlace place =
+      PlaceOf(m_membership.LiveNodes(), m_self, m_context.settings.configuration_region);
+  if (place.role != m_configuration_sync.Plan().Role()) {
+    DAMASKHOLLOW_LOG(kConfiguration, kInfo) << "this node is now a " << ReaderRoleName(place.role);
+  }
+  m_configuration_sync.Plan().SetPlace(place, now);
+  m_vm_list_sync.Plan().SetPlace(place, now);
+}
+
+void ControlService::UpdateOverlay(std::span<const FleetNode> nodes) {
+  const auto same = [](const FleetNode& left, const FleetNode& right) {
+    return left.id == right.id && left.data_centre == right.data_centre;
+  };
+  if (std::equal(nodes.begin(), nodes.end(), m_overlay_nodes.begin(), m_overlay_nodes.end(),
+                 same)) {
+    return;
+  }
+  m_overlay_nodes.assign(nodes.begin(), nodes.end());
+  const auto overlay = Overlay::Build(nodes);
+  const auto own = overlay.find(m_self.id);
+  const Overlay::Neighbours neighbours = own == overlay.end() ? Overlay::Neighbours() : own->second;
+  m_book.SetNeighbours(neighbours, m_membership.DrainingServers());
+  m_control_peers.assign(neighbours.begin(), neighbours.end());
+  std::vector<BackendServerId> candidates = ReaderOrder(nodes, m_self.data_centre);
+  candidates.resize(std::min(candidates.size(), kReaderCandidates));
+  const bool is_candidate =
+      std::find(candidates.begin(), candidates.end(), m_self.id) != candidates.end();
+  // A node that is not in the inventory has no neighbours and asks the readers.
+  if (!is_candidate && own != overlay.end()) return;
+  m_control_peers.insert(m_control_peers.end(), candidates.begin(), candidates.end());
+  const std::vector<BackendServerId> readers = RegionReaders(nodes, m_self.region);
+  m_control_peers.insert(m_control_peers.end(), readers.begin(), readers.end());
+  std::erase(m_control_peers, m_self.id);
+}
+
+LinkNeeds ControlService::NeedsOf(const Declaration& declaration, TimePoint now) const {
+  LinkNeeds needs;
+  needs.control = m_control_peers;
+  const BackendServer* own = declaration.FindServer(m_self.id);
+  for (const BackendServer& server : declaration.backend_servers) {
+    if (server.id == m_self.id) continue;
+    needs.inventory.push_back(server.id);
+    if (own != nullptr && server.service == own->service) needs.own_service.push_back(server.id);
+  }
+  for (const ServiceId& service : m_link_plan.UsedServices(now)) {
+    std::vector<BackendServerId>& subset = needs.subsets[service];
+    for (const BackendServer* server : declaration.ServersOf(service)) {
+      if (server->id != m_self.id) subset.push_back(server->id);
+    }
+  }
+  return needs;
+}
+
+void ControlService::UpdateLinks(const Declaration& declaration, TimePoint now) {
+  const std::set<BackendServerId> wanted = m_link_plan.Wanted(NeedsOf(declaration, now), now);
+  std::vector<PeerLinks::Target> targets;
+  for (const BackendServer& server : declaration.backend_servers) {
+    if (wanted.contains(server.id)) targets.push_back(TargetOf(server));
+  }
+  m_links.SetWanted(targets, now);
+}
+
+PeerLinks::Target ControlService::TargetOf(const BackendServer& server) const {
+  const auto override = m_context.settings.peer_overrides.find(server.id);
+  const Result<Endpoint> declared = ParseEndpoint(server.peer_address);
+  const Endpoint endpoint =
+      override != m_context.settings.peer_overrides.end() ? override->second : declared.value();
+  return {server.id, endpoint, server.peer_public_key};
+}
+
+void ControlService::TickFreshStart(TimePoint now) {
+  if (const std::shared_ptr<const Declaration> candidate = m_configuration.Candidate()) {
+    m_fresh->NoteCandidate(now);
+    // The peers that the candidate names are dialled before their answers are counted.
+    UpdateOverlay(NodesOf(*candidate));
+    UpdateLinks(*candidate, now);
+  }
+  PeersAsked peers;
+  peers.asked = m_links.WantedCount();
+  peers.answered = m_links.UpCount();
+  const FetchPlan& plan = m_configuration_sync.Plan();
+  peers.holds_newer = plan.HighestKnown() > m_configuration.CandidateVersion();
+  switch (m_fresh->Next(peers, now)) {
+    case FreshStart::Step::kReadStore:
+      if (now < m_next_fresh_read) return;
+      m_next_fresh_read = now + kSecond;
+      return m_configuration_sync.Plan().RequestStoreRead(now);
+    case FreshStart::Step::kApplyCandidate:
+      m_overlay_nodes.clear();
+      return m_configuration.ApplyCandidate();
+    case FreshStart::Step::kAskSeeds:
+    case FreshStart::Step::kAskPeers:
+    case FreshStart::Step::kFetchFromPeer:
+      return;
+  }
+}
+
+void ControlService::TickDrain(TimePoint now) {
+  const bool was_leaving = m_drain.IsLeaving();
+  if (const std::optional<bool> header = m_context.owner.TakeDrainHeader()) {
+    m_drain.NoteHeader(*header, now);
+    m_probe.NoteTold(now);
+  }
+  m_probe.Tick(now);
+  if (m_drain.IsLeaving() != was_leaving) m_context.owner.SetBackendLeaving(m_drain.IsLeaving());
+  const bool is_draining = m_context.owner.IsDraining();
+  if (is_draining == m_announced_draining) return;
+  m_announced_draining = is_draining;
+  const wire::OwnerState state = m_context.owner.State();
+  m_context.router.NoteState(m_self.id, state);
+  m_membership.NoteStatement(StatementFrom(m_self.id, state));
+  m_view_changed = true;
+  m_announce = true;
+}
+
+void ControlService::TickPause(TimePoint now) {
+  if (m_context.gate.NoteTick(now)) StartRefresh(now);
+  if (!m_context.gate.IsRefreshing()) return;
+  const FetchPlan& plan = m_configuration_sync.Plan();
+  const bool is_behind = plan.HighestKnown() > plan.Held();
+  const bool is_fresh = m_refresh_answered && !is_behind;
+  if (!is_fresh && now < m_refresh_until) return;
+  m_context.gate.Open();
+  DAMASKHOLLOW_LOG(kNode, kInfo) << (is_fresh ? "view refreshed from a peer"
+                                              : "view not refreshed in time; going on with it");
+}
+
+void ControlService::StartRefresh(TimePoint now) {
+  m_context.metrics.Add(Metric::kPausesSeen);
+  DAMASKHOLLOW_LOG(kNode, kWarning) << "the process was paused; refreshing the view";
+  m_refresh_until = now + kRefreshTime;
+  m_refresh_answered = false;
+  ++m_refresh_id;
+  std::vector<BackendServerId> peers = m_links.Connected(now);
+  const auto distance = [this](const BackendServerId& peer) {
+    const FleetNode node = PeerNode(peer);
+    if (node.data_centre == m_self.data_centre) return 0;
+    return node.region == m_self.region ? 1 : 2;
+  };
+  std::stable_sort(peers.begin(), peers.end(), [&](const auto& left, const auto& right) {
+    return distance(left) < distance(right);
+  });
+  peers.resize(std::min(peers.size(), kRefreshPeers));
+  for (const BackendServerId& peer : peers) {
+    wire::Gossip gossip = OwnGossip();
+    gossip.set_refresh_id(m_refresh_id);
+    SendGossip(peer, std::move(gossip), now);
+  }
+}
+
+wire::Gossip ControlService::OwnGossip() const {
+  wire::Gossip gossip;
+  const wire::OwnerState state = m_context.owner.State();
+  wire::PeerState& own = *gossip.add_peers();
+  own.set_server_id(m_self.id.Value());
+  own.set_incarnation(state.incarnation());
+  own.set_sequence(state.clock_us());
+  own.set_draining(state.draining());
+  own.set_configuration_version(state.configuration_version());
+  own.set_started_ms(state.started_ms());
+  gossip.set_vm_list_version(m_vm_list.HeldVersion());
+  gossip.set_known_vm_list_version(m_vm_list_sync.Plan().HighestKnown());
+  // The version of a declaration file counts on this node only.
+  if (!m_context.settings.declaration_file.empty()) return gossip;
+  gossip.set_configuration_version(m_configuration.HeldVersion());
+  gossip.set_known_configuration_version(m_configuration_sync.Plan().HighestKnown());
+  return gossip;
+}
+
+void ControlService::AddStatement(wire::Gossip& gossip, const BackendServerId& server) const {
+  const std::optional<PeerStatement> statement = m_membership.StatementOf(server);
+  if (!statement || server == m_self.id) return;
+  wire::PeerState& state = *gossip.add_peers();
+  state.set_server_id(server.Value());
+  state.set_incarnation(statement->incarnation.value);
+  state.set_sequence(statement->sequence);
+  state.set_draining(statement->draining);
+  state.set_configuration_version(statement->configuration_version);
+  state.set_started_ms(statement->started_ms);
+}
+
+void ControlService::SendGossip(const BackendServerId& peer, wire::Gossip gossip, TimePoint now) {
+  wire::Envelope message;
+  *message.mutable_gossip() = std::move(gossip);
+  m_links.Send(peer, std::move(message), now);
+}
+
+void ControlService::AnnounceToAll(TimePoint now) {
+  for (const BackendServerId& peer : m_links.Connected(now)) SendGossip(peer, OwnGossip(), now);
+}
+
+void ControlService::TickGossip(TimePoint now) {
+  if (std::exchange(m_announce, false)) {
+    m_announced_known = m_configuration_sync.Plan().HighestKnown();
+    AnnounceToAll(now);
+  }
+  const std::uint64_t known = m_configuration_sync.Plan().HighestKnown();
+  const bool has_rumour = known > std::exchange(m_announced_known, known);
+  const bool is_due = now >= m_next_gossip;
+  if (is_due) m_next_gossip = now + kGossipPeriod;
+  for (const BackendServerId& neighbour : m_book.Neighbours()) {
+    const bool is_owed = m_book.IsOwed(neighbour);
+    if (!is_due && !has_rumour && !is_owed) continue;
+    wire::Gossip gossip = OwnGossip();
+    if (!m_gossip_budget.TryTake(gossip.ByteSizeLong(), now)) break;
+    for (const BackendServerId& server : m_book.Take(neighbour, kStatementsPerGossip)) {
+      AddStatement(gossip, server);
+    }
+    SendGossip(neighbour, std::move(gossip), now);
+  }
+  if (now < m_next_wide_gossip) return;
+  m_next_wide_gossip = now + kWideGossipPeriod;
+  AnnounceToAll(now);
+}
+
+void ControlService::NoteLinkUp(const BackendServerId& peer, const wire::OwnerState& state) {
+  const auto handle = [this, peer, state] {
+    const TimePoint now = MonotonicNow();
+    m_links.NoteUp(peer);
+    m_membership.NoteLinkUp(peer);
+    NotePeerStatement(StatementFrom(peer, state), peer);
+    NotePeerVersions(peer, state.configuration_version(), std::nullopt, now);
+    m_book.Restart(peer, m_membership.DrainingServers());
+    m_view_changed = true;
+    SendGossip(peer, OwnGossip(), now);
+  };
+  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
+}
+
+void ControlService::NoteLinkDown(const BackendServerId& peer) {
+  const auto handle = [this, peer] {
+    m_links.NoteDown(peer);
+    if (m_links.IsWanted(peer)) {
+      m_membership.NoteLinkDown(peer);
+    } else {
+      m_membership.NoteLinkClosed(peer);
+    }
+    m_configuration_sync.Plan().ForgetPeer(peer);
+    m_vm_list_sync.Plan().ForgetPeer(peer);
+    m_view_changed = true;
+  };
+  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
+}
+
+void ControlService::NoteSendFailed(const BackendServerId& peer, wire::Envelope message) {
+  auto shared = std::make_shared<wire::Envelope>(std::move(message));
+  const auto handle = [this, peer, shared] {
+    m_links.SendOnAccepted(peer, std::move(*shared), MonotonicNow());
+  };
+  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
+}
+
+void ControlService::NoteState(const BackendServerId& peer, const wire::OwnerState& state) {
+  const auto handle = [this, peer, state] {
+    NotePeerStatement(StatementFrom(peer, state), peer);
+    NotePeerVersions(peer, state.configuration_version(), std::nullopt, MonotonicNow());
+  };
+  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
+}
+
+void ControlService::HandleMessage(const ReplyRoute& route, wire::Envelope message) {
+  auto shared = std::make_shared<wire::Envelope>(std::move(message));
+  const auto handle = [this, route, shared] {
+    const TimePoint now = MonotonicNow();
+    m_links.NoteRoute(route, now);
+    if (shared->has_gossip()) return HandleGossip(route, shared->gossip(), now);
+    const bool is_list = shared->has_configuration_query()
+                             ? shared->configuration_query().document() == wire::DOCUMENT_VM_LIST
+                             : shared->configuration_part().document() == wire::DOCUMENT_VM_LIST;
+    DocumentSync& sync = is_list ? m_vm_list_sync : m_configuration_sync;
+    if (shared->has_configuration_part()) {
+      return sync.HandlePart(route.peer, shared->configuration_part(), now);
+    }
+    if (!shared->has_configuration_query()) return;
+    if (!is_list && !m_context.settings.declaration_file.empty()) return;
+    m_links.Send(route.peer, sync.AnswerQuery(shared->configuration_query()), now);
+  };
+  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
+}
+
+void ControlService::HandleGossip(const ReplyRoute& route, const wire::Gossip& gossip,
+                                  TimePoint now) {
+  for (const wire::PeerState& state : gossip.peers()) {
+    if (state.server_id() != m_self.id.Value()) NotePeerStatement(StatementFrom(state), route.peer);
+  }
+  NotePeerVersions(route.peer, gossip.configuration_version(), gossip.vm_list_version(), now);
+  m_configuration_sync.Plan().NoteRumour(gossip.known_configuration_version(), now);
+  m_vm_list_sync.Plan().NoteRumour(gossip.known_vm_list_version(), now);
+  for (const wire::CrashReport& report : gossip.crash_reports()) {
+    // A node may report on its own server only.
+    if (m_on_crash_report && report.owner_id() == route.peer.Value()) {
+      m_on_crash_report(route.peer, report);
+    }
+  }
+  if (gossip.answers_refresh_id() == m_refresh_id) m_refresh_answered = true;
+  if (gossip.refresh_id() == 0) return;
+  wire::Gossip answer = OwnGossip();
+  answer.set_answers_refresh_id(gossip.refresh_id());
+  for (const BackendServerId& server : m_membership.DrainingServers()) AddStatement(answer, server);
+  SendGossip(route.peer, std::move(answer), now);
+}
+
+void ControlService::NotePeerStatement(const PeerStatement& statement,
+                                       const BackendServerId& from) {
+  if (!m_membership.NoteStatement(statement)) return;
+  m_book.NoteNews(statement.server, from);
+  m_view_changed = true;
+}
+
+void ControlService::NotePeerVersions(const BackendServerId& peer, std::uint64_t configuration,
+                                      std::optional<std::uint64_t> vm_list, TimePoint now) {
+  const FleetNode node = PeerNode(peer);
+  m_configuration_sync.Plan().NotePeer(node, configuration, now);
+  if (vm_list) m_vm_list_sync.Plan().NotePeer(node, *vm_list, now);
+}
+
+FleetNode ControlService::PeerNode(const BackendServerId& peer) const {
+  if (const std::optional<FleetNode> node = m_membership.FindNode(peer)) return *node;
+  // A fresh node knows its peers from the candidate only.
+  const auto found = std::find_if(m_overlay_nodes.begin(), m_overlay_nodes.end(),
+                                  [&](const FleetNode& node) { return node.id == peer; });
+  return found == m_overlay_nodes.end() ? FleetNode{peer, {}, {}} : *found;
+}
+
+void ControlService::CountBytes(const BackendServerId& peer, std::size_t sent,
+                                std::size_t received) {
+  m_context.metrics.Add(Metric::kControlBytesSent, sent);
+  m_context.metrics.Add(Metric::kControlBytesReceived, received);
+  const std::shared_ptr<const RegionMap> regions = m_regions.load();
+  if (!regions) return;
+  const auto region = regions->find(peer);
+  const bool is_far = region != regions->end() && region->second != m_self.region;
+  if (is_far) m_context.metrics.Add(Metric::kControlPaidLinkBytes, sent);
+}
+
+void ControlService::PublishCrashReport(const wire::CrashReport& report) {
+  const auto handle = [this, report] {
+    const TimePoint now = MonotonicNow();
+    for (const BackendServerId& peer : m_links.Connected(now)) {
+      wire::Gossip gossip = OwnGossip();
+      *gossip.add_crash_reports() = report;
+      SendGossip(peer, std::move(gossip), now);
+    }
+  };
+  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
+}
+
+void ControlService::AddStatus(QJsonObject& status) const {
+  const FetchPlan& plan = m_configuration_sync.Plan();
+  const std::string_view role = ReaderRoleName(plan.Role());
+  QJsonObject configuration = m_configuration.Status();
+  configuration.insert("role", QString::fromUtf8(role.data(), static_cast<qsizetype>(role.size())));
+  configuration.insert("highest_known_version", static_cast<qint64>(plan.HighestKnown()));
+  configuration.insert("service_failure",
+                       QString::fromStdString(m_configuration_sync.StoreFailure()));
+  status.insert("configuration", configuration);
+  QJsonObject list;
+  list.insert("version", static_cast<qint64>(m_vm_list.HeldVersion()));
+  list.insert("doubted", m_membership.IsListDoubted());
+  list.insert("service_failure", QString::fromStdString(m_vm_list_sync.StoreFailure()));
+  status.insert("vm_list", list);
+  status.insert("backend_server_leaving", m_drain.IsLeaving());
+  status.insert("view_refreshing", m_context.gate.IsRefreshing());
+  status.insert("peers", m_membership.Status());
+}
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/node/controlservice.h
@@ -0,0 +1,161 @@
+#ifndef DAMASKHOLLOW_NODE_CONTROLSERVICE_H_
+#define DAMASKHOLLOW_NODE_CONTROLSERVICE_H_
+
+#include <QJsonObject>
+#include <QObject>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "configuration/freshstart.h"
+#include "fleet/draintracker.h"
+#include "fleet/gossipbook.h"
+#include "fleet/linkplan.h"
+#include "node/configurationkeeper.h"
+#include "node/documentsync.h"
+#include "node/healthprobe.h"
+#include "node/membership.h"
+#include "node/ownerservice.h"
+#include "node/peerlinks.h"
+#include "node/sharedrouter.h"
+#include "node/viewgate.h"
+#include "node/vmlistkeeper.h"
+#include "settings/nodesettings.h"
+
+namespace damaskhollow {
+
+// What the control role works with. All of it outlives the service.
+struct ControlContext {
+  const NodeSettings& settings;
+  const NodeIdentity& identity;
+  MetricsRegistry& metrics;
+  Messenger& messenger;
+  SharedRouter& router;
+  OwnerService& owner;
+  PeerTransport& transport;
+  ViewGate& gate;
+};
+
+// The control role: keeps configuration and VM list up to date, exchanges gossip, decides on links
+// and drains, and refreshes the view after a pause. Lives on the main thread; members that say so
+// may be called from any thread.
+class ControlService : public QObject {
+ public:
+  using CrashReportFunction =
+      std::function<void(const BackendServerId& peer, const wire::CrashReport& report)>;
+
+  // `apply` puts an accepted declaration into force in the other roles.
+  ControlService(ControlContext context, ConfigurationKeeper::ApplyFunction apply);
+  ~ControlService() override;
+
+  // Reads the declaration file, if one is set, or starts to look for a configuration.
+  Result<void> Start();
+
+  // To be called every 20 ms.
+  void Tick(TimePoint now);
+
+  // The link that this node dialled to `peer` came up or went down. From any thread.
+  void NoteLinkUp(const BackendServerId& peer, const wire::OwnerState& state);
+  void NoteLinkDown(const BackendServerId& peer);
+
+  // What a peer said of itself on a Pong. From any thread.
+  void NoteState(const BackendServerId& peer, const wire::OwnerState& state);
+
+  // A control message could not be sent on the link dialled to `peer`; it is sent on the one that
+  // the peer dialled, if any. From any thread.
+  void NoteSendFailed(const BackendServerId& peer, wire::Envelope message);
+
+  // Takes Gossip, ConfigurationQuery and ConfigurationPart. From any thread.
+  void HandleMessage(const ReplyRoute& route, wire::Envelope message);
+
+  // Counts bytes of control messages, and those that cross the paid link. From any thread.
+  void CountBytes(const BackendServerId& peer, std::size_t sent, std::size_t received);
+
+  // Sends a crash report to all connected peers. From any thread.
+  void PublishCrashReport(const wire::CrashReport& report);
+
+  // Called on the main thread for each crash report that a peer sends of its own server.
+  void SetCrashReportHandler(CrashReportFunction handler) {
+    m_on_crash_report = std::move(handler);
+  }
+
+  // For queries from any thread.
+  const Membership& Members() const { return m_membership; }
+
+  // Adds the parts of /status that belong to this role.
+  void AddStatus(QJsonObject& status) const;
+
+ private:
+  void NoteApplied(const std::shared_ptr<const Declaration>& declaration, std::uint64_t version);
+  void TickFreshStart(TimePoint now);
+  void TickSecond(TimePoint now);
+  void TickDrain(TimePoint now);
+  void TickPause(TimePoint now);
+  void TickGossip(TimePoint now);
+  void TakeView(TimePoint now);
+
+  void DialSeeds();
+  void UpdateLinks(const Declaration& declaration, TimePoint now);
+  LinkNeeds NeedsOf(const Declaration& declaration, TimePoint now) const;
+  PeerLinks::Target TargetOf(const BackendServer& server) const;
+  void UpdateOverlay(std::span<const FleetNode> nodes);
+  void UpdatePlace(TimePoint now);
+
+  void HandleGossip(const ReplyRoute& route, const wire::Gossip& gossip, TimePoint now);
+  void NotePeerVersions(const BackendServerId& peer, std::uint64_t configuration,
+                        std::optional<std::uint64_t> vm_list, TimePoint now);
+  void NotePeerStatement(const PeerStatement& statement, const BackendServerId& from);
+  wire::Gossip OwnGossip() const;
+  void AddStatement(wire::Gossip& gossip, const BackendServerId& server) const;
+  void SendGossip(const BackendServerId& peer, wire::Gossip gossip, TimePoint now);
+  void AnnounceToAll(TimePoint now);
+  void StartRefresh(TimePoint now);
+  FleetNode PeerNode(const BackendServerId& peer) const;
+
+  using RegionMap = std::unordered_map<BackendServerId, RegionId>;
+
+  ControlContext m_context;
+  ConfigurationKeeper::ApplyFunction m_apply;
+  const FleetNode m_self;
+  RandomSource m_random;
+  Membership m_membership;
+  PeerLinks m_links;
+  ConfigurationKeeper m_configuration;
+  VmListKeeper m_vm_list;
+  DocumentSync m_configuration_sync;
+  DocumentSync m_vm_list_sync;
+  LinkPlan m_link_plan;
+  GossipBook m_book;
+  ByteBudget m_gossip_budget;
+  DrainTracker m_drain;
+  HealthProbe m_probe;
+  std::optional<FreshStart> m_fresh;
+  std::shared_ptr<const Declaration> m_declaration;
+  std::atomic<std::shared_ptr<const RegionMap>> m_regions;
+  CrashReportFunction m_on_crash_report;
+
+  std::vector<FleetNode> m_overlay_nodes;        // That the overlay was computed from.
+  std::vector<BackendServerId> m_control_peers;  // Overlay neighbours and other readers.
+  bool m_view_changed = false;
+  bool m_announce = false;  // To all connected peers at the next tick.
+  bool m_announced_draining = false;
+  std::uint64_t m_announced_known = 0;  // Highest configuration version neighbours were told of.
+  TimePoint m_next_second{};
+  TimePoint m_next_fresh_read{};
+  TimePoint m_next_gossip{};
+  TimePoint m_next_wide_gossip{};
+  std::uint64_t m_refresh_id = 0;
+  TimePoint m_refresh_until{};
+  bool m_refresh_answered = false;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_NODE_CONTROLSERVICE_H_
--- /dev/null
+++ b/src/libs/node/documentsync.h
@@ -0,0 +1,89 @@
+#ifndef DAMASKHOLLOW_NODE_DOCUMENTSYNC_H_
+#define DAMASKHOLLOW_NODE_DOCUMENTSYNC_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/randomsource.h"
+#include "configuration/fetchplan.h"
+#include "configuration/parttransfer.h"
+#include "configuration/platformreader.h"
+#include "configuration/versionguard.h"
+#include "metrics/metricsregistry.h"
+#include "wire/messages.pb.h"
+
+namespace damaskhollow {
+
+// Where a document came from.
+enum class DocumentSource { kStore, kPeer };
+
+// Holds the node's copy of one document of the platform.
+class DocumentHolder {
+ public:
+  virtual ~DocumentHolder() = default;
+
+  virtual std::uint64_t HeldVersion() const = 0;
+  virtual std::string_view HeldText() const = 0;
+
+  // Takes a version that was read. `name` describes the source for operators.
+  virtual OfferResult OfferDocument(std::uint64_t version, std::string_view text,
+                                    DocumentSource source, std::string_view name) = 0;
+};
+
+// Keeps one document up to date, from the platform's service and from peers. Lives on the main
+// thread.
+class DocumentSync : public PlatformEvents {
+ public:
+  using SendFunction = std::function<void(const BackendServerId& peer, wire::Envelope message)>;
+
+  // `reader_url` is empty if the service is not read.
+  DocumentSync(wire::Document document, const FleetNode& self, const std::string& reader_url,
+               const std::string& reader_path, DocumentHolder& holder, MetricsRegistry& metrics,
+               SendFunction send);
+
+  FetchPlan& Plan() { return m_plan; }
+  const FetchPlan& Plan() const { return m_plan; }
+
+  // Whether the service is across the paid link, so that what is read from it counts there.
+  void SetStoreFar(bool is_far) { m_store_is_far = is_far; }
+
+  // Starts the reads and transfers that are due.
+  void Tick(TimePoint now);
+
+  // The answer to a peer's query for a part of the held version.
+  wire::Envelope AnswerQuery(const wire::ConfigurationQuery& query) const;
+
+  void HandlePart(const BackendServerId& peer, const wire::ConfigurationPart& part, TimePoint now);
+
+  // The latest failure of the service; empty if its last read succeeded.
+  const std::string& StoreFailure() const { return m_store_failure; }
+
+ private:
+  void OnPlatformChanged(std::uint64_t version, std::string_view text) override;
+  void OnPlatformUnchanged() override;
+  void OnPlatformFailed(std::string_view detail) override;
+
+  void AskPeer(TimePoint now);
+  void SendQuery();
+  void EndTransfer(bool failed, TimePoint now);
+
+  const wire::Document m_document;
+  DocumentHolder& m_holder;
+  MetricsRegistry& m_metrics;
+  SendFunction m_send;
+  RandomSource m_random;
+  FetchPlan m_plan;
+  std::unique_ptr<PlatformReader> m_reader;
+  std::optional<PartTransfer> m_transfer;
+  std::uint64_t m_seen = 0;  // Highest version that the service gave.
+  bool m_store_is_far = false;
+  std::string m_store_failure;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_NODE_DOCUMENTSYNC_H_
--- /dev/null
+++ b/src/libs/node/healthprobe.cpp
@@ -0,0 +1,81 @@
+#include "node/healthprobe.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr std::chrono::milliseconds kProbeTimeout{1000};
+constexpr std::size_t kProbeBodyBytes = 64UL * 1024UL;
+
+}  // namespace
+
+HealthProbe::HealthProbe(MetricsRegistry& metrics, ResultFunction result)
+    : m_metrics(metrics), m_result(std::move(result)) {}
+
+HealthProbe::~HealthProbe() = default;
+
+void HealthProbe::Configure(const std::optional<HealthCheck>& health, const Endpoint& server,
+                            double probes_per_second) {
+  if (server != m_server) Drop();
+  m_server = server;
+  m_health.reset();
+  if (!health || probes_per_second <= 0.0) return;
+  m_health = health;
+  const Duration least =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / probes_per_second));
+  m_interval = std::max(health->interval, least);
+}
+
+void HealthProbe::Tick(TimePoint now) {
+  if (!m_health || m_running) return;
+  if (now - m_last_probe < m_interval || now - m_last_told < m_interval) return;
+  Start(now);
+}
+
+void HealthProbe::Start(TimePoint now) {
+  m_last_probe = now;
+  m_running = true;
+  m_status = 0;
+  m_metrics.Add(Metric::kProbes);
+  if (!m_connection || !m_connection->IsIdle()) {
+    Drop();
+    m_connection =
+        std::make_unique<BackendConnection>(ConnectionId{m_next_connection++}, m_server, *this);
+  }
+  HttpRequest request;
+  request.method = "GET";
+  request.target = m_health->path;
+  request.headers.push_back({"Host", ToString(m_server)});
+  m_running = true;
+  m_connection->Send(request, kProbeBodyBytes, kProbeTimeout);
+}
+
+// The connection may be the sender of the present event.
+void HealthProbe::Drop() {
+  m_running = false;
+  if (!m_connection) return;
+  m_connection->Abort();
+  m_connection.release()->deleteLater();
+}
+
+void HealthProbe::OnBackendPart(ConnectionId, AnswerPart part, bool reusable) {
+  if (part.head) m_status = part.head->status;
+  if (!part.last) return;
+  m_running = false;
+  if (!reusable) Drop();
+  const bool is_leaving = m_health && m_status == m_health->drain_status;
+  m_result(is_leaving ? ProbeResult::kLeaving : ProbeResult::kHealthy);
+}
+
+void HealthProbe::OnBackendFailed(ConnectionId, Reason reason, bool may_have_run) {
+  Drop();
+  const bool is_refused = !may_have_run && reason != Reason::kBackendTimeout;
+  m_result(is_refused ? ProbeResult::kRefused : ProbeResult::kNoAnswer);
+}
+
+void HealthProbe::OnBackendIdleClosed(ConnectionId) { Drop(); }
+
+}  // namespace damaskhollow
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -4,7 +4,6 @@
 #include <QJsonArray>
 #include <utility>
 
-#include "declaration/declarationparser.h"
 #include "logging/logger.h"
 
 namespace damaskhollow {
@@ -12,6 +11,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{20};
+// The last answers are handed to the peer thread before the owner is idle; they need some time to
+// reach the network.
+constexpr std::chrono::milliseconds kLastAnswerTime{250};
 
 Result<std::string> ReadFile(const std::string& path) {
   QFile file(QString::fromStdString(path));
@@ -30,7 +32,10 @@
       m_router(m_settings.routing_strategy,
                Place{m_settings.server_id, m_settings.region, m_settings.data_centre},
                SystemSeed()),
-      m_owner(m_identity, m_metrics, *this) {}
+      m_owner(m_identity, m_metrics, *this) {
+  m_owner.SetViewGate(&m_gate);
+  m_router.SetViewGate(&m_gate);
+}
 
 Node::~Node() {
   m_timer.stop();
@@ -58,13 +63,19 @@
       IngressContext{m_identity, m_metrics, *this, m_router, m_body_budget, m_declaration,
                      m_caller_connections},
       m_workers, m_settings.caller_connections);
+  m_control =
+      std::make_unique<ControlService>(ControlContext{m_settings, m_identity, m_metrics, *this,
+                                                      m_router, m_owner, *m_transport, m_gate},
+                                       [this](const auto& declaration, std::uint64_t version) {
+                                         ApplyDeclaration(declaration, version);
+                                       });
   if (Result<void> result = m_transport->Start(); !result) return result;
-  if (Result<void> result = LoadDeclarationFile(); !result) return result;
+  if (Result<void> result = m_control->Start(); !result) return result;
   if (Result<void> result = m_ingress->Listen(m_settings.listen); !result) return result;
 
   m_admin = std::make_unique<AdminServer>(
       m_metrics, [this] { return Status(); },
-      [this] { return m_declaration.load() != nullptr && !m_owner.IsDraining(); });
+      [this] { return m_declaration.load() != nullptr && !m_drained && !m_is_closing; });
   if (Result<void> result = m_admin->Listen(m_settings.admin_listen); !result) return result;
   connect(&m_timer, &QTimer::timeout, this, &Node::Tick);
   m_timer.start(kTick);
@@ -81,16 +92,6 @@
   return LinkKeysFromSecret(key.substr(0, key.find_first_of("\r\n")));
 }
 
-Result<void> Node::LoadDeclarationFile() {
-  if (m_settings.declaration_file.empty()) return BOOST_OUTCOME_V2_NAMESPACE::success();
-  Result<std::string> text = ReadFile(m_settings.declaration_file);
-  if (!text) return text.error();
-  ParsedDeclaration parsed = ParseDeclaration(m_settings.declaration_file, text.value());
-  if (!parsed.failures.empty()) return parsed.failures.front();
-  ApplyDeclaration(std::make_shared<const Declaration>(std::move(parsed.declaration)), 1);
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
 void Node::ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
                             std::uint64_t version) {
   m_declaration.store(declaration);
@@ -98,27 +99,14 @@
   m_metrics.Set(Metric::kConfigurationVersion, version);
   m_router.SetDeclaration(declaration);
   m_owner.ApplyDeclaration(declaration, version);
-  OpenLinks(*declaration);
+  m_router.NoteState(m_identity.server, m_owner.State());
+  m_router.SetReachable(m_identity.server, true);
   DAMASKHOLLOW_LOG(kConfiguration, kInfo) << "version " << version << " is in force";
 }
 
-void Node::OpenLinks(const Declaration& declaration) {
-  for (const BackendServer& server : declaration.backend_servers) {
-    if (server.id == m_identity.server) {
-      m_router.NoteState(server.id, m_owner.State());
-      m_router.SetReachable(server.id, true);
-      continue;
-    }
-    const auto override = m_settings.peer_overrides.find(server.id);
-    const Result<Endpoint> declared = ParseEndpoint(server.peer_address);
-    const Endpoint endpoint =
-        override != m_settings.peer_overrides.end() ? override->second : declared.value();
-    m_transport->OpenLink(server.id, endpoint, server.peer_public_key);
-  }
-}
-
 void Node::Tick() {
   const TimePoint now = MonotonicNow();
+  m_control->Tick(now);  // First, as it closes the view gate after a pause.
   m_owner.Tick(now);
   if (m_drained) CheckDrained();
 }
@@ -137,7 +125,11 @@
     m_is_closing = true;
     m_ingress->StartClosing();
   }
-  const bool is_idle = m_owner.IsIdle() && m_ingress->CallerConnections() == 0;
+  const TimePoint now = MonotonicNow();
+  const bool has_work = !m_owner.IsIdle() || m_ingress->CallerConnections() > 0;
+  if (has_work) m_idle_since.reset();
+  if (!has_work && !m_idle_since) m_idle_since = now;
+  const bool is_idle = m_idle_since && now - *m_idle_since > kLastAnswerTime;
   const bool is_late = elapsed > std::chrono::milliseconds(m_settings.drain_announce_ms +
                                                            m_settings.drain_timeout_ms);
   if (!is_idle && !is_late) return;
@@ -168,6 +160,7 @@
     m_linked_peers.insert(peer);
     m_metrics.Set(Metric::kLinksUp, m_linked_peers.size());
   }
+  m_control->NoteLinkUp(peer, state);
   m_ingress->HandleLinkUp(peer);
 }
 
@@ -179,6 +172,7 @@
     m_linked_peers.erase(peer);
     m_metrics.Set(Metric::kLinksUp, m_linked_peers.size());
   }
+  m_control->NoteLinkDown(peer);
   m_ingress->HandleLinkDown(peer);
 }
 
@@ -192,6 +186,12 @@
       return;
     case wire::Envelope::kPong:
       m_router.NoteState(route.peer, message.pong().state());
+      m_control->NoteState(route.peer, message.pong().state());
+      return;
+    case wire::Envelope::kGossip:
+    case wire::Envelope::kConfigurationQuery:
+    case wire::Envelope::kConfigurationPart:
+      m_control->HandleMessage(route, std::move(message));
       return;
     default:
       m_ingress->HandleOwnerMessage(route.peer, std::move(message));
@@ -199,7 +199,10 @@
   }
 }
 
-void Node::OnSendFailed(const BackendServerId&, wire::Envelope message) {
+void Node::OnSendFailed(const BackendServerId& peer, wire::Envelope message) {
+  const bool is_control =
+      message.has_gossip() || message.has_configuration_query() || message.has_configuration_part();
+  if (is_control) return m_control->NoteSendFailed(peer, std::move(message));
   m_ingress->HandleSendFailed(message);
 }
 
@@ -220,9 +223,8 @@
   return false;
 }
 
-void Node::OnControlBytes(const BackendServerId&, std::size_t sent, std::size_t received) {
-  m_metrics.Add(Metric::kControlBytesSent, sent);
-  m_metrics.Add(Metric::kControlBytesReceived, received);
+void Node::OnControlBytes(const BackendServerId& peer, std::size_t sent, std::size_t received) {
+  m_control->CountBytes(peer, sent, received);
 }
 
 QJsonObject Node::Status() const {
@@ -242,6 +244,7 @@
     peers.append(QString::fromStdString(peer.Value()));
   }
   json.insert("linked_peers", peers);
+  m_control->AddStatus(json);
   return json;
 }
 
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,10 +18,12 @@
 #include "metrics/metricsregistry.h"
 #include "node/adminserver.h"
 #include "node/backendpool.h"
+#include "node/controlservice.h"
 #include "node/ingressservice.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
 #include "node/sharedrouter.h"
+#include "node/viewgate.h"
 #include "runtime/eventthread.h"
 #include "settings/nodesettings.h"
 #include "wire/peertransport.h"
@@ -56,10 +59,8 @@
   void OnControlBytes(const BackendServerId& peer, std::size_t sent, std::size_t received) override;
 
   Result<LinkKeys> LoadKeys() const;
-  Result<void> LoadDeclarationFile();
   void ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
                         std::uint64_t version);
-  void OpenLinks(const Declaration& declaration);
   void Tick();
   void CheckDrained();
   QJsonObject Status() const;
@@ -71,16 +72,19 @@
   std::atomic<std::shared_ptr<const Declaration>> m_declaration;
   std::atomic<std::uint64_t> m_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
+  ViewGate m_gate;
   SharedRouter m_router;
   OwnerService m_owner;
   std::vector<std::unique_ptr<EventThread>> m_workers;
   std::unique_ptr<BackendPool> m_pool;
   std::unique_ptr<IngressService> m_ingress;
   std::unique_ptr<PeerTransport> m_transport;
+  std::unique_ptr<ControlService> m_control;
   std::unique_ptr<AdminServer> m_admin;
   QTimer m_timer;
   std::function<void()> m_drained;
   TimePoint m_drain_started{};
+  std::optional<TimePoint> m_idle_since;  // During a drain.
   bool m_is_closing = false;
 
   mutable std::mutex m_peers_lock;
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -68,7 +68,8 @@
   if (request.owner_incarnation() != m_identity.incarnation.value) return Reason::kWrongIncarnation;
   if (request.expires_at_us() <= ToClockMicroseconds(now)) return Reason::kExpired;
   if (m_tombstones.contains(key)) return Reason::kCancelled;
-  if (m_draining) return Reason::kDraining;
+  if (m_draining || m_backend_leaving) return Reason::kDraining;
+  if (!IsViewFresh(now)) return Reason::kViewRefreshing;
   return Reason::kNone;
 }
 
@@ -101,6 +102,7 @@
 }
 
 void OwnerService::Dispatch(TimePoint now) {
+  if (!IsViewFresh(now)) return;  // Tick dispatches when it is fresh again.
   for (const OwnedCallId id : m_admission.TakeDispatchable(now)) RunCall(id, m_calls.at(id), now);
 }
 
@@ -198,11 +200,34 @@
   OwnedCall* call = FindCall(id);
   if (call == nullptr) return;
   if (part.head) call->shed = m_service != nullptr && m_service->shed_status == part.head->status;
+  if (part.head) NoteDrainHeader(*part.head);
   const bool last = part.last;
   if (!call->shed && !call->discard_answer) SendPart(*call, std::move(part));
   if (last) FinishAnswered(id, *call);
 }
 
+void OwnerService::NoteDrainHeader(const HttpResponseHead& head) {
+  const std::string_view value = FindHeader(head.headers, "Damaskhollow-Drain");
+  if (value.empty()) return;
+  const bool is_leaving = value == "1";
+  m_drain_header = m_drain_header.value_or(false) || is_leaving;
+  m_backend_leaving = m_backend_leaving || is_leaving;
+}
+
+std::optional<bool> OwnerService::TakeDrainHeader() {
+  const std::lock_guard lock(m_lock);
+  return std::exchange(m_drain_header, std::nullopt);
+}
+
+void OwnerService::SetBackendLeaving(bool leaving) {
+  const std::lock_guard lock(m_lock);
+  if (m_backend_leaving == leaving) return;
+  m_backend_leaving = leaving;
+  DAMASKHOLLOW_LOG(kOwner, kInfo) << (leaving
+                                          ? "the backend server is leaving; new calls are refused"
+                                          : "the backend server takes new calls again");
+}
+
 void OwnerService::SendPart(OwnedCall& call, AnswerPart part) {
   wire::Envelope message;
   wire::ResponseChunk& chunk = *message.mutable_response_chunk();
@@ -277,6 +302,7 @@
     m_call_ids.erase(found->second.key);
     m_calls.erase(found);
   }
+  Dispatch(now);
   m_kept.DropOld(now);
   const AdmissionLoad load = m_admission.Load();
   m_metrics.Set(Metric::kQueuedCalls, load.queued);
@@ -310,7 +336,7 @@
   state.set_limit(static_cast<std::uint32_t>(load.limit));
   state.set_queue_delay_us(static_cast<std::uint64_t>(load.queue_delay.count()));
   state.set_service_time_us(static_cast<std::uint64_t>(load.service_time.count()));
-  state.set_draining(m_draining);
+  state.set_draining(m_draining || m_backend_leaving);
   state.set_started_ms(static_cast<std::uint64_t>(m_identity.started.time_since_epoch().count()));
   state.set_configuration_version(m_version);
   return state;
@@ -318,7 +344,7 @@
 
 bool OwnerService::IsDraining() const {
   const std::lock_guard lock(m_lock);
-  return m_draining;
+  return m_draining || m_backend_leaving;
 }
 
 bool OwnerService::IsIdle() const {
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "declaration/declaration.h"
@@ -12,6 +13,7 @@
 #include "node/backendpool.h"
 #include "node/keptanswers.h"
 #include "node/messenger.h"
+#include "node/viewgate.h"
 #include "policy/admissionqueue.h"
 
 namespace damaskhollow {
@@ -41,6 +43,18 @@
   // Refuses new calls from now on; those queued and in flight are finished.
   void StartDrain();
 
+  // Sets whether the backend server itself is leaving; it takes new calls again when it no longer
+  // is, unless StartDrain was called.
+  void SetBackendLeaving(bool leaving);
+
+  // What the backend server's answers said in Damaskhollow-Drain since the last call of this: true
+  // if any said that it leaves, false if they said that it does not, empty if none said anything.
+  std::optional<bool> TakeDrainHeader();
+
+  // New calls are refused and queued ones wait while the gate is closed. Must be called before the
+  // first message.
+  void SetViewGate(const ViewGate* gate) { m_gate = gate; }
+
   // Expires queued calls and forgets what is no longer needed. To be called every few milliseconds.
   void Tick(TimePoint now);
 
@@ -65,6 +79,8 @@
   };
 
   // The members below expect m_lock to be held.
+  void NoteDrainHeader(const HttpResponseHead& head);
+  bool IsViewFresh(TimePoint now) const { return m_gate == nullptr || m_gate->IsOpen(now); }
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
   void HandleStatusQuery(const ReplyRoute& route, const wire::StatusQuery& query);
@@ -91,6 +107,7 @@
   MetricsRegistry& m_metrics;
   Messenger& m_messenger;
   BackendPool* m_pool = nullptr;
+  const ViewGate* m_gate = nullptr;
 
   mutable std::mutex m_lock;
   std::shared_ptr<const Declaration> m_declaration;
@@ -103,7 +120,9 @@
   std::uint64_t m_next_tombstone_sweep_us = 0;
   KeptAnswers m_kept;
   std::uint64_t m_next_call = 1;
-  bool m_draining = false;
+  bool m_draining = false;  // By StartDrain.
+  bool m_backend_leaving = false;
+  std::optional<bool> m_drain_header;
 };
 
 }  // namespace damaskhollow
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -55,9 +55,17 @@
   return found == m_outstanding.end() ? 0 : found->second;
 }
 
+std::set<ServiceId> SharedRouter::TakeUsedServices() {
+  const std::lock_guard lock(m_lock);
+  return std::exchange(m_used, {});
+}
+
 RoutingChoice SharedRouter::Choose(const RoutingRequest& request) {
   const std::lock_guard lock(m_lock);
-  return m_router.Choose(request, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  m_used.insert(request.service);
+  if (m_gate != nullptr && !m_gate->IsOpen(now)) return RoutingChoice{Reason::kViewRefreshing, {}};
+  return m_router.Choose(request, now);
 }
 
 std::optional<ExpiryStamp> SharedRouter::Stamp(const BackendServerId& server,
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "declaration/declaration.h"
+#include "node/viewgate.h"
 #include "policy/ownerclock.h"
 #include "policy/router.h"
 #include "wire/messages.pb.h"
@@ -33,6 +35,12 @@
   // Attempts sent to the server that have not ended.
   std::size_t Outstanding(const BackendServerId& server) const;
 
+  // No server is chosen while the gate is closed. Must be called before the first choice.
+  void SetViewGate(const ViewGate* gate) { m_gate = gate; }
+
+  // The services for which a server was asked since the last call of this.
+  std::set<ServiceId> TakeUsedServices();
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
@@ -41,6 +49,8 @@
   Router m_router;
   OwnerClocks m_clocks;
   std::map<BackendServerId, std::size_t> m_outstanding;
+  std::set<ServiceId> m_used;
+  const ViewGate* m_gate = nullptr;
 };
 
 }  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/node/vmlistkeeper.h
@@ -0,0 +1,40 @@
+#ifndef DAMASKHOLLOW_NODE_VMLISTKEEPER_H_
+#define DAMASKHOLLOW_NODE_VMLISTKEEPER_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node/documentsync.h"
+#include "node/membership.h"
+
+namespace damaskhollow {
+
+// Holds the node's copy of the VM list and hands it to the membership view.
+class VmListKeeper : public DocumentHolder {
+ public:
+  // `changed` is called after each list that was taken or kept aside.
+  VmListKeeper(Membership& membership, std::function<void()> changed)
+      : m_membership(membership), m_changed(std::move(changed)) {}
+
+  std::uint64_t HeldVersion() const override { return m_version; }
+  std::string_view HeldText() const override { return m_text; }
+  OfferResult OfferDocument(std::uint64_t version, std::string_view text, DocumentSource source,
+                            std::string_view name) override;
+
+  // Hands a doubted list to the view again, every 10 s, as long as the source still gives it.
+  void Tick(TimePoint now, bool source_answers);
+
+ private:
+  Membership& m_membership;
+  std::function<void()> m_changed;
+  std::uint64_t m_version = 0;
+  std::string m_text;
+  std::vector<VmEntry> m_entries;
+  TimePoint m_last_note{};
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_NODE_VMLISTKEEPER_H_
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -33,7 +33,9 @@
   --admin-listen=IP:PORT      Metrics, health and status [default: 127.0.0.1:9080].
   --declaration-file=FILE     Read the declaration from a file instead of the configuration service.
   --configuration-url=URL     Configuration service to read and watch.
+  --configuration-region=ID   Region of the configuration service; only one reader of each other region watches it.
   --vm-list-url=URL           List of live and leaving VMs.
+  --seed-peers=LIST           Nodes to ask for the configuration on start: id=IP:PORT,id=IP:PORT.
   --peer-overrides=LIST       Addresses to dial in place of declared ones: id=IP:PORT,id=IP:PORT.
   --secret-key-file=FILE      CURVE secret key of this node; without it links are not encrypted.
   --routing-strategy=NAME     adaptive, round_robin, random or least_reported [default: adaptive].
@@ -139,8 +141,14 @@
   return ParseChoice<&NodeSettings::log_level>(settings, flag, value, kChoices);
 }
 
-Result<void> ParseOverrides(NodeSettings& settings, std::string_view flag,
-                            const std::string& value) {
+template <auto Member>
+Result<void> ParseOptionalId(NodeSettings& settings, std::string_view, const std::string& value) {
+  settings.*Member = std::remove_reference_t<decltype(settings.*Member)>(value);
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+template <auto Member>
+Result<void> ParsePeers(NodeSettings& settings, std::string_view flag, const std::string& value) {
   std::istringstream entries(value);
   for (std::string entry; std::getline(entries, entry, ',');) {
     const std::size_t equals = entry.find('=');
@@ -149,7 +157,7 @@
     }
     Result<Endpoint> endpoint = ParseEndpoint(std::string_view(entry).substr(equals + 1));
     if (!endpoint) return InvalidSetting(flag, endpoint.error().detail);
-    settings.peer_overrides[BackendServerId(entry.substr(0, equals))] = endpoint.value();
+    (settings.*Member)[BackendServerId(entry.substr(0, equals))] = endpoint.value();
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -172,7 +180,9 @@
     Field{"--declaration-file", ParseText<&NodeSettings::declaration_file>},
     Field{"--configuration-url", ParseText<&NodeSettings::configuration_url>},
     Field{"--vm-list-url", ParseText<&NodeSettings::vm_list_url>},
-    Field{"--peer-overrides", ParseOverrides},
+    Field{"--configuration-region", ParseOptionalId<&NodeSettings::configuration_region>},
+    Field{"--seed-peers", ParsePeers<&NodeSettings::seed_peers>},
+    Field{"--peer-overrides", ParsePeers<&NodeSettings::peer_overrides>},
     Field{"--secret-key-file", ParseText<&NodeSettings::secret_key_file>},
     Field{"--routing-strategy", ParseStrategy},
     Field{"--workers", ParseNumber<&NodeSettings::workers, 1, 64>},
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -22,9 +22,11 @@
   Endpoint listen;
   Endpoint peer_listen;
   Endpoint admin_listen;
-  std::string declaration_file;   // Empty unless read from a file.
-  std::string configuration_url;  // Empty unless read from the service.
-  std::string vm_list_url;        // Empty: every inventory entry is taken as live.
+  std::string declaration_file;                    // Empty unless read from a file.
+  std::string configuration_url;                   // Empty unless read from the service.
+  RegionId configuration_region;                   // Empty if unknown.
+  std::map<BackendServerId, Endpoint> seed_peers;  // Asked by a node without a configuration.
+  std::string vm_list_url;                         // Empty: every inventory entry is taken as live.
   std::map<BackendServerId, Endpoint>
       peer_overrides;           // Addresses to dial in place of the declared.
   std::string secret_key_file;  // Empty: links are neither encrypted nor authenticated.
--- a/src/libs/wire/dialledlink.cpp
+++ b/src/libs/wire/dialledlink.cpp
@@ -76,7 +76,8 @@
                                                                       : Verdict::kNothing;
   }
   if (!timings.replace_silent_links) return Verdict::kNothing;
-  if (is_busy && !HasConnection()) return Verdict::kReplace;
+  // Idle links too: a peer that restarted would otherwise miss what it is told for 5 s.
+  if (!HasConnection()) return Verdict::kReplace;
   if (m_waiting_since) {
     const bool is_silent =
         now - *m_waiting_since > std::chrono::milliseconds(timings.pong_timeout_ms);
--- a/tests/auto/configuration/tst_fetchplan.cpp
+++ b/tests/auto/configuration/tst_fetchplan.cpp
@@ -30,7 +30,9 @@
   CPPUNIT_TEST_SUITE(FetchPlanTest);
   CPPUNIT_TEST(PrefersNearPeers);
   CPPUNIT_TEST(OnlyReadersCrossThePaidLinkInTurn);
+  CPPUNIT_TEST(NodeWithoutInventoryAsksAnyPeer);
   CPPUNIT_TEST(FailedPeerIsPassedOver);
+  CPPUNIT_TEST(RefusedStoreVersionLeavesPeersInUse);
   CPPUNIT_TEST(RolesDecideStoreReads);
   CPPUNIT_TEST(UnchangedReadsAreSpacedOut);
   CPPUNIT_TEST(BacksOffFromFailingStore);
@@ -52,7 +54,7 @@
     CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == same_data_centre.id);
     plan.NotePeer(same_region, 6, At(milliseconds(0)));
     CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == same_region.id);
-    plan.NoteSeen(6);
+    plan.NoteHeld(6);
     CPPUNIT_ASSERT(!plan.PeerToAsk(random, At(milliseconds(0))));
   }
 
@@ -72,6 +74,14 @@
     CPPUNIT_ASSERT(second.PeerToAsk(random, At(milliseconds(600))) == other_region.id);
   }
 
+  // Guards against a fresh node that does not know the readers yet and asks nobody.
+  void NodeWithoutInventoryAsksAnyPeer() {
+    FetchPlan plan(self_node);
+    RandomSource random(1);
+    plan.NotePeer(FleetNode{BackendServerId("seed"), {}, {}}, 5, At(milliseconds(0)));
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == BackendServerId("seed"));
+  }
+
   void FailedPeerIsPassedOver() {
     FetchPlan plan(self_node);
     RandomSource random(1);
@@ -82,6 +92,18 @@
     CPPUNIT_ASSERT(plan.PeerToAsk(random, At(seconds(2))) == same_data_centre.id);
   }
 
+  // Guards against a fresh node that ignores the last good version of its peers because the service
+  // offers a newer, invalid one.
+  void RefusedStoreVersionLeavesPeersInUse() {
+    FetchPlan plan(self_node);
+    RandomSource random(1);
+    plan.SetPlace(PlaceWith(ReaderRole::kWatcher, {self_node.id}), At(milliseconds(0)));
+    plan.NoteSeen(6);
+    plan.NotePeer(same_region, 5, At(milliseconds(0)));
+    CPPUNIT_ASSERT(plan.PeerToAsk(random, At(milliseconds(0))) == same_region.id);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, plan.StoreReadDue(At(milliseconds(0)))->after);
+  }
+
   void RolesDecideStoreReads() {
     struct Row {
       ReaderRole role;
@@ -94,7 +116,7 @@
     for (const Row& row : kRows) {
       FetchPlan plan(self_node);
       plan.SetPlace(PlaceWith(row.role, {self_node.id}), At(milliseconds(0)));
-      plan.NoteSeen(4);
+      plan.NoteHeld(4);
       const auto read = plan.StoreReadDue(At(milliseconds(0)));
       CPPUNIT_ASSERT_EQUAL(row.reads, read.has_value());
       if (!read) continue;
--- a/tests/auto/configuration/tst_propagation.cpp
+++ b/tests/auto/configuration/tst_propagation.cpp
@@ -46,7 +46,7 @@
       m_nodes.push_back({node, FetchPlan(node), 1, {}, {}, 1, false, false});
       const ReaderPlace place = PlaceOf(fleet, node, store_region);
       m_nodes.back().plan.SetPlace(place, At(m_now));
-      m_nodes.back().plan.NoteSeen(1);
+      m_nodes.back().plan.NoteHeld(1);
     }
     m_neighbours.resize(size);
     for (const auto& [id, neighbours] : Overlay::Build(fleet)) {
@@ -139,7 +139,7 @@
   bool Accept(SimulatedNode& node, std::uint64_t version) {
     if (version <= node.version) return false;
     node.version = version;
-    node.plan.NoteSeen(version);
+    node.plan.NoteHeld(version);
     return true;
   }
 
