--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -89,7 +89,8 @@
   }
   const SendDecision decision = m_calls.Arrive(key, request, now);
   if (decision.refusal != Reason::kNone || decision.ignore) return decision;
-  return {m_draining ? Reason::kDraining : Reason::kNone, false};
+  if (m_draining || m_backend_leaving) return {Reason::kDraining, false};
+  return {IsViewFresh(now) ? Reason::kNone : Reason::kViewRefreshing, false};
 }
 
 void OwnerService::HandleCallRequest(const ReplyRoute& route, wire::CallRequest request) {
@@ -165,7 +166,8 @@
 }
 
 void OwnerService::Dispatch(TimePoint now) {
-  if (m_pause.IsOverdue(now)) return;  // The next tick refuses what has expired first.
+  // After a pause, the next tick first refuses what has expired, and the view is refreshed.
+  if (m_pause.IsOverdue(now) || !IsViewFresh(now)) return;
   for (const OwnedCallId id : m_admission.TakeDispatchable(now)) RunCall(id, m_calls.At(id), now);
 }
 
@@ -273,11 +275,34 @@
   OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) return;
   if (part.head) call->shed = m_service != nullptr && m_service->shed_status == part.head->status;
+  if (part.head) NoteDrainHeader(*part.head);
   const bool last = part.last;
   if (!call->shed) SendPart(id, *call, std::move(part), nullptr);
   if (last) FinishAnswered(id, *call);
 }
 
+void OwnerService::NoteDrainHeader(const HttpResponseHead& head) {
+  const std::string_view value = FindHeader(head.headers, kDrainHeader);
+  if (value.empty()) return;
+  const bool is_leaving = value == "1";
+  m_drain_header = m_drain_header.value_or(false) || is_leaving;
+  m_backend_leaving = m_backend_leaving || is_leaving;
+}
+
+std::optional<bool> OwnerService::TakeDrainHeader() {
+  const std::lock_guard lock(m_lock);
+  return std::exchange(m_drain_header, std::nullopt);
+}
+
+void OwnerService::SetBackendLeaving(bool leaving) {
+  const std::lock_guard lock(m_lock);
+  if (m_backend_leaving == leaving) return;
+  m_backend_leaving = leaving;
+  DAMASKHOLLOW_LOG(kOwner, kInfo) << (leaving
+                                          ? "the backend server is leaving; new calls are refused"
+                                          : "the backend server takes new calls again");
+}
+
 void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
                             const wire::ResponseHead* replayed_head) {
   wire::Envelope message;
@@ -371,7 +396,7 @@
   state.set_limit(static_cast<std::uint32_t>(load.limit));
   state.set_queue_delay_us(static_cast<std::uint64_t>(load.queue_delay.count()));
   state.set_service_time_us(static_cast<std::uint64_t>(load.service_time.count()));
-  state.set_draining(m_draining);
+  state.set_draining(m_draining || m_backend_leaving);
   state.set_started_ms(static_cast<std::uint64_t>(m_identity.started.time_since_epoch().count()));
   state.set_configuration_version(m_version);
   return state;
@@ -379,7 +404,7 @@
 
 bool OwnerService::IsDraining() const {
   const std::lock_guard lock(m_lock);
-  return m_draining;
+  return m_draining || m_backend_leaving;
 }
 
 bool OwnerService::IsIdle() const {
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "declaration/declaration.h"
+#include "node/viewgate.h"
 #include "policy/ownerclock.h"
 #include "policy/router.h"
 #include "wire/messages.pb.h"
@@ -35,6 +37,11 @@
 
   // Notes bytes of an answer from another region.
   void NotePaidLinkBytes(std::size_t bytes);
+  // No server is chosen while the gate is closed. Must be called before the first choice.
+  void SetViewGate(const ViewGate* gate) { m_gate = gate; }
+
+  // The services for which a server was asked since the last call of this.
+  std::set<ServiceId> TakeUsedServices();
 
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
@@ -44,6 +51,8 @@
   Router m_router;
   OwnerClocks m_clocks;
   std::map<BackendServerId, std::size_t> m_outstanding;
+  std::set<ServiceId> m_used;
+  const ViewGate* m_gate = nullptr;
 };
 
 }  // namespace damaskhollow
