--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -18,6 +18,7 @@
 #include "node/ownerservice.h"
 #include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
+#include "policy/requesthome.h"
 
 namespace damaskhollow {
 
@@ -30,8 +31,9 @@
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
-  std::size_t max_caller_connections =
-      0;  // Beyond it, only calls of the most urgent priority are taken.
+  // Beyond it, only calls of the most urgent priority are taken.
+  std::size_t max_caller_connections = 0;
+  AbsentSince absent_since = {};
 };
 
 // The calls of some caller connections, on one worker thread. All members run on that thread.
@@ -98,6 +100,8 @@
   // Whether the call is refused because its node holds too many caller connections.
   bool IsCrowdedOut(const CallClass& call_class) const;
 
+  // A request with an id goes to its home, any other to where the router sends it.
+  RoutingChoice ChooseServer(const PendingCall& call);
   void Route(ConnectionId connection, PendingCall& call);
 
   // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
