--- /dev/null
+++ b/tests/integration/tst_resentrequest.cpp
@@ -0,0 +1,137 @@
+#include <cppunit/TestAssert.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "support/fleet.h"
+#include "support/patternbody.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+std::string NewRequestId(std::string_view token) {
+  return std::to_string(WallNow().time_since_epoch().count()) + "-" + std::string(token);
+}
+
+// What happened to the first send when the second one comes.
+enum class FirstSend { kRunning, kRan, kHomeRestarted, kHomeGone };
+
+struct ResendCase {
+  std::string_view name;
+  FirstSend first;
+  std::size_t bytes;         // Of the answer.
+  std::string_view outcome;  // Of the second send.
+  std::string_view reason;
+  std::string_view other_reason;  // Allowed as well, by another node that is asked; may be empty.
+};
+
+constexpr std::array kCases{
+    ResendCase{"while the first runs", FirstSend::kRunning, 100, "unknown", "already_running", ""},
+    ResendCase{"after a small answer", FirstSend::kRan, 100, "answered", "", ""},
+    ResendCase{"after a large answer", FirstSend::kRan, 100000, "answered", "already_ran", ""},
+    ResendCase{"after the home restarted", FirstSend::kHomeRestarted, 100, "unknown",
+               "home_restarted", ""},
+    ResendCase{"while the home is gone", FirstSend::kHomeGone, 100, "not-run", "home_unreachable",
+               "home_released"},
+};
+
+HttpAnswer Book(Fleet& fleet, std::size_t ingress, const std::string& id, std::size_t bytes) {
+  return fleet.Call(ingress, "POST", "/book?ms=0&bytes=" + std::to_string(bytes),
+                    {{"X-Test-Id", id}, {"Damaskhollow-Request-Id", id}});
+}
+
+std::size_t IndexOf(const HttpAnswer& answer) {
+  return std::stoul(answer.Header("Damaskhollow-Served-By").substr(1)) - 1;
+}
+
+// Guards against a request that runs twice because its caller sent it again through another node.
+void RunsAtMostOnce(const ResendCase& row) {
+  Fleet fleet({.servers = SmallFleet(4)});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  // Homes refuse ids created before they had run for a while, so this waits for the youngest node.
+  for (int call = 0; call < 8; ++call) {
+    CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitUntil([&] {
+                             return Book(fleet, 0, NewRequestId("warm"), 0).Outcome() == "answered";
+                           }));
+  }
+  if (row.first == FirstSend::kRunning) fleet.SetBackends("hold=1");
+  const std::string id = NewRequestId("booking");
+  HttpAnswer first;
+  bool first_ended = false;
+  fleet.Send(0,
+             MakeRequest("POST", "/book?ms=0&bytes=" + std::to_string(row.bytes),
+                         {{"X-Test-Id", id}, {"Damaskhollow-Request-Id", id}}),
+             [&](const HttpAnswer& answer) {
+               first = answer;
+               first_ended = true;
+             });
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.RunsOf(id).ran == 1; }));
+  std::size_t ingress = 1;
+  if (row.first != FirstSend::kRunning) {
+    CPPUNIT_ASSERT(WaitUntil([&] { return first_ended; }));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(first.Describe(), std::string("answered"), first.Outcome());
+    const std::size_t home = IndexOf(first);
+    if (home == ingress) ingress = 2;
+    if (row.first == FirstSend::kHomeRestarted) {
+      fleet.RestartNode(home);
+      CPPUNIT_ASSERT(fleet.WaitUntilReady(home));
+      CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.WaitUntilLinked(ingress));
+    }
+    if (row.first == FirstSend::kHomeGone) fleet.Node(home).Kill();
+  }
+  // Until the link to the restarted home is renewed, the home counts as unreachable.
+  HttpAnswer second;
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitUntil([&] {
+                           second = Book(fleet, ingress, id, row.bytes);
+                           return row.first != FirstSend::kHomeRestarted ||
+                                  second.ReasonName() != "home_unreachable";
+                         }));
+  const std::string text = second.Describe() + fleet.NodeOutput();
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 1, fleet.RunsOf(id).ran);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(row.outcome), second.Outcome());
+  const bool is_named = second.ReasonName() == row.reason ||
+                        (!row.other_reason.empty() && second.ReasonName() == row.other_reason);
+  CPPUNIT_ASSERT_MESSAGE(text, is_named);
+  if (row.outcome == "answered" && row.reason.empty()) {
+    CPPUNIT_ASSERT_MESSAGE(text, second.body == PatternBody(id, row.bytes));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string("1"), second.Header("Damaskhollow-Replayed"));
+  }
+  if (row.first != FirstSend::kRunning) return;
+  fleet.SetBackends("hold=0");
+  CPPUNIT_ASSERT(WaitUntil([&] { return first_ended; }));
+  CPPUNIT_ASSERT_MESSAGE(first.Describe(), first.body == PatternBody(id, row.bytes));
+}
+
+const TableTest<ResendCase> registration("ResentRequest", kCases, &RunsAtMostOnce);
+
+struct InvalidIdCase {
+  std::string_view name;
+  std::string_view id;
+};
+
+constexpr std::array kInvalidIds{
+    InvalidIdCase{"no time", "abc"},
+    InvalidIdCase{"far future", "99999999999999-booking"},
+};
+
+// Guards against ids that no home could judge.
+void RefusesInvalidId(const InvalidIdCase& row) {
+  Fleet fleet({.servers = SmallFleet(1)});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  const HttpAnswer answer = Book(fleet, 0, std::string(row.id), 0);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.Describe(), std::string("request_id_invalid"),
+                               answer.ReasonName());
+  CPPUNIT_ASSERT_EQUAL(0, fleet.RunsOf(row.id).ran);
+}
+
+const TableTest<InvalidIdCase> invalid_registration("InvalidRequestId", kInvalidIds,
+                                                    &RefusesInvalidId);
+
+}  // namespace
+
+}  // namespace damaskhollow::test
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -25,9 +25,6 @@
   {"methods": ["GET"], "path_prefix": "/page", "priority": "normal", "idempotent": true},
   {"methods": ["GET"], "path_prefix": "/bulk", "priority": "bulk", "idempotent": true},
   {"methods": ["POST"], "path_prefix": "/job", "priority": "bulk", "idempotent": false}])";
-constexpr std::string_view kBudgets = R"({
-  "measuring_bytes_per_second": 100000, "probes_per_second": 10,
-  "paid_link_bytes_per_second": 3000000, "retry_share": 0.1, "hedge_share": 0.05})";
 constexpr int kShedStatus = 503;
 constexpr int kDrainStatus = 503;
 constexpr std::chrono::milliseconds kControlLimit{10000};
@@ -126,7 +123,8 @@
   for (std::size_t index = 0; index < m_servers.size(); ++index) {
     Server& server = m_servers[index];
     std::vector<std::string> arguments{"--listen=" + ToString(server.backend),
-                                       "--slots=" + std::to_string(server.plan.slots)};
+                                       "--slots=" + std::to_string(server.plan.slots),
+                                       "--run-log=" + LogFile("runs-" + server.plan.id)};
     arguments.insert(arguments.end(), server.plan.backend_arguments.begin(),
                      server.plan.backend_arguments.end());
     server.backend_process = std::make_unique<Process>("standin-backend", std::move(arguments),
@@ -214,7 +212,12 @@
                                                      : std::string_view(m_options.priorities)));
   json.insert("services", QJsonArray{service, front});
   json.insert("backend_servers", servers);
-  json.insert("budgets", ParseJson(kBudgets));
+  json.insert("budgets",
+              QJsonObject{{"measuring_bytes_per_second", m_options.measuring_bytes_per_second},
+                          {"probes_per_second", 10},
+                          {"paid_link_bytes_per_second", m_options.paid_link_bytes_per_second},
+                          {"retry_share", 0.1},
+                          {"hedge_share", 0.05}});
   return ToText(json);
 }
 
@@ -247,6 +250,15 @@
   m_servers[index].backend_process->Start();
 }
 
+bool Fleet::WaitUntilAllServe() {
+  return WaitUntil([this] {
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+      if (Call(index, "GET", "/read?ms=0").Outcome() != "answered") return false;
+    }
+    return true;
+  });
+}
+
 bool Fleet::WaitUntilServing(std::size_t index) {
   return WaitUntil([&] { return Fetch(m_servers[index].backend, "GET", "/health").status != 0; });
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -40,6 +40,8 @@
   int deadline_ms = 5000;
   int max_body_bytes = 4 << 20;
   int health_interval_ms = 500;
+  int measuring_bytes_per_second = 100000;
+  int paid_link_bytes_per_second = 3000000;
 };
 
 // `count` servers s1, s2, ... in one data centre.
@@ -78,6 +80,9 @@
   void RestartNode(std::size_t index);
   void RestartBackend(std::size_t index);
 
+  // Waits until a call through each node is answered.
+  bool WaitUntilAllServe();
+
   // Waits until a backend server answers.
   bool WaitUntilServing(std::size_t index);
 
--- a/tests/support/standin-backend/backendmodel.cpp
+++ b/tests/support/standin-backend/backendmodel.cpp
@@ -40,6 +40,22 @@
                [this](ConnectionId connection) { HandleGone(connection); }),
       m_random(settings.seed) {
   m_since_start.start();
+  if (!m_settings.run_log.empty()) ReadRunLog();
+}
+
+void BackendModel::ReadRunLog() {
+  std::ifstream file(m_settings.run_log);
+  char event = '\0';
+  for (std::string test_id; file >> event >> test_id;) {
+    Counts& counts = m_by_id[test_id];
+    ++(event == 'r' ? counts.ran : event == 'c' ? counts.completed : counts.cut);
+  }
+  m_run_log.open(m_settings.run_log, std::ios::app);
+}
+
+void BackendModel::LogRun(char event, const std::string& test_id) {
+  if (!m_run_log.is_open() || test_id.empty()) return;
+  m_run_log << event << ' ' << test_id << std::endl;  // Flushed, as the process may crash next.
 }
 
 void BackendModel::HandleRequest(ConnectionId connection, HttpRequest request) {
@@ -127,6 +143,7 @@
   if (!work.test_id.empty()) ++m_by_id[work.test_id].ran;
   if (!work.test_class.empty()) ++m_by_class[work.test_class].ran;
   ++m_total.ran;
+  LogRun('r', work.test_id);
   if (work.options.IsOn("crash")) std::_Exit(kCrashStatus);
   if (work.options.IsOn("abort")) return m_server.Abort(connection);
   const auto planned = std::chrono::milliseconds(std::lround(work.planned_ms));
@@ -148,6 +165,7 @@
   if (!work.test_id.empty()) note(m_by_id[work.test_id]);
   if (!work.test_class.empty()) note(m_by_class[work.test_class]);
   note(m_total);
+  LogRun('c', work.test_id);
   SendAnswer(work);
   StartNext();
 }
@@ -174,6 +192,7 @@
   if (!work.test_id.empty()) ++m_by_id[work.test_id].cut;
   if (!work.test_class.empty()) ++m_by_class[work.test_class].cut;
   ++m_total.cut;
+  LogRun('x', work.test_id);
   StartNext();
 }
 
--- a/tests/support/standin-backend/backendmodel.h
+++ b/tests/support/standin-backend/backendmodel.h
@@ -6,6 +6,7 @@
 #include <QObject>
 #include <cstddef>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <random>
 #include <string>
@@ -27,6 +28,7 @@
   int drain_status = 503;
   double cold_factor = 1.0;  // Slowdown right after the start; falls to 1 over `cold_ms`.
   double cold_ms = 0.0;
+  std::string run_log;  // File that keeps the runs by test id over a crash; empty for none.
 };
 
 // A backend server with slots, a queue and faults on request. Test requests take the options `ms`,
@@ -67,9 +69,12 @@
   void ApplyOptions(const QueryOptions& options);
   double PlannedMs(const QueryOptions& options);
   QJsonObject RunsJson() const;
+  void ReadRunLog();
+  void LogRun(char event, const std::string& test_id);
 
   BackendSettings m_settings;
   HttpServer m_server;
+  std::ofstream m_run_log;
   std::mt19937_64 m_random;
   QElapsedTimer m_since_start;
   std::deque<Work> m_queue;
--- a/tests/support/standin-backend/main.cpp
+++ b/tests/support/standin-backend/main.cpp
@@ -20,6 +20,7 @@
   settings.drain_status = parser.value("drain-status").toInt();
   settings.cold_factor = parser.value("cold-factor").toDouble();
   settings.cold_ms = parser.value("cold-ms").toDouble();
+  settings.run_log = parser.value("run-log").toStdString();
   return settings;
 }
 
@@ -41,6 +42,7 @@
       {"shed-status", "Status of a shed request.", "STATUS", "503"},
       {"drain-status", "Status of /health while draining.", "STATUS", "503"},
       {"cold-factor", "Slowdown right after the start.", "F", "1"},
+      {"run-log", "File that keeps the runs by test id over a crash.", "FILE"},
       {"cold-ms", "Time over which the slowdown falls to 1.", "MS", "0"},
   });
   parser.process(application);
