Bound retries and hedges by a budget; never call a call not-run unproved

Refused calls were sent again up to three times without any budget, slow idempotent calls were never hedged, and three faults broke the outcomes: an idempotent call whose first attempt ended unknown was answered with the not-run reason of its second; never_seen from an owner that had already dropped its tombstone counted as not-run; and a call waiting at its deadline was answered unknown although a cancel would prove not-run.

Retries take tokens that first attempts earn (budgets.retry_share), saved up for 10 s, with a floor for quiet services; hedges go out after the 95th percentile of the service's answer times and take tokens of both shares. A not-run reason is given only if all attempts are proved not to have run. Owners remember calls 2 s beyond their expiry, and the ingress takes never_seen as proof only within that time. At the deadline the owner is asked by Cancel. After the loss of a link an idempotent call may return to the same server over the fresh link. The messages of an attempt moved to attemptmessages.

--- /dev/null
+++ b/src/libs/node/attemptmessages.h
@@ -0,0 +1,47 @@
+#ifndef DAMASKHOLLOW_NODE_ATTEMPTMESSAGES_H_
+#define DAMASKHOLLOW_NODE_ATTEMPTMESSAGES_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+#include "http/message.h"
+#include "policy/callclassifier.h"
+#include "policy/ownerclock.h"
+#include "wire/messages.pb.h"
+
+namespace damaskhollow {
+
+// Names an attempt towards its owner.
+struct AttemptName {
+  CallId call;
+  Incarnation ingress;
+  ExpiryStamp expiry;
+};
+
+// The messages by which an ingress sends an attempt and asks about it.
+wire::Envelope CallRequestFor(const AttemptName& attempt, const BackendServerId& server,
+                              const CallClass& call_class, const std::string& digest,
+                              const HttpRequest& request);
+wire::Envelope CancelFor(const AttemptName& attempt);
+wire::Envelope StatusQueryFor(const AttemptName& attempt, std::uint32_t next_sequence);
+
+// The digest that names a request towards the crash guard.
+std::string DigestOf(const ServiceId& service, const HttpRequest& request);
+
+// What an owner's word on a call proves.
+enum class Proof {
+  kNotRun,  // It has not run and will not run.
+  kPending,
+  kDone,
+  kNone,  // The owner is another process, or may have forgotten the call.
+};
+
+// An owner remembers a call for this long after its expiry, on its own clock.
+constexpr std::uint64_t kOwnerMemoryUs = 2000000;
+
+Proof ProofOf(wire::CallState call_state, const wire::OwnerState& owner, const ExpiryStamp& expiry);
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_NODE_ATTEMPTMESSAGES_H_
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -1,6 +1,5 @@
 #include "node/ingressshard.h"
 
-#include <QCryptographicHash>
 #include <algorithm>
 #include <utility>
 
@@ -15,25 +14,15 @@
 // How long a call waits for a server to become reachable, for instance while a silent link is
 // replaced.
 constexpr std::chrono::milliseconds kServerWait{1000};
-// The owner answers at the deadline; its answer needs this long to arrive, also between regions.
+// At the deadline the owner answers, or is asked by Cancel; its word needs this long to arrive,
+// also between regions.
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
-constexpr std::size_t kMaxAttempts = 3;
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
 constexpr std::uint32_t kFirstErrorStatus = 500;
-constexpr qsizetype kDigestBytes = 16;
 
-void AddToHash(QCryptographicHash& hash, std::string_view part) {
-  hash.addData(QByteArrayView(part.data(), static_cast<qsizetype>(part.size())));
-  hash.addData(QByteArrayView("\0", 1));
-}
-
-std::string DigestOf(const ServiceId& service, const HttpRequest& request) {
-  QCryptographicHash hash(QCryptographicHash::Sha256);
-  AddToHash(hash, service.Value());
-  AddToHash(hash, request.method);
-  AddToHash(hash, request.target);
-  AddToHash(hash, request.body);
-  return hash.result().first(kDigestBytes).toStdString();
+// Whether the link is at fault rather than the server, so that the server may be tried again.
+bool IsLinkFault(Reason reason) {
+  return reason == Reason::kLinkSilent || reason == Reason::kLinkUnavailable;
 }
 
 }  // namespace
@@ -72,20 +61,26 @@
   call.call_class = std::move(classification.call_class);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
+  m_budgets = declaration->budgets;
+  m_retries.NoteFirstAttempt(call.call_class.service, m_budgets, call.started);
   if (!m_timer.isActive()) m_timer.start(kTick);
   Route(connection, call);
 }
 
-void IngressShard::Route(ConnectionId connection, PendingCall& call) {
-  const TimePoint now = MonotonicNow();
-  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
+RoutingChoice IngressShard::Choose(const PendingCall& call, bool may_cross_regions) {
   RoutingRequest request;
   request.service = call.call_class.service;
   request.idempotent = call.call_class.idempotent;
-  request.may_cross_regions = call.call_class.may_cross_regions;
+  request.may_cross_regions = may_cross_regions;
   request.bytes = call.request.body.size();
   request.excluded = call.tried;
-  const RoutingChoice choice = m_context.router.Choose(request);
+  return m_context.router.Choose(request);
+}
+
+void IngressShard::Route(ConnectionId connection, PendingCall& call) {
+  const TimePoint now = MonotonicNow();
+  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
+  const RoutingChoice choice = Choose(call, call.call_class.may_cross_regions);
   if (choice.refusal == Reason::kNone) {
     if (const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now)) {
       call.waiting = false;
@@ -98,8 +93,9 @@
     call.waiting_until = std::min<TimePoint>(call.deadline, now + kServerWait);
   }
   // A call that was refused elsewhere is answered with that reason rather than with the lack of
-  // another server.
-  if (call.last_reason != Reason::kNone) return AnswerReason(connection, call.last_reason);
+  // another server. After the loss of a link it waits, as a fresh link may be up soon.
+  const bool was_refused = call.last_reason != Reason::kNone && !IsLinkFault(call.last_reason);
+  if (was_refused) return AnswerReason(connection, call.last_reason);
   if (now >= call.waiting_until) AnswerReason(connection, reason);
 }
 
@@ -111,31 +107,13 @@
   attempt.connection = connection;
   attempt.server = server;
   attempt.expiry = expiry;
+  attempt.sent = MonotonicNow();
   attempt.crosses_regions = choice.crosses_regions;
   call.attempts.push_back(id);
   call.tried.push_back(server);
-
-  wire::Envelope message;
-  wire::CallRequest& request = *message.mutable_call_request();
-  request.set_call_id(id.value);
-  request.set_ingress_incarnation(m_context.identity.incarnation.value);
-  request.set_server_id(server.Value());
-  request.set_owner_incarnation(expiry.incarnation.value);
-  request.set_expires_at_us(expiry.expires_at_us);
-  request.set_service(call.call_class.service.Value());
-  request.set_priority(call.call_class.priority.Value());
-  request.set_idempotent(call.call_class.idempotent);
-  request.set_depth(call.call_class.depth);
-  request.set_request_id(call.call_class.request_id);
-  request.set_digest(call.digest);
-  request.set_method(call.request.method);
-  request.set_target(call.request.target);
-  for (const HttpHeader& header : EndToEndHeaders(call.request.headers)) {
-    wire::Header& field = *request.add_headers();
-    field.set_name(header.name);
-    field.set_value(header.value);
-  }
-  request.set_body(call.request.body);
+  ++call.sends;
+  wire::Envelope message =
+      CallRequestFor(NameOf(id, attempt), server, call.call_class, call.digest, call.request);
   m_context.router.NoteSent(server, id);
   if (choice.crosses_regions) {
     m_context.metrics.Add(Metric::kCallPaidLinkBytes, message.ByteSizeLong());
@@ -161,6 +139,9 @@
     case wire::Envelope::kStatusResult:
       m_context.router.NoteState(owner, message.status_result().state());
       return HandleStatus(message.status_result());
+    case wire::Envelope::kCancelResult:
+      m_context.router.NoteState(owner, message.cancel_result().state());
+      return HandleCancelResult(message.cancel_result());
     default:
       return;
   }
@@ -170,6 +151,7 @@
   PendingCall& call = m_calls.at(attempt.connection);
   if (call.relayed.value != 0) return false;  // Another attempt of this call answers.
   call.relayed = id;
+  CancelOthers(call, id);
   m_connections.at(attempt.connection)->StartAnswer(AnsweredHead(head, attempt.server.Value()));
   return true;
 }
@@ -185,7 +167,11 @@
     return;
   }
   if (chunk.has_head() && !StartRelay(id, *attempt, chunk.head())) return;
-  if (chunk.has_head()) attempt->is_error = chunk.head().status() >= kFirstErrorStatus;
+  if (chunk.has_head()) {
+    attempt->is_error = chunk.head().status() >= kFirstErrorStatus;
+    m_retries.NoteAnswerTime(m_calls.at(connection).call_class.service,
+                             MonotonicNow() - attempt->sent);
+  }
   ++attempt->next_sequence;
   if (attempt->crosses_regions) NotePaidLinkBytes(chunk.ByteSizeLong());
   const AttemptResult result = attempt->is_error ? AttemptResult::kError : AttemptResult::kAnswered;
@@ -211,14 +197,12 @@
   if (attempt == nullptr) return;
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
+  if (call.relayed == id) return HandleUnknown(id, reason);  // A part of its answer has been sent.
+  if (IsLinkFault(reason)) std::erase(call.tried, attempt->server);
   // An owner without its backend server refuses at once; that must not attract calls.
   EndAttempt(
       id, reason == Reason::kBackendUnreachable ? AttemptResult::kFailed : AttemptResult::kRefused);
-  call.last_reason = reason;
-  if (!call.attempts.empty()) return;
-  if (!MayRetry(call, reason)) return AnswerReason(connection, reason);
-  m_context.metrics.CountRetry(reason);
-  Route(connection, call);
+  RetryOrAnswer(connection, call, reason, true);
 }
 
 void IngressShard::HandleUnknown(CallId id, Reason reason) {
@@ -226,29 +210,35 @@
   if (attempt == nullptr) return;
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
-  const bool was_relayed = call.relayed == id;
+  if (IsLinkFault(reason)) std::erase(call.tried, attempt->server);
   EndAttempt(id, AttemptResult::kFailed);
-  call.last_reason = reason;
-  if (was_relayed) {
+  if (call.relayed == id) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
     CancelAttempts(call);
     EndCall(connection);
     m_connections.at(connection)->Abort();
     return;
   }
+  call.unknown_reason = reason;
+  RetryOrAnswer(connection, call, reason, false);
+}
+
+void IngressShard::RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
+                                 bool proved_not_run) {
+  call.last_reason = reason;
   if (!call.attempts.empty()) return;
-  if (!call.call_class.idempotent || !MayRetry(call, reason)) {
-    return AnswerReason(connection, reason);
-  }
+  FailedAttempt failed;
+  failed.service = call.call_class.service;
+  failed.reason = reason;
+  failed.proved_not_run = proved_not_run;
+  failed.idempotent = call.call_class.idempotent;
+  failed.attempts = call.sends;
+  const Reason answer = m_retries.DecideRetry(failed, m_budgets, MonotonicNow());
+  if (answer != Reason::kNone) return AnswerReason(connection, answer);
   m_context.metrics.CountRetry(reason);
   Route(connection, call);
 }
 
-bool IngressShard::MayRetry(const PendingCall& call, Reason reason) const {
-  return InfoOf(reason).try_another_server && call.tried.size() < kMaxAttempts &&
-         call.relayed.value == 0;
-}
-
 void IngressShard::HandleSendFailed(CallId attempt) {
   HandleNotRun(attempt, Reason::kLinkUnavailable);
 }
@@ -269,14 +259,7 @@
 void IngressShard::HandleLinkUp(const BackendServerId& owner) {
   for (const auto& [id, attempt] : m_attempts) {
     if (attempt.server != owner || !attempt.in_doubt) continue;
-    wire::Envelope message;
-    wire::StatusQuery& query = *message.mutable_status_query();
-    query.set_call_id(id.value);
-    query.set_ingress_incarnation(m_context.identity.incarnation.value);
-    query.set_owner_incarnation(attempt.expiry.incarnation.value);
-    query.set_expires_at_us(attempt.expiry.expires_at_us);
-    query.set_next_sequence(attempt.next_sequence);
-    m_context.messenger.Send(owner, std::move(message));
+    m_context.messenger.Send(owner, StatusQueryFor(NameOf(id, attempt), attempt.next_sequence));
   }
 }
 
@@ -285,22 +268,32 @@
   Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
   attempt->in_doubt = false;
-  if (attempt->expiry.incarnation.value != status.state().incarnation()) {
-    return HandleUnknown(id, Reason::kOwnerRestarted);
-  }
-  HandleCallState(id, status.call_state(), status.answer_follows());
-}
-
-void IngressShard::HandleCallState(CallId id, wire::CallState state, bool answer_follows) {
-  switch (state) {
-    case wire::CALL_STATE_NEVER_SEEN:
-    case wire::CALL_STATE_CANCELLED:
+  switch (ProofOf(status.call_state(), status.state(), attempt->expiry)) {
+    case Proof::kNotRun:
       return HandleNotRun(id, Reason::kLinkUnavailable);
-    case wire::CALL_STATE_DONE:
-      if (!answer_follows) HandleUnknown(id, Reason::kLinkSilent);
+    case Proof::kPending:
       return;
-    default:
+    case Proof::kDone:
+      if (!status.answer_follows()) HandleUnknown(id, Reason::kLinkSilent);
       return;
+    case Proof::kNone:
+      return HandleUnknown(id, Reason::kOwnerRestarted);
+  }
+}
+
+void IngressShard::HandleCancelResult(const wire::CancelResult& cancelled) {
+  const CallId id{cancelled.call_id()};
+  const Attempt* attempt = FindAttempt(id);
+  if (attempt == nullptr) return;
+  switch (ProofOf(cancelled.call_state(), cancelled.state(), attempt->expiry)) {
+    case Proof::kNotRun:
+      return HandleNotRun(id, Reason::kQueueExpired);
+    case Proof::kPending:
+      return HandleUnknown(id, Reason::kBackendTimeout);
+    case Proof::kDone:
+      return;  // Its answer or failure is on the way.
+    case Proof::kNone:
+      return HandleUnknown(id, Reason::kOwnerRestarted);
   }
 }
 
@@ -312,21 +305,31 @@
   m_attempts.erase(found);
 }
 
-void IngressShard::CancelAttempts(PendingCall& call) {
+void IngressShard::CancelAttempts(PendingCall& call) { CancelOthers(call, CallId{}); }
+
+void IngressShard::CancelOthers(PendingCall& call, CallId kept) {
   const std::vector<CallId> attempts = call.attempts;
   for (const CallId id : attempts) {
+    if (id == kept) continue;
     const Attempt& attempt = m_attempts.at(id);
-    wire::Envelope message;
-    message.mutable_cancel()->set_call_id(id.value);
-    message.mutable_cancel()->set_ingress_incarnation(m_context.identity.incarnation.value);
-    message.mutable_cancel()->set_expires_at_us(attempt.expiry.expires_at_us);
-    m_context.messenger.Send(attempt.server, std::move(message));
+    m_context.messenger.Send(attempt.server, CancelFor(NameOf(id, attempt)));
     EndAttempt(id, AttemptResult::kCancelled);
   }
 }
 
+AttemptName IngressShard::NameOf(CallId id, const Attempt& attempt) const {
+  return AttemptName{id, m_context.identity.incarnation, attempt.expiry};
+}
+
+Reason IngressShard::ProvedReason(const PendingCall& call, Reason reason) {
+  if (InfoOf(reason).outcome != Outcome::kNotRun) return reason;
+  if (call.unknown_reason != Reason::kNone) return call.unknown_reason;
+  return call.attempts.empty() ? reason : Reason::kLinkSilent;
+}
+
 void IngressShard::AnswerReason(ConnectionId connection, Reason reason) {
   if (PendingCall* call = FindCall(connection); call != nullptr) {
+    reason = ProvedReason(*call, reason);
     CancelAttempts(*call);
     EndCall(connection);
   }
@@ -390,22 +393,55 @@
   for (const ConnectionId connection : waiting) {
     if (PendingCall* call = FindCall(connection); call != nullptr) Route(connection, *call);
   }
+  CheckHedges(now);
   CheckDeadlines(now);
   if (m_calls.empty()) m_timer.stop();
 }
 
+void IngressShard::CheckHedges(TimePoint now) {
+  std::vector<ConnectionId> slow;
+  for (const auto& [connection, call] : m_calls) {
+    const bool may_hedge = call.call_class.idempotent && call.call_class.request_id.empty() &&
+                           !call.hedged && call.attempts.size() == 1 && call.relayed.value == 0 &&
+                           call.sends < kMaxAttempts && now < call.deadline;
+    if (!may_hedge) continue;
+    const std::optional<Duration> delay = m_retries.HedgeDelay(call.call_class.service);
+    if (delay && now - m_attempts.at(call.attempts.front()).sent >= *delay) {
+      slow.push_back(connection);
+    }
+  }
+  for (const ConnectionId connection : slow) SendHedge(connection, m_calls.at(connection), now);
+}
+
+void IngressShard::SendHedge(ConnectionId connection, PendingCall& call, TimePoint now) {
+  // The paid link is not for calls that run in this region already.
+  const RoutingChoice choice = Choose(call, false);
+  if (choice.refusal != Reason::kNone) return;
+  const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now);
+  if (!expiry || !m_retries.TakeHedge(call.call_class.service, m_budgets, now)) return;
+  call.hedged = true;
+  m_context.metrics.Add(Metric::kHedges);
+  SendAttempt(connection, call, choice, *expiry);
+}
+
 void IngressShard::CheckDeadlines(TimePoint now) {
   std::vector<ConnectionId> late;
   for (const auto& [connection, call] : m_calls) {
-    if (!call.attempts.empty() && now > call.deadline + kDeadlineGrace) late.push_back(connection);
+    if (!call.attempts.empty() && now > call.deadline) late.push_back(connection);
   }
-  for (const ConnectionId connection : late) {
-    PendingCall& call = m_calls.at(connection);
-    if (call.relayed.value != 0) {
-      HandleUnknown(call.relayed, Reason::kAnswerTruncated);
-      continue;
-    }
-    AnswerReason(connection, Reason::kLinkSilent);
+  for (const ConnectionId connection : late) CheckDeadline(connection, m_calls.at(connection), now);
+}
+
+void IngressShard::CheckDeadline(ConnectionId connection, PendingCall& call, TimePoint now) {
+  if (now > call.deadline + kDeadlineGrace) {
+    if (call.relayed.value != 0) return HandleUnknown(call.relayed, Reason::kAnswerTruncated);
+    return AnswerReason(connection, Reason::kLinkSilent);
+  }
+  if (call.asked_at_deadline || call.relayed.value != 0) return;
+  call.asked_at_deadline = true;
+  for (const CallId id : call.attempts) {
+    const Attempt& attempt = m_attempts.at(id);
+    m_context.messenger.Send(attempt.server, CancelFor(NameOf(id, attempt)));
   }
 }
 
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -14,10 +14,12 @@
 #include "http/bodybudget.h"
 #include "http/callerconnection.h"
 #include "metrics/metricsregistry.h"
+#include "node/attemptmessages.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
 #include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
+#include "policy/retrypolicy.h"
 
 namespace damaskhollow {
 
@@ -71,11 +73,15 @@
     TimePoint started{};
     TimePoint deadline{};
     std::vector<BackendServerId> tried;
+    std::size_t sends = 0;         // Attempts so far.
     std::vector<CallId> attempts;  // Those that still run.
     CallId relayed;                // The attempt whose answer goes to the caller; 0 for none.
     bool waiting = false;          // For a server that can take it.
     TimePoint waiting_until{};
+    bool hedged = false;
+    bool asked_at_deadline = false;  // Whether its owners were sent a Cancel at the deadline.
     Reason last_reason = Reason::kNone;
+    Reason unknown_reason = Reason::kNone;  // Of an attempt that may have run.
   };
 
   // One sending of a call to an owner.
@@ -83,6 +89,7 @@
     ConnectionId connection;
     BackendServerId server;
     ExpiryStamp expiry;
+    TimePoint sent{};
     std::uint32_t next_sequence = 0;
     bool in_doubt = false;  // Its link went silent.
     bool crosses_regions = false;
@@ -98,14 +105,25 @@
   void HandleNotRun(CallId attempt, Reason reason);
   void HandleUnknown(CallId attempt, Reason reason);
   void HandleStatus(const wire::StatusResult& status);
-  void HandleCallState(CallId attempt, wire::CallState state, bool answer_follows);
-  bool MayRetry(const PendingCall& call, Reason reason) const;
+  void HandleCancelResult(const wire::CancelResult& cancelled);
+  void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
+                     bool proved_not_run);
+  void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
+  RoutingChoice Choose(const PendingCall& call, bool may_cross_regions);
+  AttemptName NameOf(CallId id, const Attempt& attempt) const;
   void EndAttempt(CallId attempt, AttemptResult result);
   void CancelAttempts(PendingCall& call);
+  void CancelOthers(PendingCall& call, CallId kept);
+
+  // The reason that may be given to the caller: one that says not-run only if that is proved for
+  // all attempts.
+  static Reason ProvedReason(const PendingCall& call, Reason reason);
   void AnswerReason(ConnectionId connection, Reason reason);
   void EndCall(ConnectionId connection);
   void Tick();
+  void CheckHedges(TimePoint now);
   void CheckDeadlines(TimePoint now);
+  void CheckDeadline(ConnectionId connection, PendingCall& call, TimePoint now);
   PendingCall* FindCall(ConnectionId connection);
   Attempt* FindAttempt(CallId attempt);
 
@@ -117,6 +135,8 @@
   std::unordered_map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
   std::map<ConnectionId, PendingCall> m_calls;
   std::unordered_map<CallId, Attempt> m_attempts;
+  RetryPolicy m_retries;  // Its budgets are those of this shard's part of the calls.
+  Budgets m_budgets;      // Of the declaration that the last call came under.
   QTimer m_timer;
 };
 
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -5,6 +5,7 @@
 
 #include "base/endpoint.h"
 #include "logging/logger.h"
+#include "node/attemptmessages.h"
 #include "node/callheaders.h"
 
 namespace damaskhollow {
@@ -284,8 +285,9 @@
   const std::uint64_t now_us = ToClockMicroseconds(now);
   if (now_us < m_next_tombstone_sweep_us) return;
   m_next_tombstone_sweep_us = now_us + kTombstoneSweepUs;
-  std::erase_if(m_tombstones,
-                [&](const auto& entry) { return entry.second.expires_at_us < now_us; });
+  std::erase_if(m_tombstones, [&](const auto& entry) {
+    return entry.second.expires_at_us + kOwnerMemoryUs < now_us;
+  });
 }
 
 void OwnerService::StartDrain() {
--- /dev/null
+++ b/src/libs/policy/retrypolicy.h
@@ -0,0 +1,90 @@
+#ifndef DAMASKHOLLOW_POLICY_RETRYPOLICY_H_
+#define DAMASKHOLLOW_POLICY_RETRYPOLICY_H_
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+
+#include "base/ids.h"
+#include "base/reason.h"
+#include "base/time.h"
+#include "declaration/declaration.h"
+
+namespace damaskhollow {
+
+// Sends of one call at most, hedges included.
+constexpr std::size_t kMaxAttempts = 3;
+
+// Tokens for the retries and hedges of one service. Each first attempt adds a share of a token; a
+// retry takes one, and a hedge takes one that must also be within the hedges' part.
+class RetryBudget {
+ public:
+  void NoteFirstAttempt(const Budgets& budgets, TimePoint now);
+  bool TakeRetry(const Budgets& budgets, TimePoint now);
+  bool TakeHedge(const Budgets& budgets, TimePoint now);
+
+ private:
+  void Refill(const Budgets& budgets, TimePoint now);
+
+  double m_tokens = 0.0;
+  double m_hedge_tokens = 0.0;
+  double m_recent = 0.0;  // First attempts, decayed over the time that tokens are saved up for.
+  TimePoint m_refilled_at{};
+  bool m_is_started = false;
+};
+
+// The last answer times of one service and their 95th percentile.
+class AnswerTimes {
+ public:
+  void Add(Duration time);
+
+  // Empty until enough answers have been seen.
+  std::optional<Duration> Percentile95() const { return m_percentile; }
+
+ private:
+  std::array<Duration, 128> m_times{};
+  std::size_t m_count = 0;  // Of all answers.
+  std::optional<Duration> m_percentile;
+};
+
+// An attempt that ended without an answer.
+struct FailedAttempt {
+  ServiceId service;
+  Reason reason = Reason::kNone;
+  bool proved_not_run = false;
+  bool idempotent = false;
+  std::size_t attempts = 0;  // Sends of this call so far.
+};
+
+// Decides which calls are sent again and when a second copy is sent. Answers of backend servers,
+// those of 5xx included, never come here, so retries do not multiply along a chain of calls.
+class RetryPolicy {
+ public:
+  void NoteFirstAttempt(const ServiceId& service, const Budgets& budgets, TimePoint now);
+
+  // Notes the time from sending an attempt to the head of its answer.
+  void NoteAnswerTime(const ServiceId& service, Duration time);
+
+  // kNone if the call may be sent again, which takes a token; otherwise the reason to answer with.
+  Reason DecideRetry(const FailedAttempt& failed, const Budgets& budgets, TimePoint now);
+
+  // How long after an idempotent call its hedge is due; empty if the service has had too few
+  // answers.
+  std::optional<Duration> HedgeDelay(const ServiceId& service) const;
+
+  // Whether a hedge may be sent, which takes its tokens.
+  bool TakeHedge(const ServiceId& service, const Budgets& budgets, TimePoint now);
+
+ private:
+  struct ServiceState {
+    RetryBudget budget;
+    AnswerTimes answer_times;
+  };
+
+  std::unordered_map<ServiceId, ServiceState> m_services;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_POLICY_RETRYPOLICY_H_
--- /dev/null
+++ b/tests/auto/policy/tst_retrypolicy.cpp
@@ -0,0 +1,262 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/randomsource.h"
+#include "policy/retrypolicy.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(1000)};
+const ServiceId kService("s");
+
+Budgets MakeBudgets(double retry_share, double hedge_share) {
+  Budgets budgets;
+  budgets.retry_share = retry_share;
+  budgets.hedge_share = hedge_share;
+  return budgets;
+}
+
+FailedAttempt MakeFailed(Reason reason, bool proved_not_run, bool idempotent,
+                         std::size_t attempts) {
+  FailedAttempt failed;
+  failed.service = kService;
+  failed.reason = reason;
+  failed.proved_not_run = proved_not_run;
+  failed.idempotent = idempotent;
+  failed.attempts = attempts;
+  return failed;
+}
+
+// A failed attempt and the decision that must follow while the budget is full.
+struct DecisionCase {
+  std::string_view name;
+  Reason reason;
+  bool proved_not_run;
+  bool idempotent;
+  std::size_t attempts;
+  Reason decision;
+};
+
+constexpr std::array kDecisionCases{
+    DecisionCase{"refused, not idempotent", Reason::kDraining, true, false, 1, Reason::kNone},
+    DecisionCase{"unknown, not idempotent", Reason::kBackendClosed, false, false, 1,
+                 Reason::kBackendClosed},
+    DecisionCase{"unknown, idempotent", Reason::kBackendClosed, false, true, 1, Reason::kNone},
+    DecisionCase{"silent link, not idempotent", Reason::kLinkSilent, false, false, 1,
+                 Reason::kLinkSilent},
+    DecisionCase{"crashing request", Reason::kCrashingRequest, true, true, 1,
+                 Reason::kCrashingRequest},
+    DecisionCase{"expired in the queue", Reason::kQueueExpired, true, true, 1,
+                 Reason::kQueueExpired},
+    DecisionCase{"timed out", Reason::kBackendTimeout, false, true, 1, Reason::kBackendTimeout},
+    DecisionCase{"third attempt", Reason::kDraining, true, true, 3, Reason::kDraining},
+};
+
+// A chain in which the servers of service k call service k + 1 through an ingress of their own.
+class Chain {
+ public:
+  Chain(std::size_t depth, double refusals, std::size_t refusing_from, std::uint64_t seed)
+      : m_refusals(refusals),
+        m_refusing_from(refusing_from),
+        m_random(seed),
+        m_policies(depth),
+        attempts(depth),
+        first_attempts(depth) {}
+
+  // Whether the call was answered below 500.
+  bool Call(std::size_t level, TimePoint now) {
+    if (level == m_policies.size()) return true;
+    m_policies[level].NoteFirstAttempt(kService, m_budgets, now);
+    ++first_attempts[level];
+    for (std::size_t sends = 1;; ++sends) {
+      ++attempts[level];
+      const bool refused = level >= m_refusing_from && m_random.Unit() < m_refusals;
+      // A 5xx of the server, also one that it passes on from below, is its answer.
+      if (!refused) return Call(level + 1, now);
+      const Reason decision = m_policies[level].DecideRetry(
+          MakeFailed(Reason::kQueueFullTime, true, true, sends), m_budgets, now);
+      if (decision != Reason::kNone) return false;
+    }
+  }
+
+ private:
+  const double m_refusals;
+  const std::size_t m_refusing_from;
+  RandomSource m_random;
+  const Budgets m_budgets = MakeBudgets(0.1, 0.05);
+  std::vector<RetryPolicy> m_policies;
+
+ public:
+  std::vector<std::size_t> attempts;
+  std::vector<std::size_t> first_attempts;
+};
+
+}  // namespace
+
+class RetryPolicyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RetryPolicyTest);
+  CPPUNIT_TEST(DecidesByReason);
+  CPPUNIT_TEST(KeepsRetryShare);
+  CPPUNIT_TEST(LetsQuietServiceRetry);
+  CPPUNIT_TEST(NeverRetriesAtShareZero);
+  CPPUNIT_TEST(AnswersUnknownWithoutBudget);
+  CPPUNIT_TEST(SavesTokensForAStoppedServer);
+  CPPUNIT_TEST(KeepsHedgeShare);
+  CPPUNIT_TEST(HedgesAfterPercentile);
+  CPPUNIT_TEST(DoesNotMultiplyAlongAChain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a second run of a call that may have run, and against useless retries.
+  void DecidesByReason() {
+    for (const DecisionCase& row : kDecisionCases) {
+      RetryPolicy policy;
+      const Reason decision = policy.DecideRetry(
+          MakeFailed(row.reason, row.proved_not_run, row.idempotent, row.attempts),
+          MakeBudgets(0.1, 0.05), kStart);
+      CPPUNIT_ASSERT_MESSAGE(std::string(row.name), decision == row.decision);
+    }
+  }
+
+  // Guards against retries that add load to an overloaded service.
+  void KeepsRetryShare() {
+    RetryPolicy policy;
+    const Budgets budgets = MakeBudgets(0.1, 0.05);
+    constexpr std::size_t kCalls = 20000;
+    std::size_t retries = 0;
+    for (std::size_t call = 0; call < kCalls; ++call) {
+      const TimePoint now = kStart + std::chrono::milliseconds(call);
+      policy.NoteFirstAttempt(kService, budgets, now);
+      const Reason decision =
+          policy.DecideRetry(MakeFailed(Reason::kQueueFullTime, true, true, 1), budgets, now);
+      CPPUNIT_ASSERT(decision == Reason::kNone || decision == Reason::kRetryBudget);
+      retries += decision == Reason::kNone ? 1 : 0;
+    }
+    std::cout << "  " << retries << " retries of " << kCalls << " calls\n";
+    CPPUNIT_ASSERT(retries <= kCalls / 10 + 12);
+    CPPUNIT_ASSERT(retries >= kCalls / 10);
+  }
+
+  void LetsQuietServiceRetry() {
+    RetryPolicy policy;
+    const Budgets budgets = MakeBudgets(0.1, 0.05);
+    policy.NoteFirstAttempt(kService, budgets, kStart);
+    CPPUNIT_ASSERT(policy.DecideRetry(MakeFailed(Reason::kDraining, true, false, 1), budgets,
+                                      kStart) == Reason::kNone);
+  }
+
+  void NeverRetriesAtShareZero() {
+    RetryPolicy policy;
+    const Budgets budgets = MakeBudgets(0.0, 0.5);
+    for (int call = 0; call < 1000; ++call) {
+      const TimePoint now = kStart + std::chrono::seconds(call);
+      policy.NoteFirstAttempt(kService, budgets, now);
+      CPPUNIT_ASSERT(policy.DecideRetry(MakeFailed(Reason::kDraining, true, true, 1), budgets,
+                                        now) == Reason::kRetryBudget);
+      CPPUNIT_ASSERT(!policy.TakeHedge(kService, budgets, now));
+    }
+  }
+
+  // Guards against calling a request not run because there is no budget to try it again.
+  void AnswersUnknownWithoutBudget() {
+    RetryPolicy policy;
+    CPPUNIT_ASSERT(policy.DecideRetry(MakeFailed(Reason::kBackendClosed, false, true, 1),
+                                      MakeBudgets(0.0, 0.0), kStart) == Reason::kBackendClosed);
+  }
+
+  // Guards against refusing the calls in flight when one of several servers stops at once.
+  void SavesTokensForAStoppedServer() {
+    RetryPolicy policy;
+    const Budgets budgets = MakeBudgets(0.1, 0.05);
+    TimePoint now = kStart;
+    for (int call = 0; call < 20000; ++call) {
+      now += std::chrono::milliseconds(2);
+      policy.NoteFirstAttempt(kService, budgets, now);
+    }
+    std::size_t retries = 0;
+    while (policy.DecideRetry(MakeFailed(Reason::kLinkSilent, false, true, 1), budgets, now) ==
+           Reason::kNone) {
+      ++retries;
+    }
+    // A tenth of the calls of ten seconds, and the floor.
+    CPPUNIT_ASSERT(retries >= 450 && retries <= 520);
+  }
+
+  void KeepsHedgeShare() {
+    RetryPolicy policy;
+    const Budgets budgets = MakeBudgets(0.1, 0.5);
+    constexpr std::size_t kCalls = 20000;
+    std::size_t hedges = 0;
+    std::size_t retries = 0;
+    for (std::size_t call = 0; call < kCalls; ++call) {
+      const TimePoint now = kStart + std::chrono::milliseconds(call);
+      policy.NoteFirstAttempt(kService, budgets, now);
+      if (policy.TakeHedge(kService, budgets, now)) ++hedges;
+      if (policy.DecideRetry(MakeFailed(Reason::kDraining, true, true, 1), budgets, now) ==
+          Reason::kNone) {
+        ++retries;
+      }
+    }
+    std::cout << "  " << hedges << " hedges and " << retries << " retries of " << kCalls
+              << " calls\n";
+    CPPUNIT_ASSERT(hedges <= kCalls / 20 + 6);
+    CPPUNIT_ASSERT(hedges > 0);
+    CPPUNIT_ASSERT(hedges + retries <= kCalls / 10 + 12);
+  }
+
+  void HedgesAfterPercentile() {
+    RetryPolicy policy;
+    CPPUNIT_ASSERT(!policy.HedgeDelay(kService));
+    for (int answer = 1; answer <= 20; ++answer) {
+      policy.NoteAnswerTime(kService, std::chrono::milliseconds(answer));
+    }
+    CPPUNIT_ASSERT(!policy.HedgeDelay(kService));
+    for (int round = 0; round < 20; ++round) {
+      for (int answer = 1; answer <= 100; ++answer) {
+        policy.NoteAnswerTime(kService, std::chrono::milliseconds(answer));
+      }
+    }
+    const Duration delay = policy.HedgeDelay(kService).value();
+    CPPUNIT_ASSERT(delay >= std::chrono::milliseconds(88) &&
+                   delay <= std::chrono::milliseconds(100));
+  }
+
+  // Guards against retries that multiply with the depth of a chain of calls.
+  void DoesNotMultiplyAlongAChain() {
+    constexpr std::size_t kDepth = 28;
+    constexpr std::size_t kCalls = 5000;
+    struct Row {
+      double refusals;
+      std::size_t refusing_from;
+    };
+    for (const Row row : {Row{1.0, 0}, Row{1.0, kDepth - 1}, Row{0.05, 0}, Row{0.5, kDepth / 2}}) {
+      constexpr std::uint64_t kSeed = 28;
+      Chain chain(kDepth, row.refusals, row.refusing_from, kSeed);
+      for (std::size_t call = 0; call < kCalls; ++call) {
+        chain.Call(0, kStart + std::chrono::milliseconds(10 * call));
+      }
+      std::size_t highest = 0;
+      for (std::size_t level = 0; level < kDepth; ++level) {
+        // The share, the floor at the start and its refill over the 50 s.
+        CPPUNIT_ASSERT(chain.attempts[level] <=
+                       chain.first_attempts[level] + chain.first_attempts[level] / 10 + 16);
+        CPPUNIT_ASSERT(chain.first_attempts[level] <= kCalls);
+        highest = std::max(highest, chain.attempts[level]);
+      }
+      std::cout << "  refusals " << row.refusals << " from level " << row.refusing_from
+                << ": at most " << highest << " attempts a level for " << kCalls << " calls\n";
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryPolicyTest);
+
+}  // namespace damaskhollow
