--- a/tests/auto/policy/tst_retrypolicy.cpp
+++ b/tests/auto/policy/tst_retrypolicy.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr TimePoint kStart{std::chrono::seconds(1000)};
-const ServiceId kService("s");
+ServiceId TestService() { return ServiceId("s"); }
 
 Budgets MakeBudgets(double retry_share, double hedge_share) {
   Budgets budgets;
@@ -27,7 +27,7 @@
 FailedAttempt MakeFailed(Reason reason, bool proved_not_run, bool idempotent,
                          std::size_t attempts) {
   FailedAttempt failed;
-  failed.service = kService;
+  failed.service = TestService();
   failed.reason = reason;
   failed.proved_not_run = proved_not_run;
   failed.idempotent = idempotent;
@@ -74,7 +74,7 @@
   // Whether the call was answered below 500.
   bool Call(std::size_t level, TimePoint now) {
     if (level == m_policies.size()) return true;
-    m_policies[level].NoteFirstAttempt(kService, m_budgets, now);
+    m_policies[level].NoteFirstAttempt(TestService(), m_budgets, now);
     ++first_attempts[level];
     for (std::size_t sends = 1;; ++sends) {
       ++attempts[level];
@@ -134,7 +134,7 @@
     std::size_t retries = 0;
     for (std::size_t call = 0; call < kCalls; ++call) {
       const TimePoint now = kStart + std::chrono::milliseconds(call);
-      policy.NoteFirstAttempt(kService, budgets, now);
+      policy.NoteFirstAttempt(TestService(), budgets, now);
       const Reason decision =
           policy.DecideRetry(MakeFailed(Reason::kQueueFullTime, true, true, 1), budgets, now);
       CPPUNIT_ASSERT(decision == Reason::kNone || decision == Reason::kRetryBudget);
@@ -148,7 +148,7 @@
   void LetsQuietServiceRetry() {
     RetryPolicy policy;
     const Budgets budgets = MakeBudgets(0.1, 0.05);
-    policy.NoteFirstAttempt(kService, budgets, kStart);
+    policy.NoteFirstAttempt(TestService(), budgets, kStart);
     CPPUNIT_ASSERT(policy.DecideRetry(MakeFailed(Reason::kDraining, true, false, 1), budgets,
                                       kStart) == Reason::kNone);
   }
@@ -158,10 +158,10 @@
     const Budgets budgets = MakeBudgets(0.0, 0.5);
     for (int call = 0; call < 1000; ++call) {
       const TimePoint now = kStart + std::chrono::seconds(call);
-      policy.NoteFirstAttempt(kService, budgets, now);
+      policy.NoteFirstAttempt(TestService(), budgets, now);
       CPPUNIT_ASSERT(policy.DecideRetry(MakeFailed(Reason::kDraining, true, true, 1), budgets,
                                         now) == Reason::kRetryBudget);
-      CPPUNIT_ASSERT(!policy.TakeHedge(kService, budgets, now));
+      CPPUNIT_ASSERT(!policy.TakeHedge(TestService(), budgets, now));
     }
   }
 
@@ -179,7 +179,7 @@
     TimePoint now = kStart;
     for (int call = 0; call < 20000; ++call) {
       now += std::chrono::milliseconds(2);
-      policy.NoteFirstAttempt(kService, budgets, now);
+      policy.NoteFirstAttempt(TestService(), budgets, now);
     }
     std::size_t retries = 0;
     while (policy.DecideRetry(MakeFailed(Reason::kLinkSilent, false, true, 1), budgets, now) ==
@@ -198,8 +198,8 @@
     std::size_t retries = 0;
     for (std::size_t call = 0; call < kCalls; ++call) {
       const TimePoint now = kStart + std::chrono::milliseconds(call);
-      policy.NoteFirstAttempt(kService, budgets, now);
-      if (policy.TakeHedge(kService, budgets, now)) ++hedges;
+      policy.NoteFirstAttempt(TestService(), budgets, now);
+      if (policy.TakeHedge(TestService(), budgets, now)) ++hedges;
       if (policy.DecideRetry(MakeFailed(Reason::kDraining, true, true, 1), budgets, now) ==
           Reason::kNone) {
         ++retries;
@@ -214,17 +214,17 @@
 
   void HedgesAfterPercentile() {
     RetryPolicy policy;
-    CPPUNIT_ASSERT(!policy.HedgeDelay(kService));
+    CPPUNIT_ASSERT(!policy.HedgeDelay(TestService()));
     for (int answer = 1; answer <= 20; ++answer) {
-      policy.NoteAnswerTime(kService, std::chrono::milliseconds(answer));
+      policy.NoteAnswerTime(TestService(), std::chrono::milliseconds(answer));
     }
-    CPPUNIT_ASSERT(!policy.HedgeDelay(kService));
+    CPPUNIT_ASSERT(!policy.HedgeDelay(TestService()));
     for (int round = 0; round < 20; ++round) {
       for (int answer = 1; answer <= 100; ++answer) {
-        policy.NoteAnswerTime(kService, std::chrono::milliseconds(answer));
+        policy.NoteAnswerTime(TestService(), std::chrono::milliseconds(answer));
       }
     }
-    const Duration delay = policy.HedgeDelay(kService).value();
+    const Duration delay = policy.HedgeDelay(TestService()).value();
     CPPUNIT_ASSERT(delay >= std::chrono::milliseconds(88) &&
                    delay <= std::chrono::milliseconds(100));
   }
