--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -87,6 +87,7 @@
       return SendAttempt(connection, call, choice, *expiry);
     }
   }
+  if (!call.attempts.empty()) return;  // One in doubt may still be answered.
   const Reason reason = choice.refusal == Reason::kNone ? Reason::kLinkUnavailable : choice.refusal;
   if (!call.waiting) {
     call.waiting = true;
@@ -219,21 +220,25 @@
     m_connections.at(connection)->Abort();
     return;
   }
-  call.unknown_reason = reason;
+  call.doubt = reason;
   RetryOrAnswer(connection, call, reason, false);
 }
 
-void IngressShard::RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
-                                 bool proved_not_run) {
-  call.last_reason = reason;
-  if (!call.attempts.empty()) return;
+Reason IngressShard::DecideRetry(const PendingCall& call, Reason reason, bool proved_not_run) {
   FailedAttempt failed;
   failed.service = call.call_class.service;
   failed.reason = reason;
   failed.proved_not_run = proved_not_run;
   failed.idempotent = call.call_class.idempotent;
   failed.attempts = call.sends;
-  const Reason answer = m_retries.DecideRetry(failed, m_budgets, MonotonicNow());
+  return m_retries.DecideRetry(failed, m_budgets, MonotonicNow());
+}
+
+void IngressShard::RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
+                                 bool proved_not_run) {
+  call.last_reason = reason;
+  if (!call.attempts.empty()) return;
+  const Reason answer = DecideRetry(call, reason, proved_not_run);
   if (answer != Reason::kNone) return AnswerReason(connection, answer);
   m_context.metrics.CountRetry(reason);
   Route(connection, call);
@@ -244,16 +249,29 @@
 }
 
 void IngressShard::HandleLinkDown(const BackendServerId& owner) {
-  std::vector<CallId> idempotent;
+  std::vector<ConnectionId> idempotent;
   for (auto& [id, attempt] : m_attempts) {
-    if (attempt.server != owner) continue;
+    if (attempt.server != owner || attempt.in_doubt) continue;
     attempt.in_doubt = true;
     if (m_calls.at(attempt.connection).call_class.idempotent && attempt.next_sequence == 0) {
-      idempotent.push_back(id);
+      idempotent.push_back(attempt.connection);
     }
   }
-  // An idempotent call does not wait for the new link.
-  for (const CallId id : idempotent) HandleUnknown(id, Reason::kLinkSilent);
+  for (const ConnectionId connection : idempotent) RouteBeside(connection);
+}
+
+void IngressShard::RouteBeside(ConnectionId connection) {
+  PendingCall& call = m_calls.at(connection);
+  const TimePoint now = MonotonicNow();
+  const bool may_send = call.relayed.value == 0 && call.call_class.request_id.empty() &&
+                        call.sends < kMaxAttempts && now < call.deadline;
+  if (!may_send) return;
+  const RoutingChoice choice = Choose(call, call.call_class.may_cross_regions);
+  if (choice.refusal != Reason::kNone) return;
+  const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now);
+  if (!expiry || DecideRetry(call, Reason::kLinkSilent, false) != Reason::kNone) return;
+  m_context.metrics.CountRetry(Reason::kLinkSilent);
+  SendAttempt(connection, call, choice, *expiry);
 }
 
 void IngressShard::HandleLinkUp(const BackendServerId& owner) {
@@ -323,7 +341,7 @@
 
 Reason IngressShard::ProvedReason(const PendingCall& call, Reason reason) {
   if (InfoOf(reason).outcome != Outcome::kNotRun) return reason;
-  if (call.unknown_reason != Reason::kNone) return call.unknown_reason;
+  if (call.doubt != Reason::kNone) return call.doubt;
   return call.attempts.empty() ? reason : Reason::kLinkSilent;
 }
 
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -81,7 +81,7 @@
     bool hedged = false;
     bool asked_at_deadline = false;  // Whether its owners were sent a Cancel at the deadline.
     Reason last_reason = Reason::kNone;
-    Reason unknown_reason = Reason::kNone;  // Of an attempt that may have run.
+    Reason doubt = Reason::kNone;  // Why an ended attempt may have run.
   };
 
   // One sending of a call to an owner.
@@ -97,6 +97,11 @@
   };
 
   void Route(ConnectionId connection, PendingCall& call);
+
+  // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
+  // wait for the new link. The first answer counts.
+  void RouteBeside(ConnectionId connection);
+
   void SendAttempt(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
                    const ExpiryStamp& expiry);
   bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
@@ -106,6 +111,9 @@
   void HandleUnknown(CallId attempt, Reason reason);
   void HandleStatus(const wire::StatusResult& status);
   void HandleCancelResult(const wire::CancelResult& cancelled);
+
+  // kNone if the call may be sent again, which uses up budget; otherwise the reason to answer with.
+  Reason DecideRetry(const PendingCall& call, Reason reason, bool proved_not_run);
   void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
                      bool proved_not_run);
   void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
