Decide which requests crash servers and keep suspects apart

Completions are remembered in sets of four places; with single places a forged flood made suspects of digests whose place another one had taken (found by the test).

--- /dev/null
+++ b/src/libs/policy/crashguard.cpp
@@ -0,0 +1,172 @@
+#include "policy/crashguard.h"
+
+#include <algorithm>
+
+#include "base/randomsource.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr unsigned kCrashesToBan = 3;
+constexpr std::size_t kOwnersToBan = 2;
+constexpr std::chrono::minutes kBanTime{5};
+constexpr std::chrono::minutes kSuspicionTime{5};
+constexpr std::size_t kMaxEntries = 1024;
+// More owners than the ban needs add nothing.
+constexpr std::size_t kMaxReportersPerDigest = 4;
+
+// A peer may report the calls in flight of a few crashes at once, and then far fewer than would
+// fill the table within the time of a suspicion.
+constexpr double kAllowanceDigests = 64.0;
+constexpr double kAllowancePerSecond = 1.0;
+
+// Reports against a digest that was answered here within this time are taken for wrong.
+constexpr std::chrono::seconds kRecentCompletion{10};
+
+std::uint64_t HashOf(std::string_view digest) { return StableHash("completion", digest); }
+
+}  // namespace
+
+std::vector<std::string> CrashGuard::NoteCrash(std::span<const std::string> digests,
+                                               TimePoint now) {
+  std::vector<std::string> banned;
+  for (const std::string& digest : digests) {
+    Entry& entry = FindOrAdd(digest, now);
+    ++entry.own_crashes;
+    ForgetCompletion(digest);
+    if (BanIfDue(entry, now)) banned.push_back(digest);
+  }
+  return banned;
+}
+
+std::vector<std::string> CrashGuard::NoteReportedCrash(const BackendServerId& owner,
+                                                       std::span<const std::string> digests,
+                                                       TimePoint now) {
+  std::vector<std::string> banned;
+  for (const std::string& digest : digests) {
+    if (!TakeAllowance(owner, now)) return banned;
+    if (CompletedRecently(digest, now)) continue;
+    Entry& entry = FindOrAdd(digest, now);
+    const auto known = std::find_if(entry.reported.begin(), entry.reported.end(),
+                                    [&](const auto& report) { return report.first == owner; });
+    if (known != entry.reported.end()) {
+      ++known->second;
+    } else if (entry.reported.size() < kMaxReportersPerDigest) {
+      entry.reported.emplace_back(owner, 1U);
+    }
+    if (BanIfDue(entry, now)) banned.push_back(digest);
+  }
+  return banned;
+}
+
+bool CrashGuard::NoteCompleted(std::string_view digest, TimePoint now) {
+  RememberCompletion(digest, now);
+  const auto found = m_entries.find(digest);
+  if (found == m_entries.end()) return false;
+  const bool was_suspect = IsCurrent(found->second, now);
+  Erase(found);
+  return was_suspect;
+}
+
+void CrashGuard::NoteReportedCompletion(const BackendServerId& owner,
+                                        std::span<const std::string> digests, TimePoint now) {
+  for (const std::string& digest : digests) {
+    if (!TakeAllowance(owner, now)) return;
+    const auto found = m_entries.find(digest);
+    // A ban ends by time only, as a false report would let the request crash servers again.
+    if (found == m_entries.end() || found->second.banned_until > now) continue;
+    Erase(found);
+  }
+}
+
+bool CrashGuard::IsSuspect(std::string_view digest, TimePoint now) const {
+  const auto found = m_entries.find(digest);
+  return found != m_entries.end() && IsCurrent(found->second, now);
+}
+
+bool CrashGuard::IsBanned(std::string_view digest, TimePoint now) const {
+  const auto found = m_entries.find(digest);
+  return found != m_entries.end() && found->second.banned_until > now;
+}
+
+bool CrashGuard::IsCurrent(const Entry& entry, TimePoint now) {
+  return now - entry.last_crash < kSuspicionTime || entry.banned_until > now;
+}
+
+CrashGuard::Entry& CrashGuard::FindOrAdd(const std::string& digest, TimePoint now) {
+  if (const auto found = m_entries.find(digest); found != m_entries.end()) {
+    Entry& entry = found->second;
+    m_order.splice(m_order.end(), m_order, entry.position);
+    if (!IsCurrent(entry, now)) {
+      entry.own_crashes = 0;
+      entry.reported.clear();
+    }
+    entry.last_crash = now;
+    return entry;
+  }
+  if (m_entries.size() >= kMaxEntries) Erase(m_entries.find(m_order.front()));
+  Entry& entry = m_entries[digest];
+  entry.position = m_order.insert(m_order.end(), digest);
+  entry.last_crash = now;
+  return entry;
+}
+
+void CrashGuard::Erase(Entries::iterator entry) {
+  m_order.erase(entry->second.position);
+  m_entries.erase(entry);
+}
+
+bool CrashGuard::BanIfDue(Entry& entry, TimePoint now) const {
+  unsigned crashes = entry.own_crashes;
+  for (const auto& report : entry.reported) crashes += report.second;
+  const bool has_evidence = entry.own_crashes > 0 || entry.reported.size() >= kOwnersToBan;
+  if (crashes < kCrashesToBan || !has_evidence || entry.banned_until > now) return false;
+  entry.banned_until = now + kBanTime;
+  return true;
+}
+
+bool CrashGuard::TakeAllowance(const BackendServerId& owner, TimePoint now) {
+  const auto [found, is_new] = m_allowances.try_emplace(owner);
+  Allowance& allowance = found->second;
+  if (is_new) {
+    allowance.digests = kAllowanceDigests;
+  } else if (now > allowance.refilled_at) {
+    const double seconds = std::chrono::duration<double>(now - allowance.refilled_at).count();
+    allowance.digests =
+        std::min(kAllowanceDigests, allowance.digests + seconds * kAllowancePerSecond);
+  }
+  allowance.refilled_at = now;
+  if (allowance.digests < 1.0) return false;
+  allowance.digests -= 1.0;
+  return true;
+}
+
+void CrashGuard::RememberCompletion(std::string_view digest, TimePoint now) {
+  const std::uint64_t hash = HashOf(digest);
+  CompletionSet& set = m_completions[hash % kCompletionSets];
+  auto slot = std::find_if(set.begin(), set.end(),
+                           [hash](const Completion& entry) { return entry.hash == hash; });
+  if (slot == set.end()) {
+    slot = std::min_element(set.begin(), set.end(),
+                            [](const auto& left, const auto& right) { return left.at < right.at; });
+  }
+  *slot = Completion{hash, now};
+}
+
+void CrashGuard::ForgetCompletion(std::string_view digest) {
+  const std::uint64_t hash = HashOf(digest);
+  for (Completion& entry : m_completions[hash % kCompletionSets]) {
+    if (entry.hash == hash) entry = Completion{};
+  }
+}
+
+bool CrashGuard::CompletedRecently(std::string_view digest, TimePoint now) const {
+  const std::uint64_t hash = HashOf(digest);
+  const CompletionSet& set = m_completions[hash % kCompletionSets];
+  return std::any_of(set.begin(), set.end(), [&](const Completion& entry) {
+    return entry.hash == hash && now - entry.at < kRecentCompletion;
+  });
+}
+
+}  // namespace damaskhollow
