--- a/tests/auto/policy/tst_crashguard.cpp
+++ b/tests/auto/policy/tst_crashguard.cpp
@@ -239,7 +239,7 @@
       CPPUNIT_ASSERT(!guard.IsBanned(digest, now) && !guard.IsSuspect(digest, now));
     }
     // The rate leaves two forging nodes no more than their allowances.
-    CPPUNIT_ASSERT(guard.Size() <= 2 * (64 + 9));
+    CPPUNIT_ASSERT(guard.Size() <= std::size_t{2} * (64 + 9));
 
     CrashGuard other;
     const std::vector<std::string> first{"first"};
