--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -5,6 +5,7 @@
 
 #include "base/endpoint.h"
 #include "logging/logger.h"
+#include "node/attemptmessages.h"
 #include "node/callheaders.h"
 
 namespace damaskhollow {
