--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/write.hpp>
-#include <sstream>
 #include <utility>
 
 namespace damaskhollow {
@@ -22,22 +20,6 @@
 // network without end.
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024UL * 1024UL;
 
-std::string SerializeHead(const HttpResponseHead& head, bool chunked, bool keep_alive,
-                          bool no_length) {
-  http::response_header<> message;
-  message.version(11);
-  message.result(static_cast<unsigned>(head.status));
-  for (const HttpHeader& header : head.headers) message.insert(header.name, header.value);
-  if (chunked) message.set(http::field::transfer_encoding, "chunked");
-  if (head.content_length && !no_length) {
-    message.set(http::field::content_length, std::to_string(*head.content_length));
-  }
-  message.set(http::field::connection, keep_alive ? "keep-alive" : "close");
-  std::ostringstream out;
-  out << message;
-  return out.str();
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(ConnectionId id, qintptr descriptor, const CallerLimits& limits,
@@ -65,6 +47,7 @@
   m_parser->body_limit(boost::none);  // Checked here, as the limit depends on the head.
   m_request = HttpRequest();
   m_state = State::kReadingHead;
+  m_idle_since = MonotonicNow();
   m_timer.start(m_input.empty() ? m_limits.idle_timeout_ms : m_limits.header_timeout_ms);
 }
 
@@ -173,7 +156,8 @@
   m_answer_has_body = !no_body;
   m_chunked_answer = !no_body && !head.content_length && !m_is_http_10;
   if (!no_body && !head.content_length && m_is_http_10) m_keep_alive = false;
-  const std::string bytes = SerializeHead(head, m_chunked_answer, m_keep_alive, head.status == 204);
+  const AnswerFraming framing{m_chunked_answer, m_keep_alive};
+  const std::string bytes = SerializeResponseHead(head, framing);
   m_head_pending += bytes.size();
   m_socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
 }
@@ -242,7 +226,12 @@
 
 void CallerConnection::CloseWhenIdle() {
   m_closing = true;
-  if (m_state == State::kReadingHead && m_input.empty()) m_socket.disconnectFromHost();
+  CloseIfIdle(Duration(0));
+}
+
+void CallerConnection::CloseIfIdle(Duration at_least) {
+  const bool is_idle = m_state == State::kReadingHead && m_input.empty();
+  if (is_idle && MonotonicNow() - m_idle_since >= at_least) m_socket.disconnectFromHost();
 }
 
 void CallerConnection::NoteGone() {
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -17,8 +17,11 @@
 constexpr std::chrono::milliseconds kServerWait{1000};
 // The owner answers at the deadline; its answer needs this long to arrive, also between regions.
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
+// A connection that was just opened has not sent its request yet and must not count as idle.
+constexpr std::chrono::milliseconds kCrowdedIdle{1000};
 constexpr std::size_t kMaxAttempts = 3;
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
+constexpr std::uint32_t kFirstErrorStatus = 500;
 constexpr qsizetype kDigestBytes = 16;
 
 void AddToHash(QCryptographicHash& hash, std::string_view part) {
@@ -68,6 +71,10 @@
   if (classification.refusal != Reason::kNone) {
     return AnswerReason(connection, classification.refusal);
   }
+  if (IsCrowdedOut(classification.call_class)) {
+    m_connections.at(connection)->CloseWhenIdle();
+    return AnswerReason(connection, Reason::kIngressOverloaded);
+  }
   call.call_class = std::move(classification.call_class);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
@@ -88,9 +95,10 @@
   if (choice.refusal == Reason::kNone) {
     if (const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now)) {
       call.waiting = false;
-      return SendAttempt(connection, call, choice.server, *expiry);
+      return SendAttempt(connection, call, choice, *expiry);
     }
   }
+  if (!call.attempts.empty()) return;  // One in doubt may still be answered.
   const Reason reason = choice.refusal == Reason::kNone ? Reason::kLinkUnavailable : choice.refusal;
   if (!call.waiting) {
     call.waiting = true;
@@ -103,9 +111,14 @@
 }
 
 void IngressShard::SendAttempt(ConnectionId connection, PendingCall& call,
-                               const BackendServerId& server, const ExpiryStamp& expiry) {
+                               const RoutingChoice& choice, const ExpiryStamp& expiry) {
   const CallId id{m_next_attempt++ * m_count + m_index};
-  m_attempts[id] = Attempt{connection, server, expiry, 0, false};
+  const BackendServerId& server = choice.server;
+  Attempt& attempt = m_attempts[id];
+  attempt.connection = connection;
+  attempt.server = server;
+  attempt.expiry = expiry;
+  attempt.crosses_regions = choice.crosses_regions;
   call.attempts.push_back(id);
   call.tried.push_back(server);
 
@@ -131,6 +144,9 @@
   }
   request.set_body(call.request.body);
   m_context.router.NoteSent(server, id);
+  if (choice.crosses_regions) {
+    m_context.metrics.Add(Metric::kCallPaidLinkBytes, message.ByteSizeLong());
+  }
   m_context.messenger.Send(server, std::move(message));
 }
 
@@ -176,25 +192,35 @@
     return;
   }
   if (chunk.has_head() && !StartRelay(id, *attempt, chunk.head())) return;
+  if (chunk.has_head()) attempt->is_error = chunk.head().status() >= kFirstErrorStatus;
   ++attempt->next_sequence;
+  if (attempt->crosses_regions) NotePaidLinkBytes(chunk.ByteSizeLong());
+  const AttemptResult result = attempt->is_error ? AttemptResult::kError : AttemptResult::kAnswered;
   CallerConnection& caller = *m_connections.at(connection);
   caller.SendBody(chunk.data());
   if (!chunk.last()) return;
   PendingCall& call = m_calls.at(connection);
   m_context.metrics.Add(Metric::kCallsAnswered);
   m_context.metrics.RecordLatency(call.call_class.priority, MonotonicNow() - call.started);
-  EndAttempt(id, AttemptResult::kAnswered);
+  EndAttempt(id, result);
   CancelAttempts(call);
   EndCall(connection);
   caller.FinishAnswer();
 }
 
+void IngressShard::NotePaidLinkBytes(std::size_t bytes) {
+  m_context.metrics.Add(Metric::kCallPaidLinkBytes, bytes);
+  m_context.router.NotePaidLinkBytes(bytes);
+}
+
 void IngressShard::HandleNotRun(CallId id, Reason reason) {
   const Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
-  EndAttempt(id, AttemptResult::kRefused);
+  // An owner without its backend server refuses at once; that must not attract calls.
+  EndAttempt(
+      id, reason == Reason::kBackendUnreachable ? AttemptResult::kFailed : AttemptResult::kRefused);
   call.last_reason = reason;
   if (!call.attempts.empty()) return;
   if (!MayRetry(call, reason)) return AnswerReason(connection, reason);
@@ -210,6 +236,7 @@
   const bool was_relayed = call.relayed == id;
   EndAttempt(id, AttemptResult::kFailed);
   call.last_reason = reason;
+  call.doubt = reason;
   if (was_relayed) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
     CancelAttempts(call);
@@ -235,16 +262,23 @@
 }
 
 void IngressShard::HandleLinkDown(const BackendServerId& owner) {
-  std::vector<CallId> idempotent;
+  std::vector<ConnectionId> idempotent;
   for (auto& [id, attempt] : m_attempts) {
-    if (attempt.server != owner) continue;
+    if (attempt.server != owner || attempt.in_doubt) continue;
     attempt.in_doubt = true;
     if (m_calls.at(attempt.connection).call_class.idempotent && attempt.next_sequence == 0) {
-      idempotent.push_back(id);
+      idempotent.push_back(attempt.connection);
     }
   }
-  // An idempotent call does not wait for the new link.
-  for (const CallId id : idempotent) HandleUnknown(id, Reason::kLinkSilent);
+  for (const ConnectionId connection : idempotent) RouteBeside(connection);
+}
+
+void IngressShard::RouteBeside(ConnectionId connection) {
+  PendingCall& call = m_calls.at(connection);
+  if (!MayRetry(call, Reason::kLinkSilent) || call.deadline <= MonotonicNow()) return;
+  const std::size_t attempts = call.attempts.size();
+  Route(connection, call);
+  if (call.attempts.size() > attempts) m_context.metrics.CountRetry(Reason::kLinkSilent);
 }
 
 void IngressShard::HandleLinkUp(const BackendServerId& owner) {
@@ -276,6 +310,8 @@
   switch (state) {
     case wire::CALL_STATE_NEVER_SEEN:
     case wire::CALL_STATE_CANCELLED:
+      // The owner itself is well, so the call may go there again.
+      std::erase(m_calls.at(FindAttempt(id)->connection).tried, FindAttempt(id)->server);
       return HandleNotRun(id, Reason::kLinkUnavailable);
     case wire::CALL_STATE_DONE:
       if (!answer_follows) HandleUnknown(id, Reason::kLinkSilent);
@@ -308,6 +344,9 @@
 
 void IngressShard::AnswerReason(ConnectionId connection, Reason reason) {
   if (PendingCall* call = FindCall(connection); call != nullptr) {
+    // A refused attempt does not prove that an earlier one did not run.
+    const bool is_doubtful = call->doubt != Reason::kNone;
+    if (is_doubtful && InfoOf(reason).outcome == Outcome::kNotRun) reason = call->doubt;
     CancelAttempts(*call);
     EndCall(connection);
   }
@@ -355,6 +394,19 @@
   m_context.caller_connections.fetch_sub(1);
 }
 
+bool IngressShard::IsCrowdedOut(const CallClass& call_class) const {
+  return call_class.priority_index > 0 &&
+         m_context.caller_connections.load() > m_context.max_caller_connections;
+}
+
+void IngressShard::CloseIdleConnections() {
+  std::vector<ConnectionId> connections;
+  for (const auto& entry : m_connections) {
+    if (!entry.second->IsAnswering()) connections.push_back(entry.first);
+  }
+  for (const ConnectionId id : connections) m_connections.at(id)->CloseIfIdle(kCrowdedIdle);
+}
+
 void IngressShard::CloseConnections() {
   std::vector<ConnectionId> connections;
   connections.reserve(m_connections.size());
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -61,8 +61,8 @@
       *this);
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_body_budget, m_declaration,
-                     m_caller_connections},
-      m_workers, m_settings.caller_connections);
+                     m_caller_connections, m_settings.caller_connections},
+      m_workers);
   m_control =
       std::make_unique<ControlService>(ControlContext{m_settings, m_identity, m_metrics, *this,
                                                       m_router, m_owner, *m_transport, m_gate},
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -89,6 +89,8 @@
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
   void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason);
+  // Refuses a call that admission has taken out of its queue.
+  void RefuseQueued(OwnedCallId id, Reason reason);
   void SendPart(OwnedCall& call, AnswerPart part);
   void FinishAnswered(OwnedCallId id, OwnedCall& call);
   void Finish(OwnedCallId id, SlotResult result);
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -49,12 +49,22 @@
   m_router.NoteEnded(server, attempt, result, MonotonicNow());
 }
 
+void SharedRouter::NotePaidLinkBytes(std::size_t bytes) {
+  const std::lock_guard lock(m_lock);
+  m_router.NotePaidLinkBytes(bytes, MonotonicNow());
+}
+
 std::size_t SharedRouter::Outstanding(const BackendServerId& server) const {
   const std::lock_guard lock(m_lock);
   const auto found = m_outstanding.find(server);
   return found == m_outstanding.end() ? 0 : found->second;
 }
 
+std::vector<BackendServerId> SharedRouter::SubsetOf(const ServiceId& service) const {
+  const std::lock_guard lock(m_lock);
+  return m_router.SubsetOf(service);
+}
+
 std::set<ServiceId> SharedRouter::TakeUsedServices() {
   const std::lock_guard lock(m_lock);
   return std::exchange(m_used, {});
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "declaration/declaration.h"
 #include "node/viewgate.h"
@@ -38,9 +39,15 @@
   // No server is chosen while the gate is closed. Must be called before the first choice.
   void SetViewGate(const ViewGate* gate) { m_gate = gate; }
 
+  // The servers of a service that this node uses, nearest tier first.
+  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
+
   // The services for which a server was asked since the last call of this.
   std::set<ServiceId> TakeUsedServices();
 
+  // Notes bytes of an answer from another region.
+  void NotePaidLinkBytes(std::size_t bytes);
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
