--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -207,10 +207,8 @@
     if (own != nullptr && server.service == own->service) needs.own_service.push_back(server.id);
   }
   for (const ServiceId& service : m_link_plan.UsedServices(now)) {
-    std::vector<BackendServerId>& subset = needs.subsets[service];
-    for (const BackendServer* server : declaration.ServersOf(service)) {
-      if (server->id != m_self.id) subset.push_back(server->id);
-    }
+    needs.subsets[service] = m_context.router.SubsetOf(service);
+    std::erase(needs.subsets[service], m_self.id);
   }
   return needs;
 }
