--- a/src/libs/node/attemptmessages.cpp
+++ b/src/libs/node/attemptmessages.cpp
@@ -77,11 +77,8 @@
   if (owner.incarnation() != expiry.incarnation.value) return Proof::kNone;
   switch (call_state) {
     case wire::CALL_STATE_CANCELLED:
+    case wire::CALL_STATE_NEVER_SEEN:  // Owners say this only before the call's expiry.
       return Proof::kNotRun;
-    case wire::CALL_STATE_NEVER_SEEN:
-      // Past this time the owner may have run the call and forgotten it.
-      return owner.clock_us() < expiry.expires_at_us + kOwnerMemoryUs ? Proof::kNotRun
-                                                                      : Proof::kNone;
     case wire::CALL_STATE_DONE:
       return Proof::kDone;
     default:
--- a/src/libs/node/attemptmessages.h
+++ b/src/libs/node/attemptmessages.h
@@ -34,12 +34,9 @@
   kNotRun,  // It has not run and will not run.
   kPending,
   kDone,
-  kNone,  // The owner is another process, or may have forgotten the call.
+  kNone,  // The owner is another process.
 };
 
-// An owner remembers a call for this long after its expiry, on its own clock.
-constexpr std::uint64_t kOwnerMemoryUs = 2000000;
-
 Proof ProofOf(wire::CallState call_state, const wire::OwnerState& owner, const ExpiryStamp& expiry);
 
 }  // namespace damaskhollow
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -67,6 +67,9 @@
   call.call_class = std::move(classification.call_class);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
+  if (const Reason reason = m_context.crash_guard.Check(call.digest); reason != Reason::kNone) {
+    return AnswerReason(connection, reason);
+  }
   m_budgets = declaration->budgets;
   m_retries.NoteFirstAttempt(call.call_class.service, m_budgets, call.started);
   if (!m_timer.isActive()) m_timer.start(kTick);
@@ -74,6 +77,10 @@
 }
 
 RoutingChoice IngressShard::Choose(const PendingCall& call, bool may_cross_regions) {
+  if (!call.call_class.request_id.empty()) {
+    return ChooseHome(*m_context.declaration.load(), call.call_class.service,
+                      call.call_class.request_id, call.tried, m_context.absent_since);
+  }
   RoutingRequest request;
   request.service = call.call_class.service;
   request.idempotent = call.call_class.idempotent;
@@ -187,6 +194,7 @@
   if (!chunk.last()) return;
   PendingCall& call = m_calls.at(connection);
   m_context.metrics.Add(Metric::kCallsAnswered);
+  m_context.crash_guard.NoteAnswered(call.digest);
   m_context.metrics.RecordLatency(call.call_class.priority, MonotonicNow() - call.started);
   EndAttempt(id, result);
   CancelAttempts(call);
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -17,8 +17,10 @@
 #include "node/attemptmessages.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
+#include "node/sharedcrashguard.h"
 #include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
+#include "policy/requesthome.h"
 #include "policy/retrypolicy.h"
 
 namespace damaskhollow {
@@ -29,11 +31,13 @@
   MetricsRegistry& metrics;
   Messenger& messenger;
   SharedRouter& router;
+  SharedCrashGuard& crash_guard;
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
-  std::size_t max_caller_connections =
-      0;  // Beyond it, only calls of the most urgent priority are taken.
+  // Beyond it, only calls of the most urgent priority are taken.
+  std::size_t max_caller_connections = 0;
+  AbsentSince absent_since = {};
 };
 
 // The calls of some caller connections, on one worker thread. All members run on that thread.
@@ -125,6 +129,8 @@
   void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
                      bool proved_not_run);
   void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
+
+  // A request with an id goes to its home, any other to where the router sends it.
   RoutingChoice Choose(const PendingCall& call, bool may_cross_regions);
   AttemptName NameOf(CallId id, const Attempt& attempt) const;
   void EndAttempt(CallId attempt, AttemptResult result);
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -30,7 +30,10 @@
       m_router(m_settings.routing_strategy,
                Place{m_settings.server_id, m_settings.region, m_settings.data_centre},
                SystemSeed()),
-      m_owner(m_identity, m_metrics, *this) {}
+      m_crash_guard(m_settings.crash_guard),
+      m_owner(m_identity, m_metrics, *this, m_crash_guard),
+      m_crash_reporter(m_identity.server, m_identity.incarnation, m_crash_guard, m_metrics, *this) {
+}
 
 Node::~Node() {
   m_timer.stop();
@@ -55,8 +58,8 @@
                        LinkTimings{.replace_silent_links = m_settings.silent_link_detection}},
       *this);
   m_ingress = std::make_unique<IngressService>(
-      IngressContext{m_identity, m_metrics, *this, m_router, m_body_budget, m_declaration,
-                     m_caller_connections, m_settings.caller_connections},
+      IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
+                     m_declaration, m_caller_connections, m_settings.caller_connections},
       m_workers);
   if (Result<void> result = m_transport->Start(); !result) return result;
   if (Result<void> result = LoadDeclarationFile(); !result) return result;
@@ -120,9 +123,24 @@
 void Node::Tick() {
   const TimePoint now = MonotonicNow();
   m_owner.Tick(now);
+  CheckCrashes();
   if (m_drained) CheckDrained();
 }
 
+void Node::CheckCrashes() {
+  const std::shared_ptr<const Declaration> declaration = m_declaration.load();
+  const BackendServer* server = declaration ? declaration->FindServer(m_identity.server) : nullptr;
+  if (server == nullptr) return;
+  const Result<Endpoint> endpoint = ParseEndpoint(server->address);
+  if (!endpoint) return;
+  m_crash_reporter.Tick(
+      endpoint.value(), [this](TimePoint before) { return m_owner.RunsCallFrom(before); },
+      [this] {
+        const std::lock_guard lock(m_peers_lock);
+        return std::vector<BackendServerId>(m_linked_peers.begin(), m_linked_peers.end());
+      });
+}
+
 void Node::StartDrain(std::function<void()> done) {
   if (m_drained) return;
   m_drained = std::move(done);
@@ -162,6 +180,7 @@
 
 void Node::OnLinkUp(const BackendServerId& peer, const wire::OwnerState& state) {
   m_router.NoteState(peer, state);
+  m_owner.NotePeerState(peer, state);
   m_router.SetReachable(peer, true);
   {
     const std::lock_guard lock(m_peers_lock);
@@ -188,10 +207,18 @@
     case wire::Envelope::kCancel:
     case wire::Envelope::kStatusQuery:
     case wire::Envelope::kCredit:
+    case wire::Envelope::kClaimRelease:
+    case wire::Envelope::kClaimReleased:
       m_owner.HandleMessage(route, std::move(message));
       return;
+    case wire::Envelope::kGossip:
+      for (const wire::CrashReport& report : message.gossip().crash_reports()) {
+        m_crash_guard.NoteReport(route.peer, report);
+      }
+      return;
     case wire::Envelope::kPong:
       m_router.NoteState(route.peer, message.pong().state());
+      m_owner.NotePeerState(route.peer, message.pong().state());
       return;
     default:
       m_ingress->HandleOwnerMessage(route.peer, std::move(message));
@@ -200,6 +227,7 @@
 }
 
 void Node::OnSendFailed(const BackendServerId&, wire::Envelope message) {
+  m_owner.HandleSendFailed(message);
   m_ingress->HandleSendFailed(message);
 }
 
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -17,9 +17,11 @@
 #include "metrics/metricsregistry.h"
 #include "node/adminserver.h"
 #include "node/backendpool.h"
+#include "node/crashreporter.h"
 #include "node/ingressservice.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
+#include "node/sharedcrashguard.h"
 #include "node/sharedrouter.h"
 #include "runtime/eventthread.h"
 #include "settings/nodesettings.h"
@@ -61,6 +63,7 @@
                         std::uint64_t version);
   void OpenLinks(const Declaration& declaration);
   void Tick();
+  void CheckCrashes();
   void CheckDrained();
   QJsonObject Status() const;
 
@@ -72,7 +75,9 @@
   std::atomic<std::uint64_t> m_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
   SharedRouter m_router;
+  SharedCrashGuard m_crash_guard;
   OwnerService m_owner;
+  CrashReporter m_crash_reporter;
   std::vector<std::unique_ptr<EventThread>> m_workers;
   std::unique_ptr<BackendPool> m_pool;
   std::unique_ptr<IngressService> m_ingress;
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -2,17 +2,22 @@
 #define DAMASKHOLLOW_NODE_OWNERSERVICE_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 
 #include "declaration/declaration.h"
 #include "metrics/metricsregistry.h"
 #include "node/backendpool.h"
+#include "node/claimservice.h"
 #include "node/keptanswers.h"
 #include "node/messenger.h"
+#include "node/ownedcalls.h"
+#include "node/sharedcrashguard.h"
 #include "policy/admissionqueue.h"
+#include "policy/pausedetector.h"
+#include "policy/suspectgate.h"
 
 namespace damaskhollow {
 
@@ -27,7 +32,8 @@
 // one lock. All members may be called from any thread.
 class OwnerService : public BackendAnswers {
  public:
-  OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger);
+  OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
+               SharedCrashGuard& crash_guard);
 
   // Must be called before the first message.
   void SetBackendPool(BackendPool* pool) { m_pool = pool; }
@@ -35,9 +41,18 @@
   // Applies a declaration: address, slots, priorities, limits of the backend server.
   void ApplyDeclaration(std::shared_ptr<const Declaration> declaration, std::uint64_t version);
 
-  // Handles CallRequest, Cancel, StatusQuery and Credit.
+  // Handles CallRequest, Cancel, StatusQuery, Credit, ClaimRelease and ClaimReleased.
   void HandleMessage(const ReplyRoute& route, wire::Envelope message);
 
+  // A message of this role was not handed to the network.
+  void HandleSendFailed(const wire::Envelope& message);
+
+  // Notes what another owner says of itself.
+  void NotePeerState(const BackendServerId& peer, const wire::OwnerState& state);
+
+  // From the fleet's membership; without it no server counts as absent.
+  void SetAbsentSince(AbsentSince absent_since);
+
   // Refuses new calls from now on; those queued and in flight are finished.
   void StartDrain();
 
@@ -46,6 +61,8 @@
 
   wire::OwnerState State() const;
   bool IsDraining() const;
+  // Whether a call that was dispatched before this time still runs.
+  bool RunsCallFrom(TimePoint before) const;
   // Whether no call is queued or running.
   bool IsIdle() const;
 
@@ -53,45 +70,38 @@
   void OnAnswerFailed(OwnedCallId call, Reason reason, bool may_have_run) override;
 
  private:
-  struct OwnedCall {
-    CallKey key;
-    ReplyRoute route;
-    wire::CallRequest request;  // Without its body once it is dispatched.
-    bool running = false;
-    bool discard_answer = false;  // The ingress no longer waits for it.
-    bool shed = false;
-    std::uint32_t next_sequence = 0;
-    AnswerTail tail;
-  };
-
   // The members below expect m_lock to be held.
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
   void HandleStatusQuery(const ReplyRoute& route, const wire::StatusQuery& query);
   void HandleCredit(const ReplyRoute& route, const wire::Credit& credit);
-  Reason CheckRequest(const CallKey& key, const wire::CallRequest& request, TimePoint now) const;
+  SendDecision CheckRequest(const CallKey& key, const wire::CallRequest& request,
+                            TimePoint now) const;
+  void Claim(OwnedCallId id, OwnedCall& call, TimePoint now);
+  void Continue(std::span<const SettledClaim> claims);
+  void Admit(OwnedCallId id, TimePoint now);
+  // Whether the call is refused or held back because it may crash the backend server.
+  bool IsKeptBack(OwnedCallId id, OwnedCall& call);
+  // Admits held suspects that may run now.
+  void ReleaseSuspects(TimePoint now);
+  void Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer);
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
   void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason);
-  // Refuses a call that admission has taken out of its queue.
-  void RefuseQueued(OwnedCallId id, Reason reason);
-  void SendPart(OwnedCall& call, AnswerPart part);
+  // Refuses a call that is not running, and forgets it.
+  void RefuseUnrun(OwnedCallId id, Reason reason);
+  // `replayed_head` stands for the part's own head if it is not null.
+  void SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
+                const wire::ResponseHead* replayed_head);
   void FinishAnswered(OwnedCallId id, OwnedCall& call);
   void Finish(OwnedCallId id, SlotResult result);
-  void AddTombstone(const CallKey& key, std::uint64_t expires_at_us, wire::CallState state);
-  wire::CallState StateOfUnknownCall(const CallKey& key) const;
   wire::OwnerState LockedState() const;
   CallKey KeyOf(const ReplyRoute& route, std::uint64_t incarnation, std::uint64_t call_id) const;
-  OwnedCall* FindCall(OwnedCallId id);
-
-  struct Tombstone {
-    std::uint64_t expires_at_us = 0;
-    wire::CallState state = wire::CALL_STATE_DONE;
-  };
 
   const NodeIdentity m_identity;
   MetricsRegistry& m_metrics;
   Messenger& m_messenger;
+  SharedCrashGuard& m_crash_guard;
   BackendPool* m_pool = nullptr;
 
   mutable std::mutex m_lock;
@@ -99,12 +109,12 @@
   std::uint64_t m_version = 0;
   const Service* m_service = nullptr;  // In m_declaration.
   AdmissionQueue m_admission;
-  std::map<OwnedCallId, OwnedCall> m_calls;
-  std::map<CallKey, OwnedCallId> m_call_ids;
-  std::map<CallKey, Tombstone> m_tombstones;
-  std::uint64_t m_next_tombstone_sweep_us = 0;
+  OwnedCalls m_calls;
+  SuspectGate m_suspects;
+  ClaimService m_claims;
+  PauseDetector m_pause;
+  TimePoint m_next_sweep{};
   KeptAnswers m_kept;
-  std::uint64_t m_next_call = 1;
   bool m_draining = false;
 };
 
