--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -15,6 +16,7 @@
 #include "node/messenger.h"
 #include "node/ownedcalls.h"
 #include "node/sharedcrashguard.h"
+#include "node/viewgate.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
 #include "policy/suspectgate.h"
@@ -56,6 +58,18 @@
   // Refuses new calls from now on; those queued and in flight are finished.
   void StartDrain();
 
+  // Sets whether the backend server itself is leaving; it takes new calls again when it no longer
+  // is, unless StartDrain was called.
+  void SetBackendLeaving(bool leaving);
+
+  // What the backend server's answers said in Damaskhollow-Drain since the last call of this: true
+  // if any said that it leaves, false if they said that it does not, empty if none said anything.
+  std::optional<bool> TakeDrainHeader();
+
+  // New calls are refused and queued ones wait while the gate is closed. Must be called before the
+  // first message.
+  void SetViewGate(const ViewGate* gate) { m_gate = gate; }
+
   // Expires queued calls and forgets what is no longer needed. To be called every few milliseconds.
   void Tick(TimePoint now);
 
@@ -71,6 +85,8 @@
 
  private:
   // The members below expect m_lock to be held.
+  void NoteDrainHeader(const HttpResponseHead& head);
+  bool IsViewFresh(TimePoint now) const { return m_gate == nullptr || m_gate->IsOpen(now); }
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
   void HandleStatusQuery(const ReplyRoute& route, const wire::StatusQuery& query);
@@ -103,6 +119,7 @@
   Messenger& m_messenger;
   SharedCrashGuard& m_crash_guard;
   BackendPool* m_pool = nullptr;
+  const ViewGate* m_gate = nullptr;
 
   mutable std::mutex m_lock;
   std::shared_ptr<const Declaration> m_declaration;
@@ -115,7 +132,9 @@
   PauseDetector m_pause;
   TimePoint m_next_sweep{};
   KeptAnswers m_kept;
-  bool m_draining = false;
+  bool m_draining = false;  // By StartDrain.
+  bool m_backend_leaving = false;
+  std::optional<bool> m_drain_header;
 };
 
 }  // namespace damaskhollow
