--- a/src/libs/node/attemptmessages.h
+++ b/src/libs/node/attemptmessages.h
@@ -35,7 +35,7 @@
   kNotRun,  // It has not run and will not run.
   kPending,
   kDone,
-  kNone,  // The owner is another process, or may have forgotten the call.
+  kNone,  // The owner is another process.
 };
 
 Proof ProofOf(wire::CallState call_state, const wire::OwnerState& owner, const ExpiryStamp& expiry);
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -67,6 +67,9 @@
   call.call_class = std::move(classification.call_class);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
+  if (const Reason reason = m_context.crash_guard.Check(call.digest); reason != Reason::kNone) {
+    return AnswerReason(connection, reason);
+  }
   m_budgets = declaration->budgets;
   m_retries.NoteFirstAttempt(call.call_class.service, m_budgets, call.started);
   if (!m_timer.isActive()) m_timer.start(kTick);
@@ -191,6 +194,7 @@
   if (!chunk.last()) return;
   PendingCall& call = m_calls.at(connection);
   m_context.metrics.Add(Metric::kCallsAnswered);
+  m_context.crash_guard.NoteAnswered(call.digest);
   m_context.metrics.RecordLatency(call.call_class.priority, MonotonicNow() - call.started);
   EndAttempt(id, result);
   CancelAttempts(call);
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -17,6 +17,7 @@
 #include "node/attemptmessages.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
+#include "node/sharedcrashguard.h"
 #include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
 #include "policy/requesthome.h"
@@ -30,6 +31,7 @@
   MetricsRegistry& metrics;
   Messenger& messenger;
   SharedRouter& router;
+  SharedCrashGuard& crash_guard;
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
@@ -127,6 +129,7 @@
   void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
                      bool proved_not_run);
   void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
+
   // A request with an id goes to its home, any other to where the router sends it.
   RoutingChoice Choose(const PendingCall& call, bool may_cross_regions);
   AttemptName NameOf(CallId id, const Attempt& attempt) const;
--- /dev/null
+++ b/src/libs/node/sharedcrashguard.cpp
@@ -0,0 +1,110 @@
+#include "node/sharedcrashguard.h"
+
+#include <QByteArray>
+#include <algorithm>
+
+#include "logging/logger.h"
+
+namespace damaskhollow {
+
+namespace {
+
+// Above the connections of any backend server; keeps the memory bounded when one closes all the
+// time.
+constexpr std::size_t kMaxAborted = 1024;
+constexpr std::size_t kMaxCleared = 1024;
+constexpr std::size_t kMaxDigestBytes = 32;
+
+}  // namespace
+
+Reason SharedCrashGuard::Check(const std::string& digest) const {
+  if (!m_is_on) return Reason::kNone;
+  const std::lock_guard lock(m_lock);
+  return m_guard.IsBanned(digest, MonotonicNow()) ? Reason::kCrashingRequest : Reason::kNone;
+}
+
+bool SharedCrashGuard::IsSuspect(const std::string& digest) const {
+  if (!m_is_on) return false;
+  const std::lock_guard lock(m_lock);
+  return m_guard.IsSuspect(digest, MonotonicNow());
+}
+
+void SharedCrashGuard::NoteAnswered(const std::string& digest) {
+  if (!m_is_on) return;
+  const std::lock_guard lock(m_lock);
+  m_guard.NoteCompleted(digest, MonotonicNow());
+}
+
+void SharedCrashGuard::NoteCompletedHere(const std::string& digest) {
+  if (!m_is_on) return;
+  const std::lock_guard lock(m_lock);
+  const bool was_suspect = m_guard.NoteCompleted(digest, MonotonicNow());
+  if (was_suspect && m_cleared.size() < kMaxCleared) m_cleared.push_back(digest);
+}
+
+void SharedCrashGuard::NoteAborted(const std::string& digest) {
+  if (!m_is_on) return;
+  const std::lock_guard lock(m_lock);
+  if (m_aborted.digests.size() >= kMaxAborted) return;
+  if (m_aborted.digests.empty()) m_aborted.first = MonotonicNow();
+  // A digest that was in flight twice is blamed once.
+  const auto begin = m_aborted.digests.begin();
+  if (std::find(begin, m_aborted.digests.end(), digest) == m_aborted.digests.end()) {
+    m_aborted.digests.push_back(digest);
+  }
+}
+
+std::optional<AbortedCalls> SharedCrashGuard::Aborted() const {
+  const std::lock_guard lock(m_lock);
+  if (m_aborted.digests.empty()) return std::nullopt;
+  return m_aborted;
+}
+
+std::vector<std::string> SharedCrashGuard::ConfirmCrash() {
+  const std::lock_guard lock(m_lock);
+  std::vector<std::string> digests = std::exchange(m_aborted, {}).digests;
+  LogBanned(m_guard.NoteCrash(digests, MonotonicNow()));
+  return digests;
+}
+
+void SharedCrashGuard::DismissAborted() {
+  const std::lock_guard lock(m_lock);
+  m_aborted = AbortedCalls{};
+}
+
+std::vector<std::string> SharedCrashGuard::TakeCleared() {
+  const std::lock_guard lock(m_lock);
+  return std::exchange(m_cleared, {});
+}
+
+void SharedCrashGuard::NoteReport(const BackendServerId& peer, const wire::CrashReport& report) {
+  if (!m_is_on || report.owner_id() != peer.Value()) return;
+  std::vector<std::string> digests;
+  for (const std::string& digest : report.digests()) {
+    if (digest.empty() || digest.size() > kMaxDigestBytes) return;
+    digests.push_back(digest);
+  }
+  const std::lock_guard lock(m_lock);
+  if (!IsNew(peer, report)) return;
+  const TimePoint now = MonotonicNow();
+  if (report.completed()) return m_guard.NoteReportedCompletion(peer, digests, now);
+  LogBanned(m_guard.NoteReportedCrash(peer, digests, now));
+}
+
+bool SharedCrashGuard::IsNew(const BackendServerId& peer, const wire::CrashReport& report) {
+  auto& [incarnation, sequence] = m_last_reports[peer];
+  if (incarnation == report.owner_incarnation() && report.sequence() <= sequence) return false;
+  incarnation = report.owner_incarnation();
+  sequence = report.sequence();
+  return true;
+}
+
+void SharedCrashGuard::LogBanned(std::span<const std::string> digests) {
+  for (const std::string& digest : digests) {
+    DAMASKHOLLOW_LOG(kOwner, kWarning)
+        << "request " << QByteArray::fromStdString(digest).toHex().toStdString()
+        << " is refused for 5 min; backend servers crashed while they ran it";
+  }
+}
+
+}  // namespace damaskhollow
