Add the measurement program

Change: tests/benchmarks (program measure) and scripts/measure.sh measure latency through two nodes, tail latency with a slow, cold or failing server, floods, control cost and slopes; tables, CSV and SVG files, printed seed.

--- /dev/null
+++ b/tests/benchmarks/controlmeasurement.h
@@ -0,0 +1,14 @@
+#ifndef DAMASKHOLLOW_TESTS_BENCHMARKS_CONTROLMEASUREMENT_H_
+#define DAMASKHOLLOW_TESTS_BENCHMARKS_CONTROLMEASUREMENT_H_
+
+#include "benchmarks/scenario.h"
+
+namespace damaskhollow::test {
+
+// Control traffic, processor time and memory of a node, idle and under load. False if a fleet did
+// not start.
+bool MeasureControl(const MeasurementContext& context);
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_BENCHMARKS_CONTROLMEASUREMENT_H_
--- /dev/null
+++ b/tests/benchmarks/floodmeasurement.cpp
@@ -0,0 +1,191 @@
+#include "benchmarks/floodmeasurement.h"
+
+#include <array>
+#include <iostream>
+
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr double kServiceSeconds = 0.3;
+constexpr std::string_view kPriorities = R"([
+  {"id": "urgent", "rank": 0, "target_ms": 1000, "guaranteed_share": 0.4, "may_cross_regions": true},
+  {"id": "normal", "rank": 1, "target_ms": 2000, "guaranteed_share": 0.35, "may_cross_regions": true},
+  {"id": "bulk", "rank": 2, "target_ms": 2000, "guaranteed_share": 0.1, "may_cross_regions": false}])";
+constexpr double kFloodFactor = 10.0;
+constexpr std::chrono::milliseconds kSample{500};
+
+// Calls of one priority; the load is a part of the fleet's capacity.
+struct FloodClass {
+  std::string_view name;
+  std::string_view target;
+  double guaranteed_share;
+  double usual_load;
+};
+
+// Those that do not flood offer more than their guarantee, or there would be nothing to keep.
+constexpr std::array kClasses{
+    FloodClass{"urgent", "/read", 0.40, 0.15},
+    FloodClass{"normal", "/page", 0.35, 0.40},
+    FloodClass{"bulk", "/bulk", 0.10, 0.15},
+};
+constexpr std::size_t kUrgent = 0;
+constexpr std::size_t kBulk = 2;
+
+// One flood of one deployment by one subject.
+struct Flood {
+  Deployment deployment;
+  Subject subject;
+  std::size_t flooding;  // Index into kClasses.
+
+  double Capacity() const {
+    return static_cast<double>(deployment.servers) * kStandardSlots / kServiceSeconds;
+  }
+  std::string Name() const {
+    return deployment.name + ", " + std::string(kClasses[flooding].name) + " flood, " +
+           subject.name;
+  }
+};
+
+std::vector<LoadStream> Streams(const Flood& flood, const Fleet& fleet, double urgent_only) {
+  const std::vector<Endpoint> targets =
+      flood.subject.IsDirect() ? BackendsOf(fleet) : CallersOf(fleet);
+  std::vector<LoadStream> streams;
+  streams.reserve(kClasses.size());
+  for (std::size_t index = 0; index < kClasses.size(); ++index) {
+    double part = index == flood.flooding ? kFloodFactor : kClasses[index].usual_load;
+    if (urgent_only > 0.0) part = index == kUrgent ? urgent_only : 0.0;
+    streams.push_back(MakeStream(kClasses[index].name, "GET", kClasses[index].target,
+                                 part * flood.Capacity(), targets));
+    streams.back().is_direct = flood.subject.IsDirect();
+  }
+  return streams;
+}
+
+// What a flood did, per class.
+struct FloodResult {
+  std::vector<LoadCounts> counts;
+  std::vector<double> kept_share;  // Completed slot time as part of capacity.
+  std::vector<PlotSeries> over_time;
+  double goodput = 0.0;  // All completed slot time as part of capacity.
+};
+
+std::vector<double> BusyByIndex(Fleet& fleet) {
+  const std::map<std::string, double> busy_ms = BusyByClass(fleet);
+  std::vector<double> busy(kClasses.size());
+  for (std::size_t index = 0; index < kClasses.size(); ++index) {
+    const auto found = busy_ms.find(std::string(kClasses[index].name));
+    busy[index] = found == busy_ms.end() ? 0.0 : found->second;
+  }
+  return busy;
+}
+
+double ElapsedMs(std::chrono::steady_clock::time_point since) {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - since)
+      .count();
+}
+
+FloodResult RunFlood(const MeasurementContext& context, const Flood& flood, Fleet& fleet) {
+  FloodResult result;
+  for (const FloodClass& row : kClasses) result.over_time.push_back({std::string(row.name), {}});
+  const double slots = static_cast<double>(flood.deployment.servers) * kStandardSlots;
+  LoadGenerator load(Streams(flood, fleet, 0.0), context.seed, 8000);
+  load.Start(context.Phase() * 2);
+  // The share is measured in the second half, when queues and shares have settled.
+  RunFor(context.Phase());
+  const auto start = std::chrono::steady_clock::now();
+  const std::vector<double> before = BusyByIndex(fleet);
+  std::vector<double> last = before;
+  double last_ms = 0.0;
+  while (ElapsedMs(start) < static_cast<double>(context.Phase().count())) {
+    RunFor(kSample);
+    const std::vector<double> busy = BusyByIndex(fleet);
+    const double now_ms = ElapsedMs(start);
+    for (std::size_t index = 0; index < kClasses.size(); ++index) {
+      const double share = (busy[index] - last[index]) / (slots * (now_ms - last_ms));
+      result.over_time[index].points.emplace_back(now_ms / 1000.0, 100.0 * share);
+    }
+    last = busy;
+    last_ms = now_ms;
+  }
+  for (std::size_t index = 0; index < kClasses.size(); ++index) {
+    result.kept_share.push_back((last[index] - before[index]) / (slots * last_ms));
+    result.goodput += result.kept_share.back();
+  }
+  load.Stop();
+  WaitUntil([&] { return load.IsDone(); });
+  for (std::size_t index = 0; index < kClasses.size(); ++index) {
+    result.counts.push_back(load.Counts(index));
+  }
+  return result;
+}
+
+void AddRows(const Flood& flood, const FloodResult& result, double unloaded_p99, TextTable& table) {
+  for (std::size_t index = 0; index < kClasses.size(); ++index) {
+    const LoadCounts& counts = result.counts[index];
+    const double p99 = counts.Quantile(0.99);
+    const bool is_urgent = index == kUrgent && flood.flooding != kUrgent && unloaded_p99 > 0.0;
+    const std::size_t ended =
+        counts.Count("answered") + counts.Count("not-run") + counts.Count("unknown");
+    table.AddRow({flood.Name(), std::string(kClasses[index].name), std::to_string(counts.sent),
+                  std::to_string(counts.skipped), std::to_string(counts.Count("answered")),
+                  std::to_string(counts.Count("not-run")), std::to_string(counts.Count("unknown")),
+                  std::to_string(counts.sent - ended), FormatNumber(counts.Quantile(0.5), 1),
+                  FormatNumber(p99, 1), is_urgent ? FormatNumber(p99 / unloaded_p99) : "-",
+                  FormatNumber(100.0 * kClasses[index].guaranteed_share, 0),
+                  FormatNumber(100.0 * result.kept_share[index], 1),
+                  FormatNumber(100.0 * result.goodput, 1), ReasonsText(counts)});
+  }
+}
+
+bool MeasureOne(const MeasurementContext& context, const Flood& flood, TextTable& table) {
+  FleetOptions options;
+  options.servers = DeploymentServers(
+      flood.deployment, {"--service-ms=" + FormatNumber(1000.0 * kServiceSeconds, 0)});
+  options.proxy_peers = true;
+  options.priorities = kPriorities;
+  const std::unique_ptr<Fleet> fleet =
+      StartFleet(std::move(options), flood.subject.IsDirect() ? "random" : flood.subject.strategy);
+  if (!fleet) return false;
+  const double unloaded_p99 =
+      RunLoad(Streams(flood, *fleet, kClasses[kUrgent].usual_load), context.Phase(), context.seed)
+          .front()
+          .Quantile(0.99);
+  const FloodResult result = RunFlood(context, flood, *fleet);
+  AddRows(flood, result, unloaded_p99, table);
+  context.report.Add("flood-" + flood.deployment.name + "-" +
+                         std::string(kClasses[flood.flooding].name) + "-" +
+                         (flood.subject.IsDirect() ? "direct" : flood.subject.strategy),
+                     Plot{flood.Name(), "seconds", "% of capacity", result.over_time});
+  return true;
+}
+
+}  // namespace
+
+bool MeasureFlood(const MeasurementContext& context) {
+  TextTable table(
+      "floods at ten times capacity, two regions, 300 ms of service (ms, % of capacity)",
+      {"flood", "priority", "sent", "skipped", "answered", "not-run", "unknown", "lost", "p50",
+       "p99", "p99 / unloaded", "guaranteed", "kept", "goodput", "reasons"});
+  std::vector<Flood> floods;
+  for (const Deployment* deployment : {&Breizh(), &Slamkorsel()}) {
+    floods.push_back({*deployment, AllSubjects().front(), kBulk});
+    floods.push_back({*deployment, AllSubjects().front(), kUrgent});
+  }
+  // Two baselines with the flood of the least urgent work; all strategies share the owner's
+  // admission.
+  for (const Subject& subject : AllSubjects()) {
+    const bool is_compared = subject.strategy == "round_robin" || subject.IsDirect();
+    if (is_compared) floods.push_back({Breizh(), subject, kBulk});
+  }
+  if (context.is_quick) floods.erase(floods.begin() + 2, floods.end());
+  for (const Flood& flood : floods) {
+    if (!MeasureOne(context, flood, table)) return false;
+  }
+  context.report.Add("flood", table);
+  return true;
+}
+
+}  // namespace damaskhollow::test
--- /dev/null
+++ b/tests/benchmarks/main.cpp
@@ -0,0 +1,68 @@
+#include <QCommandLineParser>
+#include <QCoreApplication>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+
+#include "benchmarks/controlmeasurement.h"
+#include "benchmarks/floodmeasurement.h"
+#include "benchmarks/latencymeasurement.h"
+#include "benchmarks/report.h"
+#include "benchmarks/slopemeasurement.h"
+#include "benchmarks/tailmeasurement.h"
+
+namespace {
+
+using damaskhollow::test::MeasurementContext;
+using damaskhollow::test::Report;
+
+struct Measurement {
+  const char* name;
+  bool (*run)(const MeasurementContext&);
+};
+
+constexpr std::array kMeasurements{
+    Measurement{"latency", damaskhollow::test::MeasureLatency},
+    Measurement{"tail", damaskhollow::test::MeasureTail},
+    Measurement{"flood", damaskhollow::test::MeasureFlood},
+    Measurement{"control", damaskhollow::test::MeasureControl},
+    Measurement{"slopes", damaskhollow::test::MeasureSlope},
+};
+
+int RunAll(const QString& only, const MeasurementContext& context) {
+  std::cout << "seed " << context.seed << (context.is_quick ? ", quick" : ", complete")
+            << std::endl;
+  bool is_complete = true;
+  for (const Measurement& measurement : kMeasurements) {
+    if (!only.isEmpty() && only != measurement.name) continue;
+    const auto start = std::chrono::steady_clock::now();
+    const bool is_measured = measurement.run(context);
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+    std::cout << measurement.name << " took "
+              << damaskhollow::test::FormatNumber(elapsed.count(), 0) << " s" << std::endl;
+    if (is_measured) continue;
+    std::cerr << "measurement " << measurement.name << " is not complete\n";
+    is_complete = false;
+  }
+  return is_complete && context.report.IsComplete() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const QCoreApplication application(argc, argv);
+  QCommandLineParser parser;
+  parser.setApplicationDescription("Measures fleets of nodes with stand-in backend servers.");
+  parser.addHelpOption();
+  parser.addOptions({{"output", "Folder for CSV and SVG files.", "FOLDER", "results"},
+                     {"seed", "Seed of the loads.", "N", "1"},
+                     {"only", "latency, tail, flood, control or slopes.", "NAME"},
+                     {"quick", "Short phases; figures are rough."}});
+  parser.process(application);
+  Report report(parser.value("output").toStdString());
+  const MeasurementContext context{report, parser.isSet("quick"),
+                                   parser.value("seed").toULongLong()};
+  return RunAll(parser.value("only"), context);
+}
--- /dev/null
+++ b/tests/benchmarks/report.h
@@ -0,0 +1,47 @@
+#ifndef DAMASKHOLLOW_TESTS_BENCHMARKS_REPORT_H_
+#define DAMASKHOLLOW_TESTS_BENCHMARKS_REPORT_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "support/texttable.h"
+
+namespace damaskhollow::test {
+
+// One line of a plot.
+struct PlotSeries {
+  std::string name;
+  std::vector<std::pair<double, double>> points;
+};
+
+// A plot with numbers on both axes.
+struct Plot {
+  std::string title;
+  std::string x_label;
+  std::string y_label;
+  std::vector<PlotSeries> series;
+};
+
+// Prints results and writes them into a folder.
+class Report {
+ public:
+  explicit Report(std::string folder);
+
+  // Prints the table and writes it as NAME.csv.
+  void Add(std::string_view name, const TextTable& table);
+
+  // Writes the plot as NAME.svg.
+  void Add(std::string_view name, const Plot& plot);
+
+  // False if a file could not be written.
+  bool IsComplete() const { return m_is_complete; }
+
+ private:
+  std::string m_folder;
+  bool m_is_complete = true;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_BENCHMARKS_REPORT_H_
--- /dev/null
+++ b/tests/benchmarks/scenario.cpp
@@ -0,0 +1,176 @@
+#include "benchmarks/scenario.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <array>
+#include <iostream>
+#include <utility>
+
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFullPhase{3000};
+constexpr std::chrono::milliseconds kQuickPhase{500};
+constexpr std::chrono::milliseconds kEndLimit{60000};
+constexpr double kPaidLinkBitsPerSecond = 30e6;
+// Nodes hold 1,024 caller connections each; the generator stays below the sum of a deployment.
+constexpr std::size_t kMaxPending = 8000;
+
+}  // namespace
+
+std::chrono::milliseconds MeasurementContext::Phase() const {
+  return is_quick ? kQuickPhase : kFullPhase;
+}
+
+std::vector<Subject> AllSubjects() {
+  return {{"product (adaptive)", "adaptive"},
+          {"round_robin", "round_robin"},
+          {"random", "random"},
+          {"least_reported", "least_reported"},
+          {"direct", ""}};
+}
+
+std::vector<Subject> SubjectsOf(const MeasurementContext& context) {
+  std::vector<Subject> subjects = AllSubjects();
+  if (context.is_quick) {
+    std::erase_if(subjects, [](const Subject& subject) {
+      return subject.strategy == "random" || subject.strategy == "least_reported";
+    });
+  }
+  return subjects;
+}
+
+const Deployment& Breizh() {
+  static const Deployment deployment{"Breizh", 9, 220};
+  return deployment;
+}
+
+const Deployment& Slamkorsel() {
+  static const Deployment deployment{"Slamkorsel", 11, 260};
+  return deployment;
+}
+
+std::vector<FleetServer> DeploymentServers(const Deployment& deployment,
+                                           const std::vector<std::string>& backend_arguments) {
+  constexpr std::array kPlaces{std::pair{"west", "w1"}, std::pair{"east", "e1"},
+                               std::pair{"west", "w2"}, std::pair{"east", "e2"}};
+  std::vector<FleetServer> servers;
+  for (std::size_t index = 0; index < deployment.servers; ++index) {
+    FleetServer server;
+    server.id = "s" + std::to_string(index + 1);
+    server.region = kPlaces[index % kPlaces.size()].first;
+    server.data_centre = kPlaces[index % kPlaces.size()].second;
+    server.slots = kStandardSlots;
+    server.connections = deployment.connections;
+    server.backend_arguments = backend_arguments;
+    servers.push_back(std::move(server));
+  }
+  return servers;
+}
+
+std::unique_ptr<Fleet> StartFleet(FleetOptions options, std::string_view strategy) {
+  const bool has_proxy = options.proxy_peers;
+  options.node_arguments.push_back("--routing-strategy=" + std::string(strategy));
+  options.node_arguments.emplace_back("--log-level=error");
+  auto fleet = std::make_unique<Fleet>(std::move(options));
+  if (!fleet->Start()) {
+    std::cerr << "the fleet did not start:\n" << fleet->NodeOutput() << '\n';
+    return nullptr;
+  }
+  if (has_proxy) {
+    fleet->SetRegionLinks("delay_ms=30");
+    fleet->LimitRegionLinks(kPaidLinkBitsPerSecond);
+  }
+  return fleet;
+}
+
+std::vector<Endpoint> CallersOf(const Fleet& fleet) {
+  std::vector<Endpoint> callers;
+  callers.reserve(fleet.Size());
+  for (std::size_t index = 0; index < fleet.Size(); ++index) callers.push_back(fleet.Caller(index));
+  return callers;
+}
+
+std::vector<Endpoint> BackendsOf(const Fleet& fleet) {
+  std::vector<Endpoint> backends;
+  const QJsonDocument declaration =
+      QJsonDocument::fromJson(QByteArray::fromStdString(fleet.Declaration()));
+  const QJsonArray servers = declaration["backend_servers"].toArray();
+  for (const QJsonValue server : servers) {
+    if (server["service"] != "shop") continue;
+    const auto endpoint = ParseEndpoint(server["address"].toString().toStdString());
+    if (endpoint) backends.push_back(endpoint.value());
+  }
+  return backends;
+}
+
+LoadStream MakeStream(std::string_view name, std::string_view method, std::string_view target,
+                      double calls_per_second, std::vector<Endpoint> targets) {
+  LoadStream stream;
+  stream.name = name;
+  stream.request = MakeRequest(method, target, {{"Host", "shop.test"}});
+  stream.rate_per_second = calls_per_second;
+  stream.targets = std::move(targets);
+  return stream;
+}
+
+std::vector<LoadCounts> RunLoad(std::vector<LoadStream> streams, std::chrono::milliseconds duration,
+                                std::uint64_t seed) {
+  const std::size_t count = streams.size();
+  LoadGenerator load(std::move(streams), seed, kMaxPending);
+  load.Start(duration);
+  WaitUntil([&] { return load.IsDone(); }, duration + kEndLimit);
+  std::vector<LoadCounts> counts;
+  counts.reserve(count);
+  for (std::size_t stream = 0; stream < count; ++stream) counts.push_back(load.Counts(stream));
+  return counts;
+}
+
+std::string ReasonsText(const LoadCounts& counts) {
+  std::string text;
+  for (const auto& [reason, count] : counts.by_reason) {
+    if (reason == "none") continue;
+    text += (text.empty() ? "" : ", ") + reason + " " + std::to_string(count);
+  }
+  return text.empty() ? "-" : text;
+}
+
+double MetricSum(Fleet& fleet, std::string_view name) {
+  double sum = 0.0;
+  for (std::size_t index = 0; index < fleet.Size(); ++index) sum += fleet.Metric(index, name);
+  return sum;
+}
+
+std::map<std::string, double> BusyByClass(Fleet& fleet) {
+  std::map<std::string, double> busy_ms;
+  for (std::size_t index = 0; index < fleet.Size(); ++index) {
+    const QJsonObject classes = fleet.Runs(index)["classes"].toObject();
+    for (const QString& name : classes.keys()) {
+      busy_ms[name.toStdString()] += classes[name].toObject()["busy_ms"].toDouble();
+    }
+  }
+  return busy_ms;
+}
+
+Line FitLine(const std::vector<std::pair<double, double>>& points) {
+  double sum_x = 0.0;
+  double sum_y = 0.0;
+  double sum_xx = 0.0;
+  double sum_xy = 0.0;
+  for (const auto& [x, y] : points) {
+    sum_x += x;
+    sum_y += y;
+    sum_xx += x * x;
+    sum_xy += x * y;
+  }
+  const auto count = static_cast<double>(points.size());
+  const double spread = count * sum_xx - sum_x * sum_x;
+  if (spread == 0.0) return {};
+  const double slope = (count * sum_xy - sum_x * sum_y) / spread;
+  return Line{slope, (sum_y - slope * sum_x) / count};
+}
+
+}  // namespace damaskhollow::test
