--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -14,11 +14,14 @@
 #include "http/bodybudget.h"
 #include "http/callerconnection.h"
 #include "metrics/metricsregistry.h"
+#include "node/attemptmessages.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
+#include "node/sharedcrashguard.h"
 #include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
 #include "policy/requesthome.h"
+#include "policy/retrypolicy.h"
 
 namespace damaskhollow {
 
@@ -28,6 +31,7 @@
   MetricsRegistry& metrics;
   Messenger& messenger;
   SharedRouter& router;
+  SharedCrashGuard& crash_guard;
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
@@ -78,10 +82,13 @@
     TimePoint started{};
     TimePoint deadline{};
     std::vector<BackendServerId> tried;
+    std::size_t sends = 0;         // Attempts so far.
     std::vector<CallId> attempts;  // Those that still run.
     CallId relayed;                // The attempt whose answer goes to the caller; 0 for none.
     bool waiting = false;          // For a server that can take it.
     TimePoint waiting_until{};
+    bool hedged = false;
+    bool asked_at_deadline = false;  // Whether its owners were sent a Cancel at the deadline.
     Reason last_reason = Reason::kNone;
     Reason doubt = Reason::kNone;  // Why an ended attempt may have run.
   };
@@ -91,6 +98,7 @@
     ConnectionId connection;
     BackendServerId server;
     ExpiryStamp expiry;
+    TimePoint sent{};
     std::uint32_t next_sequence = 0;
     bool in_doubt = false;  // Its link went silent.
     bool crosses_regions = false;
@@ -100,8 +108,6 @@
   // Whether the call is refused because its node holds too many caller connections.
   bool IsCrowdedOut(const CallClass& call_class) const;
 
-  // A request with an id goes to its home, any other to where the router sends it.
-  RoutingChoice ChooseServer(const PendingCall& call);
   void Route(ConnectionId connection, PendingCall& call);
 
   // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
@@ -116,14 +122,30 @@
   void HandleNotRun(CallId attempt, Reason reason);
   void HandleUnknown(CallId attempt, Reason reason);
   void HandleStatus(const wire::StatusResult& status);
-  void HandleCallState(CallId attempt, wire::CallState state, bool answer_follows);
-  bool MayRetry(const PendingCall& call, Reason reason) const;
+  void HandleCancelResult(const wire::CancelResult& cancelled);
+
+  // kNone if the call may be sent again, which uses up budget; otherwise the reason to answer with.
+  Reason DecideRetry(const PendingCall& call, Reason reason, bool proved_not_run);
+  void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
+                     bool proved_not_run);
+  void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
+
+  // A request with an id goes to its home, any other to where the router sends it.
+  RoutingChoice Choose(const PendingCall& call, bool may_cross_regions);
+  AttemptName NameOf(CallId id, const Attempt& attempt) const;
   void EndAttempt(CallId attempt, AttemptResult result);
   void CancelAttempts(PendingCall& call);
+  void CancelOthers(PendingCall& call, CallId kept);
+
+  // The reason that may be given to the caller: one that says not-run only if that is proved for
+  // all attempts.
+  static Reason ProvedReason(const PendingCall& call, Reason reason);
   void AnswerReason(ConnectionId connection, Reason reason);
   void EndCall(ConnectionId connection);
   void Tick();
+  void CheckHedges(TimePoint now);
   void CheckDeadlines(TimePoint now);
+  void CheckDeadline(ConnectionId connection, PendingCall& call, TimePoint now);
   PendingCall* FindCall(ConnectionId connection);
   Attempt* FindAttempt(CallId attempt);
 
@@ -135,6 +157,8 @@
   std::unordered_map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
   std::map<ConnectionId, PendingCall> m_calls;
   std::unordered_map<CallId, Attempt> m_attempts;
+  RetryPolicy m_retries;  // Its budgets are those of this shard's part of the calls.
+  Budgets m_budgets;      // Of the declaration that the last call came under.
   QTimer m_timer;
 };
 
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -60,6 +60,11 @@
   return found == m_outstanding.end() ? 0 : found->second;
 }
 
+std::vector<BackendServerId> SharedRouter::SubsetOf(const ServiceId& service) const {
+  const std::lock_guard lock(m_lock);
+  return m_router.SubsetOf(service);
+}
+
 std::set<ServiceId> SharedRouter::TakeUsedServices() {
   const std::lock_guard lock(m_lock);
   return std::exchange(m_used, {});
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "declaration/declaration.h"
 #include "node/viewgate.h"
@@ -35,14 +36,18 @@
   // Attempts sent to the server that have not ended.
   std::size_t Outstanding(const BackendServerId& server) const;
 
-  // Notes bytes of an answer from another region.
-  void NotePaidLinkBytes(std::size_t bytes);
   // No server is chosen while the gate is closed. Must be called before the first choice.
   void SetViewGate(const ViewGate* gate) { m_gate = gate; }
 
+  // The servers of a service that this node uses, nearest tier first.
+  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
+
   // The services for which a server was asked since the last call of this.
   std::set<ServiceId> TakeUsedServices();
 
+  // Notes bytes of an answer from another region.
+  void NotePaidLinkBytes(std::size_t bytes);
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
