--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -31,6 +31,8 @@
   BodyBudget& body_budget;
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
+  std::size_t max_caller_connections =
+      0;  // Beyond it, only calls of the most urgent priority are taken.
   AbsentSince absent_since = {};
 };
 
@@ -56,6 +58,9 @@
   // Closes idle connections, and the others after their present answer.
   void CloseConnections();
 
+  // Closes the connections that carry no call.
+  void CloseIdleConnections();
+
   std::size_t BodyLimit(const HttpRequest& head) const override;
   void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
   void OnBadRequest(ConnectionId connection, Reason reason) override;
@@ -78,6 +83,7 @@
     bool waiting = false;          // For a server that can take it.
     TimePoint waiting_until{};
     Reason last_reason = Reason::kNone;
+    Reason doubt = Reason::kNone;  // Why an ended attempt may have run.
   };
 
   // One sending of a call to an owner.
@@ -87,14 +93,25 @@
     ExpiryStamp expiry;
     std::uint32_t next_sequence = 0;
     bool in_doubt = false;  // Its link went silent.
+    bool crosses_regions = false;
+    bool is_error = false;  // The answer has a status of 500 or above.
   };
 
+  // Whether the call is refused because its node holds too many caller connections.
+  bool IsCrowdedOut(const CallClass& call_class) const;
+
   // A request with an id goes to its home, any other to where the router sends it.
   RoutingChoice ChooseServer(const PendingCall& call);
   void Route(ConnectionId connection, PendingCall& call);
-  void SendAttempt(ConnectionId connection, PendingCall& call, const BackendServerId& server,
+
+  // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
+  // wait for the new link. The first answer counts.
+  void RouteBeside(ConnectionId connection);
+
+  void SendAttempt(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
                    const ExpiryStamp& expiry);
   bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
+  void NotePaidLinkBytes(std::size_t bytes);
   void HandleChunk(const wire::ResponseChunk& chunk);
   void HandleNotRun(CallId attempt, Reason reason);
   void HandleUnknown(CallId attempt, Reason reason);
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -49,6 +49,11 @@
   m_router.NoteEnded(server, attempt, result, MonotonicNow());
 }
 
+void SharedRouter::NotePaidLinkBytes(std::size_t bytes) {
+  const std::lock_guard lock(m_lock);
+  m_router.NotePaidLinkBytes(bytes, MonotonicNow());
+}
+
 std::size_t SharedRouter::Outstanding(const BackendServerId& server) const {
   const std::lock_guard lock(m_lock);
   const auto found = m_outstanding.find(server);
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -33,6 +33,9 @@
   // Attempts sent to the server that have not ended.
   std::size_t Outstanding(const BackendServerId& server) const;
 
+  // Notes bytes of an answer from another region.
+  void NotePaidLinkBytes(std::size_t bytes);
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
