Count answer heads in the kept answers and send none with a gap

Cause: only body bytes counted against the 1 MB of kept answers, so answers with large heads and no body were kept without limit for 3 s. An answer whose first missing chunk had been dropped was sent with a hole. Change: the whole chunk counts; after a gap nothing is sent again.

--- a/src/libs/node/keptanswers.cpp
+++ b/src/libs/node/keptanswers.cpp
@@ -4,8 +4,15 @@
 
 namespace damaskhollow {
 
+namespace {
+
+// The memory of a chunk counts with its head, which may be much larger than its data.
+std::size_t SizeOf(const wire::ResponseChunk& chunk) { return chunk.ByteSizeLong(); }
+
+}  // namespace
+
 void AnswerTail::Add(const wire::ResponseChunk& chunk) {
-  bytes += chunk.data().size();
+  bytes += SizeOf(chunk);
   chunks.push_back(chunk);
 }
 
@@ -15,7 +22,7 @@
   while (m_credited > 0 && !chunks.empty() && !chunks.front().last() &&
          m_credited >= chunks.front().data().size()) {
     m_credited -= chunks.front().data().size();
-    bytes -= chunks.front().data().size();
+    bytes -= SizeOf(chunks.front());
     chunks.pop_front();
   }
 }
@@ -23,9 +30,10 @@
 std::vector<wire::Envelope> AnswerTail::Missing(std::uint32_t next_sequence) const {
   std::vector<wire::Envelope> messages;
   for (const wire::ResponseChunk& chunk : chunks) {
-    if (chunk.sequence() >= next_sequence) {
-      *messages.emplace_back().mutable_response_chunk() = chunk;
-    }
+    if (chunk.sequence() < next_sequence) continue;
+    // With a gap the answer cannot be completed.
+    if (messages.empty() && chunk.sequence() != next_sequence) break;
+    *messages.emplace_back().mutable_response_chunk() = chunk;
   }
   return messages;
 }
--- a/src/libs/node/keptanswers.h
+++ b/src/libs/node/keptanswers.h
@@ -18,14 +18,14 @@
 // credit for.
 struct AnswerTail {
   std::deque<wire::ResponseChunk> chunks;
-  std::size_t bytes = 0;
+  std::size_t bytes = 0;  // Of all chunks with their heads.
 
   void Add(const wire::ResponseChunk& chunk);
 
   // Drops chunks from the front whose bytes the ingress has passed on.
   void NoteCredit(std::size_t credited);
 
-  // The messages that an ingress lacks.
+  // The messages that an ingress lacks; empty if it has all, or if some have been dropped.
   std::vector<wire::Envelope> Missing(std::uint32_t next_sequence) const;
 
  private:
