--- a/src/libs/policy/sendguard.cpp
+++ b/src/libs/policy/sendguard.cpp
@@ -16,14 +16,14 @@
 SendDecision SendGuard::Arrive(const CallKey& key, Incarnation owner, std::uint64_t expires_at_us,
                                std::uint64_t now_us) const {
   if (owner != m_self) return {Reason::kWrongIncarnation, false};
-  if (expires_at_us <= now_us) return {Reason::kExpired, false};
-  if (expires_at_us > now_us + kLongestTombstoneUs) return {Reason::kDeadlineInvalid, false};
   const auto ended = m_ended.find(key);
   // An answer to a second delivery could overtake the first one's and contradict it.
   if (ended != m_ended.end() && ended->second.state == EndedCall::kMayHaveRun) {
     return {Reason::kNone, true};
   }
   if (ended != m_ended.end() || m_refused.contains(key)) return {Reason::kCancelled, false};
+  if (expires_at_us <= now_us) return {Reason::kExpired, false};
+  if (expires_at_us > now_us + kLongestTombstoneUs) return {Reason::kDeadlineInvalid, false};
   return {};
 }
 
