--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -59,9 +59,13 @@
                        keys.value(),
                        LinkTimings{.replace_silent_links = m_settings.silent_link_detection}},
       *this);
+  const AbsentSince absent_since = [this](const BackendServerId& server) {
+    return m_control->Members().AbsentSince(server);
+  };
+  m_owner.SetAbsentSince(absent_since);
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_body_budget, m_declaration,
-                     m_caller_connections, m_settings.caller_connections},
+                     m_caller_connections, m_settings.caller_connections, absent_since},
       m_workers);
   m_control =
       std::make_unique<ControlService>(ControlContext{m_settings, m_identity, m_metrics, *this,
@@ -154,6 +158,7 @@
 
 void Node::OnLinkUp(const BackendServerId& peer, const wire::OwnerState& state) {
   m_router.NoteState(peer, state);
+  m_owner.NotePeerState(peer, state);
   m_router.SetReachable(peer, true);
   {
     const std::lock_guard lock(m_peers_lock);
@@ -182,10 +187,13 @@
     case wire::Envelope::kCancel:
     case wire::Envelope::kStatusQuery:
     case wire::Envelope::kCredit:
+    case wire::Envelope::kClaimRelease:
+    case wire::Envelope::kClaimReleased:
       m_owner.HandleMessage(route, std::move(message));
       return;
     case wire::Envelope::kPong:
       m_router.NoteState(route.peer, message.pong().state());
+      m_owner.NotePeerState(route.peer, message.pong().state());
       m_control->NoteState(route.peer, message.pong().state());
       return;
     case wire::Envelope::kGossip:
@@ -203,6 +211,7 @@
   const bool is_control =
       message.has_gossip() || message.has_configuration_query() || message.has_configuration_part();
   if (is_control) return m_control->NoteSendFailed(peer, std::move(message));
+  m_owner.HandleSendFailed(message);
   m_ingress->HandleSendFailed(message);
 }
 
--- /dev/null
+++ b/tests/integration/tst_configuration.cpp
@@ -0,0 +1,167 @@
+#include <cppunit/TestAssert.h>
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "support/fleet.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+struct ConfigurationCase {
+  std::string_view name;
+  void (*run)(Fleet& fleet);
+};
+
+std::vector<FleetServer> TwoRegions() {
+  return {{.id = "s1"},
+          {.id = "s2"},
+          {.id = "s3", .region = "east", .data_centre = "e1"},
+          {.id = "s4", .region = "east", .data_centre = "e1"},
+          {.id = "s5", .region = "east", .data_centre = "e1"}};
+}
+
+bool WaitForVersion(Fleet& fleet, std::size_t node, int version) {
+  return WaitUntil([&] { return fleet.Status(node)["configuration_version"].toInt() == version; });
+}
+
+bool WaitForVersionOnAll(Fleet& fleet, int version) {
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    if (!WaitForVersion(fleet, node, version)) return false;
+  }
+  return true;
+}
+
+int VersionInForce(Fleet& fleet) { return fleet.Status(0)["configuration_version"].toInt(); }
+
+QString StateOf(Fleet& fleet, std::size_t node, const QString& server) {
+  for (const QJsonValue value : fleet.Status(node)["peers"].toArray()) {
+    const QJsonObject peer = value.toObject();
+    if (peer["server"].toString() == server) return peer["state"].toString();
+  }
+  return {};
+}
+
+// Guards against nodes that do not learn of a change, in particular those that are no readers.
+void ChangeReachesAll(Fleet& fleet) {
+  const int version = VersionInForce(fleet);
+  CPPUNIT_ASSERT(fleet.PutConfiguration(fleet.Declaration(), version + 1));
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitForVersionOnAll(fleet, version + 1));
+}
+
+// Guards against an invalid declaration that comes into force or stops later ones.
+void InvalidChangeIsRefused(Fleet& fleet) {
+  const int version = VersionInForce(fleet);
+  CPPUNIT_ASSERT(fleet.PutConfiguration(R"({"format": 1})", version + 1));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const QJsonObject configuration = fleet.Status(0)["configuration"].toObject();
+    return !configuration["refused"].toArray().isEmpty();
+  }));
+  const QJsonObject refused =
+      fleet.Status(0)["configuration"].toObject()["refused"].toArray().first().toObject();
+  CPPUNIT_ASSERT_EQUAL(version + 1, refused["version"].toInt());
+  CPPUNIT_ASSERT(!refused["reasons"].toArray().isEmpty());
+  CPPUNIT_ASSERT_EQUAL(version, VersionInForce(fleet));
+  CPPUNIT_ASSERT(fleet.Metric(0, "damaskhollow_configuration_refused_total") >= 1.0);
+  CPPUNIT_ASSERT(fleet.PutConfiguration(fleet.Declaration(), version + 2));
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitForVersionOnAll(fleet, version + 2));
+}
+
+// Guards against a restarted node that goes back to the older version of a stale service.
+void RestartBesideStaleService(Fleet& fleet) {
+  const int version = VersionInForce(fleet);
+  CPPUNIT_ASSERT(fleet.PutConfiguration(fleet.Declaration(), version + 5));
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitForVersionOnAll(fleet, version + 5));
+  // The service goes back to what it had before, as a stale replica would.
+  CPPUNIT_ASSERT(fleet.PutConfiguration(fleet.Declaration(), version));
+  fleet.Node(2).Kill();
+  fleet.RestartNode(2);
+  CPPUNIT_ASSERT(fleet.WaitUntilReady(2));
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.NodeOutput(), version + 5,
+                               fleet.Status(2)["configuration_version"].toInt());
+}
+
+// Guards against a fleet that depends on the configuration service while it is down.
+void RestartWhileServiceIsDown(Fleet& fleet) {
+  const int version = VersionInForce(fleet);
+  CPPUNIT_ASSERT(fleet.ControlPlatform("POST", "/control/down?on=1"));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const QJsonObject configuration = fleet.Status(0)["configuration"].toObject();
+    return !configuration["service_failure"].toString().isEmpty();
+  }));
+  CPPUNIT_ASSERT(fleet.Call(0, "GET", "/read").Outcome() == "answered");
+  fleet.Node(2).Kill();
+  fleet.RestartNode(2);
+  // The restarted node cannot read the service; its peers dial it and hand the version on.
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitForVersion(fleet, 2, version));
+  CPPUNIT_ASSERT(fleet.ControlPlatform("POST", "/control/down?on=0"));
+  CPPUNIT_ASSERT(fleet.PutConfiguration(fleet.Declaration(), version + 1));
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitForVersionOnAll(fleet, version + 1));
+}
+
+// Guards against followers that never see the VM list, and against an empty list that takes the
+// fleet out of work.
+void ListDecidesOnLeaving(Fleet& fleet) {
+  CPPUNIT_ASSERT(fleet.PutVms(1001, {"s2"}));
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(),
+                           WaitUntil([&] { return StateOf(fleet, node, "s2") == "leaving"; }));
+  }
+  CPPUNIT_ASSERT(fleet.PutVms(1002, {}, {"s1", "s2", "s3", "s4", "s5"}));
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Status(0)["vm_list"].toObject()["doubted"].toBool(); }));
+  CPPUNIT_ASSERT(StateOf(fleet, 0, "s3") == "live");
+  CPPUNIT_ASSERT(StateOf(fleet, 0, "s2") == "leaving");
+  CPPUNIT_ASSERT(fleet.PutVms(1003));
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(),
+                           WaitUntil([&] { return StateOf(fleet, node, "s2") == "live"; }));
+  }
+}
+
+// Guards against a server that stays out of work after its backend server was replaced.
+void RestartedBackendIsTakenBack(Fleet& fleet) {
+  fleet.SetBackend(1, "drain=1");
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(),
+                           WaitUntil([&] { return StateOf(fleet, node, "s2") == "draining"; }));
+  }
+  fleet.Backend(1).Kill();
+  const double probes = fleet.Metric(1, "damaskhollow_probes_total");
+  // The refused probe shows that the old process has ended.
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Metric(1, "damaskhollow_probes_total") >= probes + 2.0; }));
+  fleet.RestartBackend(1);
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(),
+                           WaitUntil([&] { return StateOf(fleet, node, "s2") == "live"; }));
+  }
+}
+
+constexpr std::array kCases{
+    ConfigurationCase{"a change reaches all nodes", &ChangeReachesAll},
+    ConfigurationCase{"an invalid change is refused", &InvalidChangeIsRefused},
+    ConfigurationCase{"restart beside a stale service", &RestartBesideStaleService},
+    ConfigurationCase{"restart while the service is down", &RestartWhileServiceIsDown},
+    ConfigurationCase{"the VM list decides on leaving", &ListDecidesOnLeaving},
+    ConfigurationCase{"a restarted backend server is taken back", &RestartedBackendIsTakenBack},
+};
+
+void RunCase(const ConfigurationCase& row) {
+  Fleet fleet({.servers = TwoRegions(), .with_platform = true});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  row.run(fleet);
+}
+
+const TableTest<ConfigurationCase> registration("Configuration", kCases, &RunCase);
+
+}  // namespace
+
+}  // namespace damaskhollow::test
