--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -258,13 +258,15 @@
 }
 
 void ControlService::TickDrain(TimePoint now) {
-  const bool was_leaving = m_drain.IsLeaving();
   if (const std::optional<bool> header = m_context.owner.TakeDrainHeader()) {
     m_drain.NoteHeader(*header, now);
     m_probe.NoteTold(now);
   }
   m_probe.Tick(now);
-  if (m_drain.IsLeaving() != was_leaving) m_context.owner.SetBackendLeaving(m_drain.IsLeaving());
+  // Only changes are passed on: the owner itself notices the header and must not be overruled.
+  if (std::exchange(m_was_leaving, m_drain.IsLeaving()) != m_drain.IsLeaving()) {
+    m_context.owner.SetBackendLeaving(m_drain.IsLeaving());
+  }
   const bool is_draining = m_context.owner.IsDraining();
   if (is_draining == m_announced_draining) return;
   m_announced_draining = is_draining;
@@ -288,7 +290,6 @@
 }
 
 void ControlService::StartRefresh(TimePoint now) {
-  m_context.metrics.Add(Metric::kPausesSeen);
   DAMASKHOLLOW_LOG(kNode, kWarning) << "the process was paused; refreshing the view";
   m_refresh_until = now + kRefreshTime;
   m_refresh_answered = false;
--- a/src/libs/node/controlservice.h
+++ b/src/libs/node/controlservice.h
@@ -146,6 +146,7 @@
   bool m_view_changed = false;
   bool m_announce = false;  // To all connected peers at the next tick.
   bool m_announced_draining = false;
+  bool m_was_leaving = false;           // The backend server, at the last tick.
   std::uint64_t m_announced_known = 0;  // Highest configuration version neighbours were told of.
   TimePoint m_next_second{};
   TimePoint m_next_fresh_read{};
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -36,6 +36,9 @@
   // Attempts sent to the server that have not ended.
   std::size_t Outstanding(const BackendServerId& server) const;
 
+  // Notes bytes of an answer from another region.
+  void NotePaidLinkBytes(std::size_t bytes);
+
   // No server is chosen while the gate is closed. Must be called before the first choice.
   void SetViewGate(const ViewGate* gate) { m_gate = gate; }
 
@@ -45,9 +48,6 @@
   // The services for which a server was asked since the last call of this.
   std::set<ServiceId> TakeUsedServices();
 
-  // Notes bytes of an answer from another region.
-  void NotePaidLinkBytes(std::size_t bytes);
-
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
