--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -71,6 +71,9 @@
   std::size_t Size() const { return m_servers.size(); }
   const Endpoint& Caller(std::size_t index) const { return m_servers[index].caller; }
   const Endpoint& Peer(std::size_t index) const { return m_servers[index].peer; }
+  const Endpoint& Admin(std::size_t index) const { return m_servers[index].admin; }
+  const Endpoint& BackendAddress(std::size_t index) const { return m_servers[index].backend; }
+  const Endpoint& PlatformAddress() const { return m_platform_endpoint; }
   Process& Node(std::size_t index) { return *m_servers[index].node; }
   Process& Backend(std::size_t index) { return *m_servers[index].backend_process; }
 
--- a/tests/support/fleetdemo/main.cpp
+++ b/tests/support/fleetdemo/main.cpp
@@ -28,6 +28,7 @@
 constexpr int kSlots = 4;
 constexpr std::chrono::seconds kEndLimit{60};
 constexpr int kLongestSeconds = 600;
+constexpr int kLongestStaySeconds = 3600;
 
 // One kind of calls of the demo. The rates follow a capacity of 6 x 4 slots / 40 ms = 600 calls/s.
 struct DemoStream {
@@ -142,6 +143,28 @@
   return is_accounted ? 0 : 1;
 }
 
+// Starts the fleet with the platform stand-in and leaves it up for operators to try commands on.
+int Stay(std::chrono::seconds duration) {
+  Fleet fleet(FleetOptions{.servers = DemoServers(), .with_platform = true});
+  if (!fleet.Start()) {
+    std::cerr << "the fleet did not start:\n" << fleet.NodeOutput() << '\n';
+    return 1;
+  }
+  std::cout << "platform=" << ToString(fleet.PlatformAddress())
+            << "\ndeclaration=" << fleet.Folder() << "/declaration.json\n";
+  std::string admins;
+  for (std::size_t index = 0; index < fleet.Size(); ++index) {
+    std::cout << "s" << index + 1 << ": caller=" << ToString(fleet.Caller(index))
+              << " admin=" << ToString(fleet.Admin(index))
+              << " backend=" << ToString(fleet.BackendAddress(index)) << '\n';
+    admins += (admins.empty() ? "" : " ") + ToString(fleet.Admin(index));
+  }
+  std::cout << "admins=\"" << admins << "\"\nthe fleet stays up for " << duration.count() << " s"
+            << std::endl;
+  damaskhollow::test::RunFor(duration);
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -152,8 +175,13 @@
       "Starts six nodes in two regions with stand-in backend servers and floods them.");
   parser.addHelpOption();
   parser.addOptions({{"seconds", "Length of the load, 3 to 600.", "N", "9"},
-                     {"seed", "Seed of the load.", "N", "1"}});
+                     {"seed", "Seed of the load.", "N", "1"},
+                     {"stay", "No load: leave the fleet up for so many seconds, 1 to 3600.", "N"}});
   parser.process(application);
+  if (parser.isSet("stay")) {
+    const int stay_seconds = std::clamp(parser.value("stay").toInt(), 1, kLongestStaySeconds);
+    return Stay(std::chrono::seconds(stay_seconds));
+  }
   const int seconds = std::clamp(parser.value("seconds").toInt(), 3, kLongestSeconds);
   const std::uint64_t seed = parser.value("seed").toULongLong();
   return RunDemo(std::chrono::seconds(seconds), seed);
