--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -32,7 +32,9 @@
       m_router(m_settings.routing_strategy,
                Place{m_settings.server_id, m_settings.region, m_settings.data_centre},
                SystemSeed()),
-      m_owner(m_identity, m_metrics, *this) {
+      m_crash_guard(m_settings.crash_guard),
+      m_owner(m_identity, m_metrics, *this, m_crash_guard),
+      m_crash_reporter(m_identity.server, m_identity.incarnation, m_crash_guard, m_metrics, *this) {
   m_owner.SetViewGate(&m_gate);
   m_router.SetViewGate(&m_gate);
 }
@@ -60,8 +62,8 @@
                        LinkTimings{.replace_silent_links = m_settings.silent_link_detection}},
       *this);
   m_ingress = std::make_unique<IngressService>(
-      IngressContext{m_identity, m_metrics, *this, m_router, m_body_budget, m_declaration,
-                     m_caller_connections, m_settings.caller_connections},
+      IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
+                     m_declaration, m_caller_connections, m_settings.caller_connections},
       m_workers);
   m_control =
       std::make_unique<ControlService>(ControlContext{m_settings, m_identity, m_metrics, *this,
@@ -108,9 +110,24 @@
   const TimePoint now = MonotonicNow();
   m_control->Tick(now);  // First, as it closes the view gate after a pause.
   m_owner.Tick(now);
+  CheckCrashes();
   if (m_drained) CheckDrained();
 }
 
+void Node::CheckCrashes() {
+  const std::shared_ptr<const Declaration> declaration = m_declaration.load();
+  const BackendServer* server = declaration ? declaration->FindServer(m_identity.server) : nullptr;
+  if (server == nullptr) return;
+  const Result<Endpoint> endpoint = ParseEndpoint(server->address);
+  if (!endpoint) return;
+  m_crash_reporter.Tick(
+      endpoint.value(), [this](TimePoint before) { return m_owner.RunsCallFrom(before); },
+      [this] {
+        const std::lock_guard lock(m_peers_lock);
+        return std::vector<BackendServerId>(m_linked_peers.begin(), m_linked_peers.end());
+      });
+}
+
 void Node::StartDrain(std::function<void()> done) {
   if (m_drained) return;
   m_drained = std::move(done);
@@ -193,6 +210,14 @@
       m_control->NoteState(route.peer, message.pong().state());
       return;
     case wire::Envelope::kGossip:
+      for (const wire::CrashReport& report : message.gossip().crash_reports()) {
+        m_crash_guard.NoteReport(route.peer, report);
+      }
+      // Crash reports are sent alone.
+      if (message.gossip().crash_reports_size() == 0) {
+        m_control->HandleMessage(route, std::move(message));
+      }
+      return;
     case wire::Envelope::kConfigurationQuery:
     case wire::Envelope::kConfigurationPart:
       m_control->HandleMessage(route, std::move(message));
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -19,9 +19,11 @@
 #include "node/adminserver.h"
 #include "node/backendpool.h"
 #include "node/controlservice.h"
+#include "node/crashreporter.h"
 #include "node/ingressservice.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
+#include "node/sharedcrashguard.h"
 #include "node/sharedrouter.h"
 #include "node/viewgate.h"
 #include "runtime/eventthread.h"
@@ -62,6 +64,7 @@
   void ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
                         std::uint64_t version);
   void Tick();
+  void CheckCrashes();
   void CheckDrained();
   QJsonObject Status() const;
 
@@ -74,7 +77,9 @@
   std::atomic<std::size_t> m_caller_connections{0};
   ViewGate m_gate;
   SharedRouter m_router;
+  SharedCrashGuard m_crash_guard;
   OwnerService m_owner;
+  CrashReporter m_crash_reporter;
   std::vector<std::unique_ptr<EventThread>> m_workers;
   std::unique_ptr<BackendPool> m_pool;
   std::unique_ptr<IngressService> m_ingress;
--- a/src/libs/node/ownedcalls.h
+++ b/src/libs/node/ownedcalls.h
@@ -14,6 +14,7 @@
 
 enum class OwnedCallState {
   kClaiming,  // Other servers are asked to release its request id.
+  kHeld,      // Suspected of a crash, and another suspect is queued or running.
   kQueued,
   kRunning,
 };
@@ -24,6 +25,7 @@
   ReplyRoute route;
   wire::CallRequest request;  // Without its body once it is dispatched.
   OwnedCallState state = OwnedCallState::kQueued;
+  TimePoint dispatched_at{};
   bool discard_answer = false;  // The ingress no longer waits for it.
   bool shed = false;
   std::uint32_t next_sequence = 0;
@@ -65,6 +67,9 @@
   // Forgets ended calls that would be refused as expired.
   void Sweep(TimePoint now);
 
+  // Whether a call that was dispatched before this time still runs.
+  bool RunsCallFrom(TimePoint before) const;
+
   bool IsEmpty() const { return m_calls.empty(); }
 
  private:
