--- a/tests/benchmarks/slopemeasurement.cpp
+++ b/tests/benchmarks/slopemeasurement.cpp
@@ -115,6 +115,28 @@
   return true;
 }
 
+// Reads of the configuration service from the start of a fleet until a change is in force.
+bool MeasureStoreReads(TextTable& table) {
+  constexpr std::array kFleetSizes{std::size_t{3}, std::size_t{6}, std::size_t{9}};
+  Points points;
+  for (const std::size_t size : kFleetSizes) {
+    FleetOptions options;
+    options.servers = OneDataCentre(size, kStandardSlots);
+    options.with_platform = true;
+    const std::unique_ptr<Fleet> fleet = StartFleet(std::move(options), "adaptive");
+    if (!fleet || !fleet->PutConfiguration(fleet->Declaration(), 2)) return false;
+    const bool is_in_force = WaitUntil([&] {
+      return MetricSum(*fleet, "damaskhollow_configuration_version") ==
+             2.0 * static_cast<double>(size);
+    });
+    if (!is_in_force) return false;
+    points.emplace_back(static_cast<double>(size), fleet->PlatformReads()["reads"].toDouble());
+  }
+  AddSlope(table, "store reads by nodes: start of a fleet in one data centre and one change",
+           points);
+  return true;
+}
+
 std::string LargeDeclaration(std::size_t servers) {
   std::ostringstream text;
   text << R"({"format": 1, "regions": [{"id": "r", "data_centres": ["d"]}],
@@ -161,7 +183,7 @@
 bool MeasureSlope(const MeasurementContext& context) {
   TextTable table("slopes (least squares)", {"what", "points", "at 0", "slope"});
   const bool is_complete = MeasurePeers(context, table) && MeasureInFlight(context, table) &&
-                           MeasureCalls(context, table);
+                           MeasureCalls(context, table) && MeasureStoreReads(table);
   MeasureInventory(table);
   context.report.Add("slopes", table);
   return is_complete;
