Spare popular requests when one request crashes several servers at once

An idempotent crashing request is retried within milliseconds, so it can crash three servers before the first report arrives. A popular request that was in flight at each of them was then banned like the crashing one. A recent completion now protects from reports after an own crash too; a unit test shows the case. Links to the servers of the routing subset are asked for before links to the other servers of a service.

--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -207,7 +207,11 @@
     if (own != nullptr && server.service == own->service) needs.own_service.push_back(server.id);
   }
   for (const ServiceId& service : m_link_plan.UsedServices(now)) {
+    // The servers that routing uses come first. Any other may be the home of a request id, so they
+    // follow as far as the limit allows.
     std::vector<BackendServerId>& subset = needs.subsets[service];
+    subset = m_context.router.SubsetOf(service);
+    std::erase(subset, m_self.id);
     for (const BackendServer* server : declaration.ServersOf(service)) {
       if (server->id != m_self.id) subset.push_back(server->id);
     }
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "declaration/declaration.h"
 #include "node/viewgate.h"
@@ -43,6 +44,9 @@
   // The services for which a server was asked since the last call of this.
   std::set<ServiceId> TakeUsedServices();
 
+  // The servers of a service that this node uses, nearest tier first.
+  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
--- a/src/libs/policy/crashguard.cpp
+++ b/src/libs/policy/crashguard.cpp
@@ -21,7 +21,10 @@
 constexpr double kAllowanceDigests = 64.0;
 constexpr double kAllowancePerSecond = 1.0;
 
-// Reports against a digest that was answered here within this time are taken for wrong.
+// Reports against a digest that was answered here within this time are ignored: it was in flight by
+// chance, or the report is forged. This holds after a crash of the own server too, as a crashing
+// request that is retried at once can crash several servers beside the same popular request before
+// the first report arrives.
 constexpr std::chrono::seconds kRecentCompletion{10};
 
 std::uint64_t HashOf(std::string_view digest) { return StableHash("completion", digest); }
@@ -34,7 +37,6 @@
   for (const std::string& digest : digests) {
     Entry& entry = FindOrAdd(digest, now);
     ++entry.own_crashes;
-    ForgetCompletion(digest);
     if (BanIfDue(entry, now)) banned.push_back(digest);
   }
   return banned;
@@ -154,13 +156,6 @@
   *slot = Completion{hash, now};
 }
 
-void CrashGuard::ForgetCompletion(std::string_view digest) {
-  const std::uint64_t hash = HashOf(digest);
-  for (Completion& entry : m_completions[hash % kCompletionSets]) {
-    if (entry.hash == hash) entry = Completion{};
-  }
-}
-
 bool CrashGuard::CompletedRecently(std::string_view digest, TimePoint now) const {
   const std::uint64_t hash = HashOf(digest);
   const CompletionSet& set = m_completions[hash % kCompletionSets];
--- a/src/libs/policy/crashguard.h
+++ b/src/libs/policy/crashguard.h
@@ -79,7 +79,6 @@
   bool BanIfDue(Entry& entry, TimePoint now) const;
   bool TakeAllowance(const BackendServerId& owner, TimePoint now);
   void RememberCompletion(std::string_view digest, TimePoint now);
-  void ForgetCompletion(std::string_view digest);
   bool CompletedRecently(std::string_view digest, TimePoint now) const;
   static bool IsCurrent(const Entry& entry, TimePoint now);
 
--- a/tests/auto/policy/tst_crashguard.cpp
+++ b/tests/auto/policy/tst_crashguard.cpp
@@ -158,6 +158,7 @@
   CPPUNIT_TEST(EndsBansAndSuspicions);
   CPPUNIT_TEST(BoundsCrashesOfResends);
   CPPUNIT_TEST(SparesInnocents);
+  CPPUNIT_TEST(SparesPopularRequestInQuickSeries);
   CPPUNIT_TEST(WithstandsForgedFlood);
   CPPUNIT_TEST(BoundsTable);
   CPPUNIT_TEST(KeepsSuspectsApart);
@@ -222,6 +223,20 @@
     }
   }
 
+  // Guards against banning a popular request that ran beside a crashing one on three servers before
+  // any of them had confirmed its crash.
+  void SparesPopularRequestInQuickSeries() {
+    CrashGuard guard;
+    const std::vector<std::string> in_flight{"poison", "popular"};
+    guard.NoteCompleted("popular", kStart);
+    const TimePoint now = kStart + std::chrono::milliseconds(20);
+    guard.NoteCrash(in_flight, now);
+    guard.NoteReportedCrash(BackendServerId("a"), in_flight, now);
+    guard.NoteReportedCrash(BackendServerId("b"), in_flight, now);
+    CPPUNIT_ASSERT(guard.IsBanned("poison", now));
+    CPPUNIT_ASSERT(!guard.IsBanned("popular", now));
+  }
+
   // Guards against a node that reports crashes of requests that are well.
   void WithstandsForgedFlood() {
     CrashGuard guard;
