Leave out servers whose owner cannot connect, after one refusal

With three of four backend servers down for 0.3 s, calls used up their three attempts on servers that refuse connections: five failures were needed to suspend one, and at most half may be. An owner's backend_unreachable now suspends at once for 250 ms, doubling, and does not count against the half; a trial brings the server back.

--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -215,8 +215,8 @@
   if (call.relayed == id) return HandleUnknown(id, reason);  // A part of its answer has been sent.
   if (IsLinkFault(reason)) std::erase(call.tried, attempt->server);
   // An owner without its backend server refuses at once; that must not attract calls.
-  EndAttempt(
-      id, reason == Reason::kBackendUnreachable ? AttemptResult::kFailed : AttemptResult::kRefused);
+  EndAttempt(id, reason == Reason::kBackendUnreachable ? AttemptResult::kNoBackend
+                                                       : AttemptResult::kRefused);
   RetryOrAnswer(connection, call, reason, true);
 }
 
--- a/src/libs/policy/serverscores.cpp
+++ b/src/libs/policy/serverscores.cpp
@@ -23,6 +23,8 @@
 
 constexpr unsigned kFailuresToSuspend = 5;
 constexpr std::chrono::seconds kFirstSuspension{1};
+// A backend server that refuses connections is often started again at once.
+constexpr std::chrono::milliseconds kNoBackendSuspension{250};
 constexpr unsigned kMostDoublings = 6;  // 64 s.
 
 constexpr std::chrono::seconds kRampTime{10};
@@ -81,6 +83,8 @@
     case AttemptResult::kError:
     case AttemptResult::kFailed:
       return NoteFailure(was_trial, may_suspend, now);
+    case AttemptResult::kNoBackend:
+      return NoteNoBackend(now);
     case AttemptResult::kRefused:
     case AttemptResult::kCancelled:
       if (was_trial) {
@@ -109,16 +113,27 @@
 void ServerScore::NoteFailure(bool was_trial, bool may_suspend, TimePoint now) {
   ++m_consecutive_failures;
   m_success -= m_success * kSuccessSmoothing;
-  if (was_trial) return Suspend(now);
+  if (was_trial) {
+    m_ejected = true;
+    return Suspend(kFirstSuspension, now);
+  }
   const bool is_due =
       m_standing == Standing::kNormal && m_consecutive_failures >= kFailuresToSuspend;
-  if (is_due && may_suspend) Suspend(now);
+  if (!is_due || !may_suspend) return;
+  m_ejected = true;
+  Suspend(kFirstSuspension, now);
 }
 
-void ServerScore::Suspend(TimePoint now) {
+// One refused connection is enough, and the server does not count as ejected for its failures: it
+// cannot take calls, whatever the state of the others.
+void ServerScore::NoteNoBackend(TimePoint now) {
+  m_success -= m_success * kSuccessSmoothing;
+  if (m_standing != Standing::kSuspended) Suspend(kNoBackendSuspension, now);
+}
+
+void ServerScore::Suspend(Duration first, TimePoint now) {
   m_standing = Standing::kSuspended;
-  m_ejected = true;
-  m_standing_until = now + kFirstSuspension * (1U << std::min(m_suspensions, kMostDoublings));
+  m_standing_until = now + first * (1U << std::min(m_suspensions, kMostDoublings));
   ++m_suspensions;
 }
 
--- a/src/libs/policy/serverscores.h
+++ b/src/libs/policy/serverscores.h
@@ -29,7 +29,8 @@
   kAnswered,   // An answer below 500.
   kError,      // An answer of 500 or above.
   kRefused,    // The owner refused it before it ran.
-  kFailed,     // It broke off, timed out, or found no backend server.
+  kFailed,     // It broke off or timed out.
+  kNoBackend,  // The owner could not connect to its backend server.
   kCancelled,  // The caller left.
 };
 
@@ -76,7 +77,8 @@
  private:
   void NoteSuccess(bool was_trial, TimePoint now);
   void NoteFailure(bool was_trial, bool may_suspend, TimePoint now);
-  void Suspend(TimePoint now);
+  void NoteNoBackend(TimePoint now);
+  void Suspend(Duration first, TimePoint now);
   double ServiceTime(Duration typical, TimePoint now) const;
   double StalledTime(TimePoint now) const;
 
--- a/tests/auto/policy/tst_router.cpp
+++ b/tests/auto/policy/tst_router.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(GivesNothingToDrainingServers);
   CPPUNIT_TEST(TakesHealedServerBackByTrial);
   CPPUNIT_TEST(EjectsAtMostHalf);
+  CPPUNIT_TEST(AvoidsServersWithoutBackend);
   CPPUNIT_TEST(ReplacesServersOfASubset);
   CPPUNIT_TEST_SUITE_END();
 
@@ -293,6 +294,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, last_calls.size());
   }
 
+  // Guards against calls that use up their attempts on servers known to refuse connections.
+  void AvoidsServersWithoutBackend() {
+    Router router("adaptive", Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 3);
+    const TimePoint now{std::chrono::seconds(1)};
+    router.SetDeclaration(SimulatedDeclaration(4, 0, 0), now);
+    for (int server = 0; server < 4; ++server) {
+      const BackendServerId id("n" + std::to_string(server));
+      router.NoteLoad(id, IdleLoad(1), now);
+      router.SetReachable(id, true, now);
+      if (server == 3) continue;
+      router.NoteSent(id, CallId{static_cast<std::uint64_t>(server) + 1}, now);
+      router.NoteEnded(id, CallId{static_cast<std::uint64_t>(server) + 1},
+                       AttemptResult::kNoBackend, now);
+    }
+    const RoutingRequest request{ServiceId("s"), true, true, 0, {}};
+    for (int call = 0; call < 50; ++call) {
+      CPPUNIT_ASSERT_EQUAL(std::string("n3"), router.Choose(request, now).server.Value());
+    }
+    // Each is tried again after its suspension.
+    CPPUNIT_ASSERT(router.Choose(request, now + std::chrono::milliseconds(300)).server !=
+                   BackendServerId("n3"));
+  }
+
   // Guards against scores that are mixed up when servers move between services and regions.
   void ReplacesServersOfASubset() {
     Router router("adaptive", Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 3);
