--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -225,8 +225,8 @@
     return HandleUnknown(id, Reason::kLinkSilent);
   }
   // An owner without its backend server refuses at once; that must not attract calls.
-  EndAttempt(
-      id, reason == Reason::kBackendUnreachable ? AttemptResult::kFailed : AttemptResult::kRefused);
+  EndAttempt(id, reason == Reason::kBackendUnreachable ? AttemptResult::kNoBackend
+                                                       : AttemptResult::kRefused);
   RetryOrAnswer(connection, call, reason, true);
 }
 
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -42,12 +42,12 @@
   // No server is chosen while the gate is closed. Must be called before the first choice.
   void SetViewGate(const ViewGate* gate) { m_gate = gate; }
 
-  // The servers of a service that this node uses, nearest tier first.
-  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
-
   // The services for which a server was asked since the last call of this.
   std::set<ServiceId> TakeUsedServices();
 
+  // The servers of a service that this node uses, nearest tier first.
+  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
+
   RoutingChoice Choose(const RoutingRequest& request);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
