--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -70,11 +70,6 @@
   return std::exchange(m_used, {});
 }
 
-std::vector<BackendServerId> SharedRouter::SubsetOf(const ServiceId& service) const {
-  const std::lock_guard lock(m_lock);
-  return m_router.SubsetOf(service);
-}
-
 RoutingChoice SharedRouter::Choose(const RoutingRequest& request) {
   const std::lock_guard lock(m_lock);
   const TimePoint now = MonotonicNow();
