--- a/src/libs/node/controlservice.h
+++ b/src/libs/node/controlservice.h
@@ -48,9 +48,6 @@
 // may be called from any thread.
 class ControlService : public QObject {
  public:
-  using CrashReportFunction =
-      std::function<void(const BackendServerId& peer, const wire::CrashReport& report)>;
-
   // `apply` puts an accepted declaration into force in the other roles.
   ControlService(ControlContext context, ConfigurationKeeper::ApplyFunction apply);
   ~ControlService() override;
@@ -78,14 +75,6 @@
   // Counts bytes of control messages, and those that cross the paid link. From any thread.
   void CountBytes(const BackendServerId& peer, std::size_t sent, std::size_t received);
 
-  // Sends a crash report to all connected peers. From any thread.
-  void PublishCrashReport(const wire::CrashReport& report);
-
-  // Called on the main thread for each crash report that a peer sends of its own server.
-  void SetCrashReportHandler(CrashReportFunction handler) {
-    m_on_crash_report = std::move(handler);
-  }
-
   // For queries from any thread.
   const Membership& Members() const { return m_membership; }
 
@@ -139,7 +128,6 @@
   std::optional<FreshStart> m_fresh;
   std::shared_ptr<const Declaration> m_declaration;
   std::atomic<std::shared_ptr<const RegionMap>> m_regions;
-  CrashReportFunction m_on_crash_report;
 
   std::vector<FleetNode> m_overlay_nodes;        // That the overlay was computed from.
   std::vector<BackendServerId> m_control_peers;  // Overlay neighbours and other readers.
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -19,10 +19,12 @@
 
 }  // namespace
 
-OwnerService::OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger)
+OwnerService::OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
+                           SharedCrashGuard& crash_guard)
     : m_identity(std::move(identity)),
       m_metrics(metrics),
       m_messenger(messenger),
+      m_crash_guard(crash_guard),
       m_admission(AdmissionLimits{}, {}),
       m_calls(m_identity.incarnation),
       m_claims(m_identity.server, m_identity.started, m_messenger),
@@ -136,6 +138,7 @@
 
 void OwnerService::Admit(OwnedCallId id, TimePoint now) {
   OwnedCall& owned = m_calls.At(id);
+  if (IsKeptBack(id, owned)) return;
   owned.state = OwnedCallState::kQueued;
   AdmissionCall call;
   call.id = id;
@@ -153,6 +156,34 @@
   Dispatch(now);
 }
 
+bool OwnerService::IsKeptBack(OwnedCallId id, OwnedCall& call) {
+  const std::string& digest = call.request.digest();
+  Reason refusal = m_crash_guard.Check(digest);
+  if (refusal == Reason::kNone) {
+    if (!m_crash_guard.IsSuspect(digest)) return false;
+    if (!m_suspects.IsOccupied()) {
+      m_suspects.Enter(id);
+      return false;
+    }
+    call.state = OwnedCallState::kHeld;
+    refusal = m_suspects.Wait(id, call.request.ByteSizeLong());
+  }
+  if (refusal != Reason::kNone) RefuseUnrun(id, refusal);
+  return true;
+}
+
+void OwnerService::ReleaseSuspects(TimePoint now) {
+  for (const OwnedCallId id : m_suspects.Waiting()) {
+    const OwnedCall& call = m_calls.At(id);
+    if (call.Deadline() <= now) {
+      RefuseUnrun(id, Reason::kQueueExpired);
+    } else if (!m_suspects.IsOccupied() || !m_crash_guard.IsSuspect(call.request.digest())) {
+      m_suspects.Leave(id);
+      Admit(id, now);
+    }
+  }
+}
+
 void OwnerService::Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer) {
   AnswerPart part;
   part.data = answer.body;
@@ -175,6 +206,7 @@
   const auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(call.Deadline() - now);
   call.state = OwnedCallState::kRunning;
+  call.dispatched_at = now;
   BackendRequest request;
   request.request = BackendRequestOf(call.request, remaining);
   request.credit = kAnswerWindowBytes;
@@ -195,7 +227,9 @@
   OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) {
     result.set_call_state(m_calls.Settle(key, cancel.expires_at_us(), now));
-  } else if (call->state == OwnedCallState::kClaiming || m_admission.Cancel(id)) {
+  } else if (call->state == OwnedCallState::kClaiming || call->state == OwnedCallState::kHeld ||
+             m_admission.Cancel(id)) {
+    m_suspects.Leave(id);
     result.set_call_state(wire::CALL_STATE_CANCELLED);
     m_claims.End(id, ClaimEnd::kNotRun);
     m_calls.RemoveCancelled(id, now);
@@ -265,6 +299,7 @@
 
 void OwnerService::RefuseUnrun(OwnedCallId id, Reason reason) {
   const OwnedCall& call = m_calls.At(id);
+  m_suspects.Leave(id);
   m_claims.End(id, ClaimEnd::kNotRun);
   Refuse(call.route, call.key.call.value, reason);
   m_calls.RemoveRefused(id, MonotonicNow());
@@ -330,6 +365,7 @@
   }
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   m_claims.End(id, ClaimEnd::kRan);
+  m_crash_guard.NoteCompletedHere(call.request.digest());
   Finish(id, SlotResult::kCompleted);
 }
 
@@ -340,6 +376,9 @@
   const ReplyRoute route = call->route;
   const std::uint64_t call_id = call->key.call.value;
   const bool discard = call->discard_answer;
+  if (reason == Reason::kBackendClosed && may_have_run) {
+    m_crash_guard.NoteAborted(call->request.digest());
+  }
   const bool may_run_again = !may_have_run || call->request.idempotent();
   m_claims.End(id, may_run_again ? ClaimEnd::kNotRun : ClaimEnd::kMayHaveRun, reason);
   Finish(id, SlotResult::kFailed);
@@ -351,6 +390,8 @@
   const TimePoint now = MonotonicNow();
   m_calls.RemoveRun(id, now);
   m_admission.NoteFinished(id, result, now);
+  m_suspects.Leave(id);
+  ReleaseSuspects(now);
   Dispatch(now);
 }
 
@@ -364,6 +405,7 @@
     DAMASKHOLLOW_LOG(kOwner, kWarning) << "the process was paused; refused what had expired";
   }
   Continue(m_claims.Tick(now, WallNow()));
+  ReleaseSuspects(now);
   Dispatch(now);
   m_kept.DropOld(now);
   const AdmissionLoad load = m_admission.Load();
@@ -407,6 +449,11 @@
   return m_draining || m_backend_leaving;
 }
 
+bool OwnerService::RunsCallFrom(TimePoint before) const {
+  const std::lock_guard lock(m_lock);
+  return m_calls.RunsCallFrom(before);
+}
+
 bool OwnerService::IsIdle() const {
   const std::lock_guard lock(m_lock);
   return m_calls.IsEmpty();
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -15,9 +15,11 @@
 #include "node/keptanswers.h"
 #include "node/messenger.h"
 #include "node/ownedcalls.h"
+#include "node/sharedcrashguard.h"
 #include "node/viewgate.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
+#include "policy/suspectgate.h"
 
 namespace damaskhollow {
 
@@ -32,7 +34,8 @@
 // one lock. All members may be called from any thread.
 class OwnerService : public BackendAnswers {
  public:
-  OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger);
+  OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
+               SharedCrashGuard& crash_guard);
 
   // Must be called before the first message.
   void SetBackendPool(BackendPool* pool) { m_pool = pool; }
@@ -72,6 +75,8 @@
 
   wire::OwnerState State() const;
   bool IsDraining() const;
+  // Whether a call that was dispatched before this time still runs.
+  bool RunsCallFrom(TimePoint before) const;
   // Whether no call is queued or running.
   bool IsIdle() const;
 
@@ -91,6 +96,10 @@
   void Claim(OwnedCallId id, OwnedCall& call, TimePoint now);
   void Continue(std::span<const SettledClaim> claims);
   void Admit(OwnedCallId id, TimePoint now);
+  // Whether the call is refused or held back because it may crash the backend server.
+  bool IsKeptBack(OwnedCallId id, OwnedCall& call);
+  // Admits held suspects that may run now.
+  void ReleaseSuspects(TimePoint now);
   void Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer);
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
@@ -108,6 +117,7 @@
   const NodeIdentity m_identity;
   MetricsRegistry& m_metrics;
   Messenger& m_messenger;
+  SharedCrashGuard& m_crash_guard;
   BackendPool* m_pool = nullptr;
   const ViewGate* m_gate = nullptr;
 
@@ -117,6 +127,7 @@
   const Service* m_service = nullptr;  // In m_declaration.
   AdmissionQueue m_admission;
   OwnedCalls m_calls;
+  SuspectGate m_suspects;
   ClaimService m_claims;
   PauseDetector m_pause;
   TimePoint m_next_sweep{};
--- a/src/libs/node/peerlinks.h
+++ b/src/libs/node/peerlinks.h
@@ -2,6 +2,7 @@
 #define DAMASKHOLLOW_NODE_PEERLINKS_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -26,10 +27,12 @@
     bool operator==(const Target&) const = default;
   };
 
+  using BusyFunction = std::function<bool(const BackendServerId& peer)>;
+
   PeerLinks(PeerTransport& transport, Messenger& messenger);
 
-  // Opens the links that are missing and closes the others.
-  void SetWanted(std::span<const Target> targets, TimePoint now);
+  // Opens the links that are missing and closes the others, but for those on which calls still run.
+  void SetWanted(std::span<const Target> targets, const BusyFunction& is_busy, TimePoint now);
 
   // The wanted links that have not come up within two seconds.
   std::vector<BackendServerId> Overdue(TimePoint now) const;
--- a/tests/integration/tst_configuration.cpp
+++ b/tests/integration/tst_configuration.cpp
@@ -1,8 +1,10 @@
 #include <cppunit/TestAssert.h>
+#include <signal.h>
 
 #include <QJsonArray>
 #include <QJsonObject>
 #include <array>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -145,6 +147,26 @@
   }
 }
 
+// Guards against a pause after which the node never serves again or uses its old view: while it is
+// paused, a drain and a new version pass it by.
+void PausedNodeCatchesUp(Fleet& fleet) {
+  const int version = VersionInForce(fleet);
+  fleet.Node(3).Signal(SIGSTOP);
+  fleet.SetBackend(1, "drain=1");
+  CPPUNIT_ASSERT(fleet.PutConfiguration(fleet.Declaration(), version + 1));
+  CPPUNIT_ASSERT(WaitForVersion(fleet, 0, version + 1));
+  CPPUNIT_ASSERT(WaitUntil([&] { return StateOf(fleet, 0, "s2") == "draining"; }));
+  // A gap of over a second counts as a pause.
+  RunFor(std::chrono::milliseconds(1500));
+  fleet.Node(3).Signal(SIGCONT);
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), WaitForVersion(fleet, 3, version + 1));
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(),
+                         WaitUntil([&] { return StateOf(fleet, 3, "s2") == "draining"; }));
+  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.Status(3)["view_refreshing"].toBool(); }));
+  CPPUNIT_ASSERT(fleet.Metric(3, "damaskhollow_pauses_total") >= 1.0);
+  CPPUNIT_ASSERT(fleet.Call(3, "GET", "/read").Outcome() == "answered");
+}
+
 constexpr std::array kCases{
     ConfigurationCase{"a change reaches all nodes", &ChangeReachesAll},
     ConfigurationCase{"an invalid change is refused", &InvalidChangeIsRefused},
@@ -152,6 +174,7 @@
     ConfigurationCase{"restart while the service is down", &RestartWhileServiceIsDown},
     ConfigurationCase{"the VM list decides on leaving", &ListDecidesOnLeaving},
     ConfigurationCase{"a restarted backend server is taken back", &RestartedBackendIsTakenBack},
+    ConfigurationCase{"a paused node catches up", &PausedNodeCatchesUp},
 };
 
 void RunCase(const ConfigurationCase& row) {
