--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -97,7 +97,8 @@
   while (targets.size() > kMaxSeeds) {
     targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(m_random.Below(targets.size())));
   }
-  m_links.SetWanted(targets, MonotonicNow());
+  m_links.SetWanted(
+      targets, [](const BackendServerId&) { return false; }, MonotonicNow());
 }
 
 void ControlService::NoteApplied(const std::shared_ptr<const Declaration>& declaration,
@@ -225,7 +226,10 @@
   for (const BackendServer& server : declaration.backend_servers) {
     if (wanted.contains(server.id)) targets.push_back(TargetOf(server));
   }
-  m_links.SetWanted(targets, now);
+  const auto is_busy = [this](const BackendServerId& peer) {
+    return m_context.router.Outstanding(peer) > 0;
+  };
+  m_links.SetWanted(targets, is_busy, now);
 }
 
 PeerLinks::Target ControlService::TargetOf(const BackendServer& server) const {
@@ -455,12 +459,6 @@
   NotePeerVersions(route.peer, gossip.configuration_version(), gossip.vm_list_version(), now);
   m_configuration_sync.Plan().NoteRumour(gossip.known_configuration_version(), now);
   m_vm_list_sync.Plan().NoteRumour(gossip.known_vm_list_version(), now);
-  for (const wire::CrashReport& report : gossip.crash_reports()) {
-    // A node may report on its own server only.
-    if (m_on_crash_report && report.owner_id() == route.peer.Value()) {
-      m_on_crash_report(route.peer, report);
-    }
-  }
   if (gossip.answers_refresh_id() == m_refresh_id) m_refresh_answered = true;
   if (gossip.refresh_id() == 0) return;
   wire::Gossip answer = OwnGossip();
@@ -502,18 +500,6 @@
   if (is_far) m_context.metrics.Add(Metric::kControlPaidLinkBytes, sent);
 }
 
-void ControlService::PublishCrashReport(const wire::CrashReport& report) {
-  const auto handle = [this, report] {
-    const TimePoint now = MonotonicNow();
-    for (const BackendServerId& peer : m_links.Connected(now)) {
-      wire::Gossip gossip = OwnGossip();
-      *gossip.add_crash_reports() = report;
-      SendGossip(peer, std::move(gossip), now);
-    }
-  };
-  QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
-}
-
 void ControlService::AddStatus(QJsonObject& status) const {
   const FetchPlan& plan = m_configuration_sync.Plan();
   const std::string_view role = ReaderRoleName(plan.Role());
--- a/src/libs/node/peerlinks.cpp
+++ b/src/libs/node/peerlinks.cpp
@@ -17,7 +17,8 @@
 PeerLinks::PeerLinks(PeerTransport& transport, Messenger& messenger)
     : m_transport(transport), m_messenger(messenger) {}
 
-void PeerLinks::SetWanted(std::span<const Target> targets, TimePoint now) {
+void PeerLinks::SetWanted(std::span<const Target> targets, const BusyFunction& is_busy,
+                          TimePoint now) {
   std::map<BackendServerId, Wanted> before = std::exchange(m_wanted, {});
   for (const Target& target : targets) {
     const auto known = before.find(target.peer);
@@ -27,6 +28,10 @@
     if (!is_same) m_transport.OpenLink(target.peer, target.endpoint, target.public_key);
   }
   for (const auto& [peer, wanted] : before) {
+    if (is_busy(peer)) {
+      m_wanted[peer] = wanted;
+      continue;
+    }
     m_up.erase(peer);
     m_transport.CloseLink(peer);
   }
