--- a/src/libs/node/attemptmessages.h
+++ b/src/libs/node/attemptmessages.h
@@ -8,6 +8,7 @@
 #include "http/message.h"
 #include "policy/callclassifier.h"
 #include "policy/ownerclock.h"
+#include "policy/sendguard.h"
 #include "wire/messages.pb.h"
 
 namespace damaskhollow {
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -60,14 +60,14 @@
   return found == m_outstanding.end() ? 0 : found->second;
 }
 
-std::set<ServiceId> SharedRouter::TakeUsedServices() {
+std::vector<BackendServerId> SharedRouter::SubsetOf(const ServiceId& service) const {
   const std::lock_guard lock(m_lock);
-  return std::exchange(m_used, {});
+  return m_router.SubsetOf(service);
 }
 
-std::vector<BackendServerId> SharedRouter::SubsetOf(const ServiceId& service) const {
+std::set<ServiceId> SharedRouter::TakeUsedServices() {
   const std::lock_guard lock(m_lock);
-  return m_router.SubsetOf(service);
+  return std::exchange(m_used, {});
 }
 
 RoutingChoice SharedRouter::Choose(const RoutingRequest& request) {
--- a/src/libs/policy/sendguard.h
+++ b/src/libs/policy/sendguard.h
@@ -21,6 +21,10 @@
   auto operator<=>(const CallKey&) const = default;
 };
 
+// An owner remembers a call for this long after its expiry, on its own clock, so that a question
+// asked at the deadline still gets a proof.
+constexpr std::uint64_t kOwnerMemoryUs = 2000000;
+
 // What an owner knows of a call that it has neither queued nor running.
 enum class EndedCall {
   kNeverSeen,  // Not run; refused if it still arrives.
@@ -57,7 +61,7 @@
   // Answers a status query or a cancel. A call that was never seen will not run after this.
   EndedCall Settle(const CallKey& key, std::uint64_t expires_at_us, std::uint64_t now_us);
 
-  // Forgets calls that would be refused as expired.
+  // Forgets calls whose expiry is further back than the owner's memory.
   void Sweep(std::uint64_t now_us);
 
   std::size_t Count() const { return m_ended.size(); }
