--- /dev/null
+++ b/src/libs/node/crashreporter.h
@@ -0,0 +1,58 @@
+#ifndef DAMASKHOLLOW_NODE_CRASHREPORTER_H_
+#define DAMASKHOLLOW_NODE_CRASHREPORTER_H_
+
+#include <QTcpSocket>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "metrics/metricsregistry.h"
+#include "node/messenger.h"
+#include "node/sharedcrashguard.h"
+
+namespace damaskhollow {
+
+// Tells crashes of this node's backend server from connections that closed for other reasons, and
+// reports them to the peers. Lives on the main thread.
+class CrashReporter {
+ public:
+  // Whether a call that was dispatched before the given time still runs.
+  using RunsCallFrom = std::function<bool(TimePoint)>;
+  using LinkedPeers = std::function<std::vector<BackendServerId>()>;
+
+  CrashReporter(BackendServerId self, Incarnation incarnation, SharedCrashGuard& guard,
+                MetricsRegistry& metrics, Messenger& messenger);
+  ~CrashReporter();
+
+  // To be called every few milliseconds, with the address of the backend server.
+  void Tick(const Endpoint& server, const RunsCallFrom& runs_call_from,
+            const LinkedPeers& linked_peers);
+
+ private:
+  enum class Probe { kNone, kRunning, kConnected, kRefused };
+
+  void CheckAborted(const Endpoint& server, const RunsCallFrom& runs_call_from,
+                    const LinkedPeers& linked_peers);
+  void StartProbe(const Endpoint& server);
+  void EndProbe(Probe result);
+  void Report(std::span<const std::string> digests, bool completed,
+              const LinkedPeers& linked_peers);
+
+  const BackendServerId m_self;
+  const Incarnation m_incarnation;
+  SharedCrashGuard& m_guard;
+  MetricsRegistry& m_metrics;
+  Messenger& m_messenger;
+  std::unique_ptr<QTcpSocket> m_socket;
+  Probe m_probe = Probe::kNone;
+  std::uint64_t m_next_sequence = 1;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_NODE_CRASHREPORTER_H_
--- a/src/libs/node/ownedcalls.cpp
+++ b/src/libs/node/ownedcalls.cpp
@@ -1,5 +1,6 @@
 #include "node/ownedcalls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damaskhollow {
@@ -75,6 +76,12 @@
   return wire::CALL_STATE_DONE;
 }
 
+bool OwnedCalls::RunsCallFrom(TimePoint before) const {
+  return std::any_of(m_calls.begin(), m_calls.end(), [before](const auto& entry) {
+    return entry.second.state == OwnedCallState::kRunning && entry.second.dispatched_at < before;
+  });
+}
+
 void OwnedCalls::Sweep(TimePoint now) { m_guard.Sweep(ToClockMicroseconds(now)); }
 
 }  // namespace damaskhollow
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -14,8 +15,11 @@
 #include "node/keptanswers.h"
 #include "node/messenger.h"
 #include "node/ownedcalls.h"
+#include "node/sharedcrashguard.h"
+#include "node/viewgate.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
+#include "policy/suspectgate.h"
 
 namespace damaskhollow {
 
@@ -30,7 +34,8 @@
 // one lock. All members may be called from any thread.
 class OwnerService : public BackendAnswers {
  public:
-  OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger);
+  OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
+               SharedCrashGuard& crash_guard);
 
   // Must be called before the first message.
   void SetBackendPool(BackendPool* pool) { m_pool = pool; }
@@ -53,11 +58,25 @@
   // Refuses new calls from now on; those queued and in flight are finished.
   void StartDrain();
 
+  // Sets whether the backend server itself is leaving; it takes new calls again when it no longer
+  // is, unless StartDrain was called.
+  void SetBackendLeaving(bool leaving);
+
+  // What the backend server's answers said in Damaskhollow-Drain since the last call of this: true
+  // if any said that it leaves, false if they said that it does not, empty if none said anything.
+  std::optional<bool> TakeDrainHeader();
+
+  // New calls are refused and queued ones wait while the gate is closed. Must be called before the
+  // first message.
+  void SetViewGate(const ViewGate* gate) { m_gate = gate; }
+
   // Expires queued calls and forgets what is no longer needed. To be called every few milliseconds.
   void Tick(TimePoint now);
 
   wire::OwnerState State() const;
   bool IsDraining() const;
+  // Whether a call that was dispatched before this time still runs.
+  bool RunsCallFrom(TimePoint before) const;
   // Whether no call is queued or running.
   bool IsIdle() const;
 
@@ -66,6 +85,8 @@
 
  private:
   // The members below expect m_lock to be held.
+  void NoteDrainHeader(const HttpResponseHead& head);
+  bool IsViewFresh(TimePoint now) const { return m_gate == nullptr || m_gate->IsOpen(now); }
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
   void HandleStatusQuery(const ReplyRoute& route, const wire::StatusQuery& query);
@@ -75,6 +96,10 @@
   void Claim(OwnedCallId id, OwnedCall& call, TimePoint now);
   void Continue(std::span<const SettledClaim> claims);
   void Admit(OwnedCallId id, TimePoint now);
+  // Whether the call is refused or held back because it may crash the backend server.
+  bool IsKeptBack(OwnedCallId id, OwnedCall& call);
+  // Admits held suspects that may run now.
+  void ReleaseSuspects(TimePoint now);
   void Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer);
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
@@ -92,7 +117,9 @@
   const NodeIdentity m_identity;
   MetricsRegistry& m_metrics;
   Messenger& m_messenger;
+  SharedCrashGuard& m_crash_guard;
   BackendPool* m_pool = nullptr;
+  const ViewGate* m_gate = nullptr;
 
   mutable std::mutex m_lock;
   std::shared_ptr<const Declaration> m_declaration;
@@ -100,11 +127,14 @@
   const Service* m_service = nullptr;  // In m_declaration.
   AdmissionQueue m_admission;
   OwnedCalls m_calls;
+  SuspectGate m_suspects;
   ClaimService m_claims;
   PauseDetector m_pause;
   TimePoint m_next_sweep{};
   KeptAnswers m_kept;
-  bool m_draining = false;
+  bool m_draining = false;  // By StartDrain.
+  bool m_backend_leaving = false;
+  std::optional<bool> m_drain_header;
 };
 
 }  // namespace damaskhollow
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -6,9 +6,12 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "declaration/declaration.h"
+#include "node/viewgate.h"
 #include "policy/ownerclock.h"
 #include "policy/router.h"
 #include "wire/messages.pb.h"
@@ -33,6 +36,15 @@
   // Attempts sent to the server that have not ended.
   std::size_t Outstanding(const BackendServerId& server) const;
 
+  // No server is chosen while the gate is closed. Must be called before the first choice.
+  void SetViewGate(const ViewGate* gate) { m_gate = gate; }
+
+  // The servers of a service that this node uses, nearest tier first.
+  std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
+
+  // The services for which a server was asked since the last call of this.
+  std::set<ServiceId> TakeUsedServices();
+
   // Notes bytes of an answer from another region.
   void NotePaidLinkBytes(std::size_t bytes);
 
@@ -44,6 +56,8 @@
   Router m_router;
   OwnerClocks m_clocks;
   std::map<BackendServerId, std::size_t> m_outstanding;
+  std::set<ServiceId> m_used;
+  const ViewGate* m_gate = nullptr;
 };
 
 }  // namespace damaskhollow
--- a/src/libs/policy/sendguard.cpp
+++ b/src/libs/policy/sendguard.cpp
@@ -11,10 +11,6 @@
 // tombstones kept for longer.
 constexpr std::uint64_t kLongestTombstoneUs = 86400000000ULL;
 
-// How long an ended call is remembered after its expiry. A second delivery that is later would be
-// refused as expired, and its ingress could still take that for the answer.
-constexpr std::uint64_t kKeptAfterExpiryUs = 10000000;
-
 }  // namespace
 
 SendDecision SendGuard::Arrive(const CallKey& key, Incarnation owner, std::uint64_t expires_at_us,
@@ -57,19 +53,19 @@
   const auto ended = m_ended.find(key);
   if (ended != m_ended.end()) return ended->second.state;
   if (m_refused.contains(key)) return EndedCall::kNotRun;
-  // After the expiry the call's tombstone may have been swept, so its absence proves nothing.
-  if (expires_at_us <= now_us) return EndedCall::kMayHaveRun;
+  // Past this time the call's tombstone may have been swept, so its absence proves nothing.
+  if (expires_at_us + kOwnerMemoryUs <= now_us) return EndedCall::kMayHaveRun;
   Add(key, expires_at_us, now_us, EndedCall::kNotRun);
   return EndedCall::kNeverSeen;
 }
 
 void SendGuard::Sweep(std::uint64_t now_us) {
   std::erase_if(m_ended, [&](const auto& entry) {
-    return entry.second.expires_at_us + kKeptAfterExpiryUs < now_us;
+    return entry.second.expires_at_us + kOwnerMemoryUs < now_us;
   });
   while (!m_refused_order.empty()) {
     const auto oldest = m_refused.find(m_refused_order.front());
-    if (oldest->second >= now_us) break;
+    if (oldest->second + kOwnerMemoryUs >= now_us) break;
     m_refused.erase(oldest);
     m_refused_order.pop_front();
   }
