Don't count urgent work as ahead of what a guarantee covers

Cause: the expected wait of a priority took the whole queue of more urgent work as ahead, although a guaranteed share is dispatched first. In a flood of the most urgent, a priority whose bound was shorter than that queue was refused although it was far below its guarantee. Change: the expected wait is at most that of the guaranteed share.

--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -100,7 +100,11 @@
   const double available = std::max(1.0 - ShareOfLessUrgent(lane), kLeastShare);
   const double by_order = work / (limit * available);
   const double by_share = own_work / (limit * ExpectedShare(lane));
-  return Duration(static_cast<Duration::rep>(std::max(by_order, by_share)));
+  double wait = std::max(by_order, by_share);
+  // More urgent work is not ahead of what a guarantee covers.
+  const double guaranteed = own.priority.guaranteed_share;
+  if (guaranteed > 0.0) wait = std::min(wait, own_work / (limit * guaranteed));
+  return Duration(static_cast<Duration::rep>(wait));
 }
 
 bool AdmissionQueue::FitsTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const {
--- a/tests/auto/policy/tst_admissionqueue.cpp
+++ b/tests/auto/policy/tst_admissionqueue.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(ServesUrgentFirstInFloodOfLeastUrgent);
   CPPUNIT_TEST(BoundsWaitInEveryFlood);
   CPPUNIT_TEST(KeepsGuaranteesWithUnequalServiceTimes);
+  CPPUNIT_TEST(UrgentQueueIsNotAheadOfGuaranteedWork);
   CPPUNIT_TEST(NeverExceedsSlots);
   CPPUNIT_TEST(RefusesWhatCannotBeServedInTime);
   CPPUNIT_TEST(EvictsLeastUrgentWhenFull);
@@ -173,6 +174,19 @@
     }
   }
 
+  // Guards against guaranteed work that is refused because the queue of more urgent work is longer
+  // than its own bound.
+  void UrgentQueueIsNotAheadOfGuaranteedWork() {
+    std::vector<Priority> priorities = Priorities();
+    priorities[1].queue_bound = milliseconds(100);
+    SimulationOptions options;
+    options.arrival_jitter = 0.0;
+    const SimulationResult result =
+        SimulateAdmission(options, priorities, Demands({10.0, 0.1, 1.0}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.priorities[1].refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.priorities[1].expired);
+  }
+
   void NeverExceedsSlots() {
     AdmissionQueue queue({.slots = 9}, Priorities());
     for (std::uint64_t id = 1; id <= 30; ++id) queue.Offer(CallOf(id, id % 3), kStart);
