--- a/src/libs/policy/sendguard.h
+++ b/src/libs/policy/sendguard.h
@@ -22,8 +22,7 @@
 };
 
 // An owner remembers a call for this long after its expiry, on its own clock, so that a question
-// asked at the deadline still gets a proof, and a late second delivery of a call that ran is not
-// refused as expired. A stamp may be some seconds too early after a pause of the ingress.
+// asked at the deadline still gets a proof, and a second delivery is not answered as expired.
 constexpr std::uint64_t kOwnerMemoryUs = 10000000;
 
 // What an owner knows of a call that it has neither queued nor running.
