--- /dev/null
+++ b/tests/auto/fleet/tst_draintracker.cpp
@@ -0,0 +1,120 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "fleet/draintracker.h"
+#include "fleet/gossipbook.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using std::chrono::seconds;
+
+TimePoint At(seconds since_start) { return TimePoint(seconds(1000)) + since_start; }
+
+// Probes one second apart, after a drain header if `header` is set, and whether the server counts
+// as leaving after them.
+struct DrainCase {
+  std::string_view name;
+  bool header;
+  std::vector<ProbeResult> probes;
+  bool leaving;
+};
+
+const std::vector<ProbeResult>& ThirtyOneHealthyProbes() {
+  static const std::vector<ProbeResult> probes(31, ProbeResult::kHealthy);
+  return probes;
+}
+
+std::vector<DrainCase> DrainCases() {
+  constexpr auto kHealthy = ProbeResult::kHealthy;
+  constexpr auto kLeaving = ProbeResult::kLeaving;
+  constexpr auto kRefused = ProbeResult::kRefused;
+  constexpr auto kNoAnswer = ProbeResult::kNoAnswer;
+  return {
+      {"healthy", false, {kHealthy, kHealthy}, false},
+      {"down without a drain", false, {kRefused, kNoAnswer}, false},
+      {"drain status", false, {kLeaving}, true},
+      {"lagging health after the header", true, {kHealthy, kHealthy, kHealthy}, true},
+      {"down, not yet back", true, {kRefused}, true},
+      {"restarted", true, {kHealthy, kRefused, kHealthy}, false},
+      {"silent, then healthy", true, {kNoAnswer, kHealthy}, true},
+      {"restarted and drains again", false, {kLeaving, kRefused, kHealthy, kLeaving}, true},
+      {"healthy for 30 s", true, ThirtyOneHealthyProbes(), false},
+  };
+}
+
+}  // namespace
+
+class DrainTrackerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DrainTrackerTest);
+  CPPUNIT_TEST(TakesServerBackAfterProofOnly);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against new work for a leaving server whose health path lags, and against a restarted
+  // one that gets none.
+  void TakesServerBackAfterProofOnly() {
+    for (const DrainCase& row : DrainCases()) {
+      DrainTracker tracker;
+      if (row.header) tracker.NoteHeader(true, At(seconds(0)));
+      seconds time{0};
+      for (const ProbeResult probe : row.probes) tracker.NoteProbe(probe, At(time += seconds(1)));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(row.name), row.leaving, tracker.IsLeaving());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DrainTrackerTest);
+
+class GossipBookTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GossipBookTest);
+  CPPUNIT_TEST(OwesNewsToAllButItsSource);
+  CPPUNIT_TEST(RestartedLinkIsToldAgain);
+  CPPUNIT_TEST(BudgetBoundsBytes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OwesNewsToAllButItsSource() {
+    const BackendServerId first("a");
+    const BackendServerId second("b");
+    const BackendServerId server("s");
+    GossipBook book;
+    book.SetNeighbours({first, second}, {});
+    book.NoteNews(server, first);
+    CPPUNIT_ASSERT(!book.IsOwed(first));
+    CPPUNIT_ASSERT(book.IsOwed(second));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.Take(second, 50).size());
+    CPPUNIT_ASSERT(!book.IsOwed(second));
+  }
+
+  // Guards against a drain that a neighbour never learns of because its link broke.
+  void RestartedLinkIsToldAgain() {
+    const BackendServerId neighbour("a");
+    const std::array<BackendServerId, 1> draining{BackendServerId("s")};
+    GossipBook book;
+    book.SetNeighbours({neighbour}, {});
+    CPPUNIT_ASSERT(!book.IsOwed(neighbour));
+    book.Restart(neighbour, draining);
+    CPPUNIT_ASSERT(book.IsOwed(neighbour));
+  }
+
+  void BudgetBoundsBytes() {
+    ByteBudget budget;
+    budget.SetRate(1000);
+    std::size_t taken = 0;
+    for (int step = 0; step < 1000; ++step) {
+      if (budget.TryTake(100, At(seconds(0)) + std::chrono::milliseconds(10 * step))) taken += 100;
+    }
+    // Ten seconds, one second's worth in store and one message of overdraft.
+    CPPUNIT_ASSERT(taken <= 11100);
+    CPPUNIT_ASSERT(taken >= 9000);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GossipBookTest);
+
+}  // namespace damaskhollow
