--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -5,6 +5,7 @@
 
 #include "logging/logger.h"
 #include "node/callheaders.h"
+#include "policy/attemptverdict.h"
 
 namespace damaskhollow {
 
@@ -21,6 +22,11 @@
 constexpr std::chrono::milliseconds kCrowdedIdle{1000};
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
 constexpr std::uint32_t kFirstErrorStatus = 500;
+static_assert(static_cast<int>(CallProgress::kNeverSeen) == wire::CALL_STATE_NEVER_SEEN &&
+              static_cast<int>(CallProgress::kQueued) == wire::CALL_STATE_QUEUED &&
+              static_cast<int>(CallProgress::kRunning) == wire::CALL_STATE_RUNNING &&
+              static_cast<int>(CallProgress::kDone) == wire::CALL_STATE_DONE &&
+              static_cast<int>(CallProgress::kCancelled) == wire::CALL_STATE_CANCELLED);
 
 // Whether the link is at fault rather than the server, so that the server may be tried again.
 bool IsLinkFault(Reason reason) {
@@ -214,6 +220,10 @@
   PendingCall& call = m_calls.at(connection);
   if (call.relayed == id) return HandleUnknown(id, reason);  // A part of its answer has been sent.
   if (IsLinkFault(reason)) std::erase(call.tried, attempt->server);
+  // The owner's memory of ended calls is limited, so a refusal this late proves nothing.
+  if (MonotonicNow() > call.deadline + kDeadlineGrace) {
+    return HandleUnknown(id, Reason::kLinkSilent);
+  }
   // An owner without its backend server refuses at once; that must not attract calls.
   EndAttempt(
       id, reason == Reason::kBackendUnreachable ? AttemptResult::kFailed : AttemptResult::kRefused);
@@ -300,15 +310,17 @@
   Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
   attempt->in_doubt = false;
-  switch (ProofOf(status.call_state(), status.state(), attempt->expiry)) {
-    case Proof::kNotRun:
-      return HandleNotRun(id, Reason::kLinkUnavailable);
-    case Proof::kPending:
+  switch (JudgeStatus(attempt->expiry.incarnation, Incarnation{status.state().incarnation()},
+                      static_cast<CallProgress>(status.call_state()), status.answer_follows())) {
+    case AttemptVerdict::kWait:
       return;
-    case Proof::kDone:
-      if (!status.answer_follows()) HandleUnknown(id, Reason::kLinkSilent);
-      return;
-    case Proof::kNone:
+    case AttemptVerdict::kNotRun:
+      // The owner itself is well, so the call may go there again.
+      std::erase(m_calls.at(attempt->connection).tried, attempt->server);
+      return HandleNotRun(id, Reason::kLinkUnavailable);
+    case AttemptVerdict::kUnknown:
+      return HandleUnknown(id, Reason::kLinkSilent);
+    case AttemptVerdict::kUnknownOwnerRestarted:
       return HandleUnknown(id, Reason::kOwnerRestarted);
   }
 }
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -61,9 +61,14 @@
                        keys.value(),
                        LinkTimings{.replace_silent_links = m_settings.silent_link_detection}},
       *this);
+  const AbsentSince absent_since = [this](const BackendServerId& server) {
+    return m_control->Members().AbsentSince(server);
+  };
+  m_owner.SetAbsentSince(absent_since);
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
-                     m_declaration, m_caller_connections, m_settings.caller_connections},
+                     m_declaration, m_caller_connections, m_settings.caller_connections,
+                     absent_since},
       m_workers);
   m_control =
       std::make_unique<ControlService>(ControlContext{m_settings, m_identity, m_metrics, *this,
--- a/src/libs/node/viewgate.h
+++ b/src/libs/node/viewgate.h
@@ -4,12 +4,10 @@
 #include <atomic>
 
 #include "base/time.h"
+#include "policy/pausedetector.h"
 
 namespace damaskhollow {
 
-// A gap between ticks of the main thread that means that the process was paused.
-inline constexpr std::chrono::seconds kPauseGap{1};
-
 // Says whether the node's view of fleet and configuration may be used for routing and dispatch. It
 // closes by itself when the main thread has not ticked for a second, so that a worker thread that
 // wakes first after a pause does not act on the old view. May be used from any thread.
@@ -36,7 +34,7 @@
   bool IsRefreshing() const { return m_refreshing.load(); }
 
  private:
-  static constexpr Duration kPause{kPauseGap};
+  static constexpr Duration kPause{kPauseThreshold};
 
   std::atomic<Duration::rep> m_last_tick{0};
   std::atomic<bool> m_refreshing{false};
--- a/src/libs/policy/sendguard.h
+++ b/src/libs/policy/sendguard.h
@@ -22,8 +22,8 @@
 };
 
 // An owner remembers a call for this long after its expiry, on its own clock, so that a question
-// asked at the deadline still gets a proof.
-constexpr std::uint64_t kOwnerMemoryUs = 2000000;
+// asked at the deadline still gets a proof, and a second delivery is not answered as expired.
+constexpr std::uint64_t kOwnerMemoryUs = 10000000;
 
 // What an owner knows of a call that it has neither queued nor running.
 enum class EndedCall {
