Keep urgent calls near while less urgent ones fill the near servers

Cause: the expected delay of a server counted all calls of this ingress that it had, also those that an urgent call overtakes at the owner. In a bulk flood the near servers looked slow and urgent calls crossed the paid link (demo: urgent p50 about 105 ms with 40 ms of service).

Change: only calls that are at least as urgent count.

Result: RouterTest::KeepsUrgentCallsNearDuringFlood: 100 bulk calls at the near server; an urgent call stays near, a bulk call goes to the far server. With the count of all calls (before) the urgent call goes far as well, as the two cases did not differ.

--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -93,6 +93,7 @@
   request.may_cross_regions = may_cross_regions;
   request.bytes = call.request.body.size();
   request.excluded = call.tried;
+  request.priority_index = call.call_class.priority_index;
   return m_context.router.Choose(request);
 }
 
@@ -134,7 +135,7 @@
   ++call.sends;
   wire::Envelope message =
       CallRequestFor(NameOf(id, attempt), server, call.call_class, call.digest, call.request);
-  m_context.router.NoteSent(server, id);
+  m_context.router.NoteSent(server, id, call.call_class.priority_index);
   if (choice.crosses_regions) {
     m_context.metrics.Add(Metric::kCallPaidLinkBytes, message.ByteSizeLong());
   }
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -37,10 +37,11 @@
   m_router.NoteLoad(server, load, now);
 }
 
-void SharedRouter::NoteSent(const BackendServerId& server, CallId attempt) {
+void SharedRouter::NoteSent(const BackendServerId& server, CallId attempt,
+                            std::size_t priority_index) {
   const std::lock_guard lock(m_lock);
   ++m_outstanding[server];
-  m_router.NoteSent(server, attempt, MonotonicNow());
+  m_router.NoteSent(server, attempt, priority_index, MonotonicNow());
 }
 
 void SharedRouter::NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result) {
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -30,7 +30,7 @@
   // Notes what an owner says of itself.
   void NoteState(const BackendServerId& server, const wire::OwnerState& state);
 
-  void NoteSent(const BackendServerId& server, CallId attempt);
+  void NoteSent(const BackendServerId& server, CallId attempt, std::size_t priority_index);
   void NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result);
 
   // Attempts sent to the server that have not ended.
--- a/src/libs/policy/adaptivestrategy.cpp
+++ b/src/libs/policy/adaptivestrategy.cpp
@@ -45,9 +45,13 @@
     ++seen;
   }
   if (seen == 0) return {};
-  Drawn best{pair[0], pool.Score(pair[0]).ExpectedDelay(pool.TypicalServiceTime(), now)};
+  const auto delay_of = [&](std::size_t index) {
+    return pool.Score(index).ExpectedDelay(pool.Request().priority_index, pool.TypicalServiceTime(),
+                                           now);
+  };
+  Drawn best{pair[0], delay_of(pair[0])};
   if (seen == 1) return best;
-  const Duration other = pool.Score(pair[1]).ExpectedDelay(pool.TypicalServiceTime(), now);
+  const Duration other = delay_of(pair[1]);
   const bool other_wins = other < best.delay || (other == best.delay && random.Below(2) == 0);
   return other_wins ? Drawn{pair[1], other} : best;
 }
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -124,8 +124,9 @@
   score->NoteLoad(load, m_started && now - *m_started > kFirstLinks, now);
 }
 
-void Router::NoteSent(const BackendServerId& server, CallId attempt, TimePoint now) {
-  if (ServerScore* score = FindScore(server)) score->NoteSent(attempt, now);
+void Router::NoteSent(const BackendServerId& server, CallId attempt, std::size_t priority_index,
+                      TimePoint now) {
+  if (ServerScore* score = FindScore(server)) score->NoteSent(attempt, priority_index, now);
 }
 
 void Router::NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result,
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -44,7 +44,8 @@
   void SetReachable(const BackendServerId& server, bool reachable, TimePoint now);
 
   void NoteLoad(const BackendServerId& server, const ReportedLoad& load, TimePoint now);
-  void NoteSent(const BackendServerId& server, CallId attempt, TimePoint now);
+  void NoteSent(const BackendServerId& server, CallId attempt, std::size_t priority_index,
+                TimePoint now);
   void NoteEnded(const BackendServerId& server, CallId attempt, AttemptResult result,
                  TimePoint now);
 
--- a/src/libs/policy/routingpool.h
+++ b/src/libs/policy/routingpool.h
@@ -19,6 +19,7 @@
   bool may_cross_regions = false;
   std::size_t bytes = 0;
   std::span<const BackendServerId> excluded;  // Servers that this call has been to.
+  std::size_t priority_index = 0;             // 0 is the most urgent.
 };
 
 // The servers of one service that this node uses.
--- a/src/libs/policy/serverscores.cpp
+++ b/src/libs/policy/serverscores.cpp
@@ -64,8 +64,8 @@
   m_load_at = now;
 }
 
-void ServerScore::NoteSent(CallId attempt, TimePoint now) {
-  m_outstanding.emplace_back(attempt, now);
+void ServerScore::NoteSent(CallId attempt, std::size_t priority_index, TimePoint now) {
+  m_outstanding.push_back(SentCall{attempt, priority_index, now});
   if (m_standing != Standing::kTrialDue) return;
   m_standing = Standing::kTrialRunning;
   m_trial = attempt;
@@ -73,7 +73,7 @@
 
 void ServerScore::NoteEnded(CallId attempt, AttemptResult result, bool may_suspend, TimePoint now) {
   const auto found = std::find_if(m_outstanding.begin(), m_outstanding.end(),
-                                  [&](const auto& entry) { return entry.first == attempt; });
+                                  [&](const auto& entry) { return entry.attempt == attempt; });
   if (found == m_outstanding.end()) return;
   m_outstanding.erase(found);
   const bool was_trial = m_standing == Standing::kTrialRunning && m_trial == attempt;
@@ -160,16 +160,20 @@
 // beside short ones that are answered is no stall.
 double ServerScore::StalledTime(TimePoint now) const {
   if (m_outstanding.empty()) return 0.0;
-  const TimePoint since = std::max(m_outstanding.front().second + m_round_trip, m_last_answer);
+  const TimePoint since = std::max(m_outstanding.front().sent + m_round_trip, m_last_answer);
   return now <= since ? 0.0 : Microseconds(now - since);
 }
 
-Duration ServerScore::ExpectedDelay(Duration typical, TimePoint now) const {
+Duration ServerScore::ExpectedDelay(std::size_t priority_index, Duration typical,
+                                    TimePoint now) const {
   const double age = Microseconds(now - m_load_at);
   const double queue = Microseconds(m_load.queue_delay) * std::exp(-age / kQueueAgeUs);
   const double service = std::max(ServiceTime(typical, now), StalledTime(now));
   const double limit = static_cast<double>(std::max<std::size_t>(m_load.limit, 1));
-  const double own = static_cast<double>(m_outstanding.size()) * service / limit;
+  const auto ahead =
+      std::count_if(m_outstanding.begin(), m_outstanding.end(),
+                    [&](const SentCall& call) { return call.priority_index <= priority_index; });
+  const double own = static_cast<double>(ahead) * service / limit;
   const double run = (queue + own + service) / std::max(m_success, kLowestSuccess);
   return Duration(static_cast<Duration::rep>(run)) + m_round_trip;
 }
--- a/src/libs/policy/serverscores.h
+++ b/src/libs/policy/serverscores.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -48,7 +47,7 @@
   // A server whose incarnation is new gets slow start. `ramp_first` says whether that holds for the
   // first incarnation seen as well.
   void NoteLoad(const ReportedLoad& load, bool ramp_first, TimePoint now);
-  void NoteSent(CallId attempt, TimePoint now);
+  void NoteSent(CallId attempt, std::size_t priority_index, TimePoint now);
 
   // `may_suspend` is false when too many servers of the service are suspended already.
   void NoteEnded(CallId attempt, AttemptResult result, bool may_suspend, TimePoint now);
@@ -56,9 +55,10 @@
   // Ends a suspension whose time is over.
   void Refresh(TimePoint now);
 
-  // Expected time from sending a call to its answer. `typical` is the usual service time of the
-  // service, which stands in for what is not known of this server any more.
-  Duration ExpectedDelay(Duration typical, TimePoint now) const;
+  // Expected time from sending a call of this priority to its answer. Less urgent calls of this
+  // ingress do not count, as the owner serves the more urgent first. `typical` is the usual service
+  // time of the service, which stands in for what is not known of this server any more.
+  Duration ExpectedDelay(std::size_t priority_index, Duration typical, TimePoint now) const;
 
   // Part of its normal share that the server may get, 0 to 1; below 1 during slow start.
   double RampShare(TimePoint now) const;
@@ -75,6 +75,12 @@
   const ReportedLoad& Load() const { return m_load; }
 
  private:
+  struct SentCall {
+    CallId attempt;
+    std::size_t priority_index = 0;
+    TimePoint sent{};
+  };
+
   void NoteSuccess(bool was_trial, TimePoint now);
   void NoteFailure(bool was_trial, bool may_suspend, TimePoint now);
   void NoteNoBackend(TimePoint now);
@@ -89,8 +95,8 @@
   bool m_was_reachable = false;
   ReportedLoad m_load;
   TimePoint m_load_at{};
-  TimePoint m_service_time_at{};  // When the reported service time last changed.
-  std::vector<std::pair<CallId, TimePoint>> m_outstanding;  // Oldest first.
+  TimePoint m_service_time_at{};        // When the reported service time last changed.
+  std::vector<SentCall> m_outstanding;  // Oldest first.
   TimePoint m_last_answer{};
   double m_success = 1.0;  // Smoothed part of calls that did not fail.
   unsigned m_consecutive_failures = 0;
--- a/tests/auto/policy/queueingsimulation.cpp
+++ b/tests/auto/policy/queueingsimulation.cpp
@@ -146,7 +146,7 @@
   Server& server = m_servers[call.server];
   call.generation = server.generation;
   ++server.sent;
-  router.NoteSent(choice.server, call.id, m_now);
+  router.NoteSent(choice.server, call.id, 0, m_now);
   At(m_now + server.one_way, [this, call] { Arrive(call); });
 }
 
--- a/tests/auto/policy/tst_router.cpp
+++ b/tests/auto/policy/tst_router.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(TakesHealedServerBackByTrial);
   CPPUNIT_TEST(EjectsAtMostHalf);
   CPPUNIT_TEST(AvoidsServersWithoutBackend);
+  CPPUNIT_TEST(KeepsUrgentCallsNearDuringFlood);
   CPPUNIT_TEST(ReplacesServersOfASubset);
   CPPUNIT_TEST_SUITE_END();
 
@@ -260,7 +261,7 @@
     CPPUNIT_ASSERT(router.Choose(request, now).server == other);
     request.idempotent = true;
     CPPUNIT_ASSERT(router.Choose(request, now).server == healed);
-    router.NoteSent(healed, CallId{1}, now);
+    router.NoteSent(healed, CallId{1}, 0, now);
     for (int call = 0; call < 50; ++call) {
       CPPUNIT_ASSERT(router.Choose(request, now).server == other);
     }
@@ -286,7 +287,7 @@
     std::map<std::string, int> last_calls;
     for (std::uint64_t call = 1; call <= 400; ++call) {
       const RoutingChoice choice = router.Choose(request, now);
-      router.NoteSent(choice.server, CallId{call}, now);
+      router.NoteSent(choice.server, CallId{call}, 0, now);
       router.NoteEnded(choice.server, CallId{call}, AttemptResult::kError, now);
       now += std::chrono::microseconds(100);
       if (call > 200) ++last_calls[choice.server.Value()];
@@ -304,7 +305,7 @@
       router.NoteLoad(id, IdleLoad(1), now);
       router.SetReachable(id, true, now);
       if (server == 3) continue;
-      router.NoteSent(id, CallId{static_cast<std::uint64_t>(server) + 1}, now);
+      router.NoteSent(id, CallId{static_cast<std::uint64_t>(server) + 1}, 0, now);
       router.NoteEnded(id, CallId{static_cast<std::uint64_t>(server) + 1},
                        AttemptResult::kNoBackend, now);
     }
@@ -317,6 +318,29 @@
                    BackendServerId("n3"));
   }
 
+  // Guards against urgent calls that cross the paid link because less urgent ones, which they
+  // overtake at the owner, fill the near servers.
+  void KeepsUrgentCallsNearDuringFlood() {
+    const TimePoint now{std::chrono::seconds(1)};
+    std::shared_ptr<const Declaration> declaration = SimulatedDeclaration(1, 1, 1000000);
+    const BackendServer& near = declaration->backend_servers[0];
+    const BackendServer& far = declaration->backend_servers[1];
+    CPPUNIT_ASSERT(near.region != far.region);
+    Router router("adaptive", Place{BackendServerId("i"), near.region, near.data_centre}, 3);
+    router.SetDeclaration(declaration, now);
+    for (const BackendServerId& id : {near.id, far.id}) {
+      router.NoteLoad(id, IdleLoad(1), now);
+      router.SetReachable(id, true, now);
+    }
+    for (std::uint64_t call = 1; call <= 100; ++call) {
+      router.NoteSent(near.id, CallId{call}, 1, now);
+    }
+    RoutingRequest request{ServiceId("s"), true, true, 0, {}};
+    CPPUNIT_ASSERT(router.Choose(request, now).server == near.id);
+    request.priority_index = 1;
+    CPPUNIT_ASSERT(router.Choose(request, now).server == far.id);
+  }
+
   // Guards against scores that are mixed up when servers move between services and regions.
   void ReplacesServersOfASubset() {
     Router router("adaptive", Place{BackendServerId("i"), RegionId("west"), DataCentreId("w")}, 3);
