--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -58,7 +58,8 @@
      "Only servers across the paid link were left, and its byte budget is spent.",
      "Raise paid_link_bytes_per_second, or add capacity in this region."},
     {Reason::kRetryBudget, "retry_budget", kNotRun, 503, false,
-     "The call was refused and the service's retry budget is spent.",
+     "A refused call was not tried again, as the service's retry budget is spent. The caller got "
+     "the reason of the refusal itself.",
      "Look for the refusals' own reason; the budget keeps retries from adding load."},
     {Reason::kViewRefreshing, "view_refreshing", kNotRun, 503, true,
      "The process was paused and refreshes its view before it routes or dispatches.",
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -263,8 +263,13 @@
                                  bool proved_not_run) {
   call.last_reason = reason;
   if (!call.attempts.empty()) return;
-  const Reason answer = DecideRetry(call, reason, proved_not_run);
-  if (answer != Reason::kNone) return AnswerReason(connection, answer);
+  const Reason decision = DecideRetry(call, reason, proved_not_run);
+  if (decision == Reason::kRetryBudget) {
+    // The caller learns why the call was refused; the counter shows that it was not tried again.
+    m_context.metrics.CountRefusal(decision);
+    return AnswerReason(connection, reason);
+  }
+  if (decision != Reason::kNone) return AnswerReason(connection, decision);
   m_context.metrics.CountRetry(reason);
   Route(connection, call);
 }
