Refuse a request id that comes back with another request

Cause: the registry recognised a resend by its id alone, so a caller that used one id for two requests got the answer to the first for the second.

--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -59,6 +59,7 @@
   kHomeReleased,
   kRequestIdExpired,
   kRegistryFull,
+  kRequestIdConflict,
   kAlreadyRunning,
   kAlreadyRan,
   // Failed after dispatch.
--- a/src/libs/node/claimservice.cpp
+++ b/src/libs/node/claimservice.cpp
@@ -28,9 +28,9 @@
                          wall);
 }
 
-RequestDecision ClaimService::Start(OwnedCallId call, const std::string& request_id, TimePoint now,
-                                    WallTime wall) {
-  RequestDecision decision = m_registry.Arrive(request_id, m_absent_since, wall);
+RequestDecision ClaimService::Start(OwnedCallId call, const std::string& request_id,
+                                    std::string_view digest, TimePoint now, WallTime wall) {
+  RequestDecision decision = m_registry.Arrive(request_id, digest, m_absent_since, wall);
   if (decision.kind == RequestDecision::Kind::kRefuse ||
       decision.kind == RequestDecision::Kind::kReplay) {
     return decision;
--- a/src/libs/node/claimservice.h
+++ b/src/libs/node/claimservice.h
@@ -48,8 +48,8 @@
 
   // Decides about a call with a request id. After kAsk the call is named by a SettledClaim. After
   // kAccept and kAsk its end is to be reported by End.
-  RequestDecision Start(OwnedCallId call, const std::string& request_id, TimePoint now,
-                        WallTime wall);
+  RequestDecision Start(OwnedCallId call, const std::string& request_id, std::string_view digest,
+                        TimePoint now, WallTime wall);
 
   // Copies a part of the call's answer.
   void NoteChunk(OwnedCallId call, const wire::ResponseChunk& chunk);
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -111,7 +111,8 @@
 }
 
 void OwnerService::Claim(OwnedCallId id, OwnedCall& call, TimePoint now) {
-  const RequestDecision decision = m_claims.Start(id, call.request.request_id(), now, WallNow());
+  const RequestDecision decision =
+      m_claims.Start(id, call.request.request_id(), call.request.digest(), now, WallNow());
   switch (decision.kind) {
     case RequestDecision::Kind::kAccept:
       return Admit(id, now);
--- a/src/libs/policy/requestregistry.cpp
+++ b/src/libs/policy/requestregistry.cpp
@@ -71,7 +71,9 @@
   return Reason::kNone;
 }
 
-RequestDecision RequestRegistry::DecideKnown(const Entry& entry) const {
+RequestDecision RequestRegistry::DecideKnown(const Entry& entry, std::string_view digest) const {
+  const bool is_other_request = entry.state != State::kReleased && entry.digest != digest;
+  if (is_other_request) return Refuse(Reason::kRequestIdConflict);
   switch (entry.state) {
     case State::kRunning:
       return Refuse(Reason::kAlreadyRunning);
@@ -101,14 +103,14 @@
   return ask;
 }
 
-RequestDecision RequestRegistry::Arrive(std::string_view request_id,
+RequestDecision RequestRegistry::Arrive(std::string_view request_id, std::string_view digest,
                                         const AbsentSince& absent_since, WallTime now) {
   m_latest = std::max(m_latest, now);
   const std::optional<WallTime> created = CreationTime(request_id);
   if (!created) return Refuse(Reason::kRequestIdInvalid);
   Key key{*created, std::string(request_id)};
   const auto known = m_entries.find(key);
-  if (known != m_entries.end()) return DecideKnown(known->second);
+  if (known != m_entries.end()) return DecideKnown(known->second, digest);
   if (const Reason reason = CheckTime(*created, now); reason != Reason::kNone) {
     return Refuse(reason);
   }
@@ -119,7 +121,9 @@
   decision.ask = ServersToAsk(key, absent_since);
   decision.kind =
       decision.ask.empty() ? RequestDecision::Kind::kAccept : RequestDecision::Kind::kAsk;
-  m_entries.emplace(std::move(key), Entry{});
+  Entry entry;
+  entry.digest = digest;
+  m_entries.emplace(std::move(key), std::move(entry));
   return decision;
 }
 
@@ -184,7 +188,7 @@
   }
   SweepEntries();
   if (m_entries.size() >= m_limits.entries) return {false, Reason::kRegistryFull};
-  m_entries.emplace(std::move(key), Entry{State::kReleased, Reason::kNone, std::nullopt});
+  m_entries.emplace(std::move(key), Entry{{}, State::kReleased, Reason::kNone, std::nullopt});
   return {true, Reason::kNone};
 }
 
--- a/src/libs/policy/requestregistry.h
+++ b/src/libs/policy/requestregistry.h
@@ -75,8 +75,10 @@
                    WallTime now);
 
   // Decides about a request that arrives. After kAccept and kAsk the id counts as running here.
-  RequestDecision Arrive(std::string_view request_id, const AbsentSince& absent_since,
-                         WallTime now);
+  // `digest` is of the request: an id that comes back with another request is refused, as the
+  // answer to the first one is not the answer to the second.
+  RequestDecision Arrive(std::string_view request_id, std::string_view digest,
+                         const AbsentSince& absent_since, WallTime now);
 
   // The request was refused before it ran, so it may run here or elsewhere later.
   void NoteNotRun(std::string_view request_id);
@@ -106,6 +108,7 @@
   };
 
   struct Entry {
+    std::string digest;  // Empty for an id that was released before a request came.
     State state = State::kRunning;
     Reason reason = Reason::kNone;  // Of kDone without an answer.
     std::optional<KeptRequestAnswer> answer;
@@ -124,7 +127,7 @@
 
   void UpdateAgreement(Member& member, WallTime now) const;
   Reason CheckTime(WallTime created, WallTime now) const;
-  RequestDecision DecideKnown(const Entry& entry) const;
+  RequestDecision DecideKnown(const Entry& entry, std::string_view digest) const;
   std::vector<BackendServerId> ServersToAsk(const Key& key, const AbsentSince& absent_since) const;
   Entries::iterator Find(std::string_view request_id);
   void KeepAnswer(Entries::iterator entry, KeptRequestAnswer answer);
--- a/tests/auto/policy/atmostonceworld.cpp
+++ b/tests/auto/policy/atmostonceworld.cpp
@@ -249,7 +249,7 @@
 void AtMostOnceWorld::Claim(std::size_t index, const Message& message, OwnedEntry& entry) {
   Node& node = m_nodes[index];
   const RequestDecision decision =
-      node.registry->Arrive(m_requests[message.request].id, {}, WallOf(node));
+      node.registry->Arrive(m_requests[message.request].id, "digest", {}, WallOf(node));
   switch (decision.kind) {
     case RequestDecision::Kind::kAccept:
       return;
--- a/tests/auto/policy/tst_requestregistry.cpp
+++ b/tests/auto/policy/tst_requestregistry.cpp
@@ -20,6 +20,7 @@
 
 constexpr WallTime kStarted{seconds(1700000000)};
 constexpr WallTime kNow = kStarted + minutes(30);
+constexpr std::string_view kDigest = "digest of the request";
 
 std::string IdAt(WallTime created, std::string_view token = "a") {
   return std::to_string(created.time_since_epoch().count()) + "-" + std::string(token);
@@ -54,6 +55,7 @@
   CPPUNIT_TEST(AcceptsOnlyIdsThatItWouldRemember);
   CPPUNIT_TEST(ClockSetBackDoesNotRenewForgottenIds);
   CPPUNIT_TEST(AnswersResends);
+  CPPUNIT_TEST(RefusesIdOfAnotherRequest);
   CPPUNIT_TEST(AsksHigherServers);
   CPPUNIT_TEST(AsksServersThatMayUseAnotherInventory);
   CPPUNIT_TEST(DoesNotAskServersThatWereAbsent);
@@ -129,53 +131,66 @@
     for (const Row& row : rows) {
       const std::string id = IdAt(row.created);
       RequestRegistry registry = RegistryAt(0, id);
-      const RequestDecision decision = registry.Arrive(id, {}, kNow);
+      const RequestDecision decision = registry.Arrive(id, kDigest, {}, kNow);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(row.name), static_cast<int>(row.reason),
                                    static_cast<int>(decision.reason));
     }
     for (const milliseconds after_start : {milliseconds(-5000), milliseconds(2000)}) {
       const std::string id = IdAt(kStarted + after_start);
       RequestRegistry registry = RegistryAt(0, id, kStarted - minutes(1));
-      CPPUNIT_ASSERT(registry.Arrive(id, {}, kStarted + seconds(5)).reason ==
+      CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kStarted + seconds(5)).reason ==
                      Reason::kHomeRestarted);
     }
     const std::string id = IdAt(kStarted + milliseconds(2001));
     RequestRegistry registry = RegistryAt(0, id, kStarted - minutes(1));
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kStarted + seconds(5)).kind == Kind::kAccept);
-    CPPUNIT_ASSERT(registry.Arrive("no id", {}, kNow).reason == Reason::kRequestIdInvalid);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kStarted + seconds(5)).kind == Kind::kAccept);
+    CPPUNIT_ASSERT(registry.Arrive("no id", kDigest, {}, kNow).reason == Reason::kRequestIdInvalid);
   }
 
   // Guards against a wall clock that is set back after an id was forgotten.
   void ClockSetBackDoesNotRenewForgottenIds() {
     const std::string id = IdAt(kNow);
     RequestRegistry registry = RegistryAt(0, id);
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).kind == Kind::kAccept);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).kind == Kind::kAccept);
     registry.NoteRan(id, {});
     registry.Sweep({}, kNow + minutes(11));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.Count());
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).reason == Reason::kRequestIdExpired);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).reason == Reason::kRequestIdExpired);
     CPPUNIT_ASSERT(registry.Release(id, kNow).reason == Reason::kRequestIdExpired);
   }
 
+  // Guards against the answer to one request being given to another with the same id.
+  void RefusesIdOfAnotherRequest() {
+    const std::string id = IdAt(kNow);
+    RequestRegistry registry = RegistryAt(0, id);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).kind == Kind::kAccept);
+    CPPUNIT_ASSERT(registry.Arrive(id, "another digest", {}, kNow).reason ==
+                   Reason::kRequestIdConflict);
+    registry.NoteRan(id, KeptRequestAnswer{"head", "body"});
+    CPPUNIT_ASSERT(registry.Arrive(id, "another digest", {}, kNow).reason ==
+                   Reason::kRequestIdConflict);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).kind == Kind::kReplay);
+  }
+
   void AnswersResends() {
     const std::string id = IdAt(kNow);
     RequestRegistry registry = RegistryAt(0, id);
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).kind == Kind::kAccept);
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).reason == Reason::kAlreadyRunning);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).kind == Kind::kAccept);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).reason == Reason::kAlreadyRunning);
     registry.NoteNotRun(id);
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).kind == Kind::kAccept);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).kind == Kind::kAccept);
     registry.NoteRan(id, {"head", "body"});
-    const RequestDecision replay = registry.Arrive(id, {}, kNow + minutes(1));
+    const RequestDecision replay = registry.Arrive(id, kDigest, {}, kNow + minutes(1));
     CPPUNIT_ASSERT(replay.kind == Kind::kReplay);
     CPPUNIT_ASSERT_EQUAL(std::string("body"), replay.answer->body);
     registry.NoteNotRun(id);  // A late refusal of another send must not make it forgotten.
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).kind == Kind::kReplay);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).kind == Kind::kReplay);
 
     const std::string failed = IdAt(kNow, "b");
     RequestRegistry other = RegistryAt(0, failed);
-    other.Arrive(failed, {}, kNow);
+    other.Arrive(failed, kDigest, {}, kNow);
     other.NoteUnknown(failed, Reason::kBackendClosed);
-    CPPUNIT_ASSERT(other.Arrive(failed, {}, kNow).reason == Reason::kBackendClosed);
+    CPPUNIT_ASSERT(other.Arrive(failed, kDigest, {}, kNow).reason == Reason::kBackendClosed);
   }
 
   void AsksHigherServers() {
@@ -183,7 +198,7 @@
     const std::vector<BackendServerId> order = HomeOrder(Servers(), id);
     for (std::size_t position = 0; position < order.size(); ++position) {
       RequestRegistry registry = RegistryAt(position, id);
-      std::vector<BackendServerId> asked = registry.Arrive(id, {}, kNow).ask;
+      std::vector<BackendServerId> asked = registry.Arrive(id, kDigest, {}, kNow).ask;
       CPPUNIT_ASSERT_EQUAL(position, asked.size());
       for (std::size_t higher = 0; higher < position; ++higher) {
         CPPUNIT_ASSERT(std::count(asked.begin(), asked.end(), order[higher]) == 1);
@@ -199,7 +214,7 @@
     const std::vector<BackendServerId> order = HomeOrder(Servers(), id);
     const std::vector<BackendServerId> all_lower{order[1], order[2]};
     const auto asked = [&](RequestRegistry& registry, const std::string& request) {
-      std::vector<BackendServerId> ask = registry.Arrive(request, {}, kNow).ask;
+      std::vector<BackendServerId> ask = registry.Arrive(request, kDigest, {}, kNow).ask;
       registry.NoteNotRun(request);
       std::sort(ask.begin(), ask.end(),
                 [&](const auto& first, const auto& second) { return IsBefore(first, second, id); });
@@ -252,7 +267,7 @@
         if (server == order[0]) return row.absent_since;
         return std::nullopt;
       };
-      CPPUNIT_ASSERT_EQUAL(row.asked, registry.Arrive(id, absent, kNow).ask.size());
+      CPPUNIT_ASSERT_EQUAL(row.asked, registry.Arrive(id, kDigest, absent, kNow).ask.size());
     }
   }
 
@@ -261,10 +276,10 @@
     RequestRegistry unseen = RegistryAt(0, id);
     CPPUNIT_ASSERT(unseen.Release(id, kNow).released);
     CPPUNIT_ASSERT(unseen.Release(id, kNow).released);
-    CPPUNIT_ASSERT(unseen.Arrive(id, {}, kNow).reason == Reason::kHomeReleased);
+    CPPUNIT_ASSERT(unseen.Arrive(id, kDigest, {}, kNow).reason == Reason::kHomeReleased);
 
     RequestRegistry ran = RegistryAt(0, id);
-    ran.Arrive(id, {}, kNow);
+    ran.Arrive(id, kDigest, {}, kNow);
     ran.NoteRan(id, {});
     const ReleaseAnswer answer = ran.Release(id, kNow);
     CPPUNIT_ASSERT(!answer.released && answer.reason == Reason::kAlreadyRan);
@@ -283,20 +298,21 @@
     registry.SetInventory(std::vector{BackendServerId("s1")}, 1, kStarted);
     const std::string first = IdAt(kNow, "1");
     const std::string second = IdAt(kNow, "2");
-    for (const std::string& id : {first, second}) registry.Arrive(id, {}, kNow);
-    CPPUNIT_ASSERT(registry.Arrive(IdAt(kNow, "3"), {}, kNow).reason == Reason::kRegistryFull);
+    for (const std::string& id : {first, second}) registry.Arrive(id, kDigest, {}, kNow);
+    CPPUNIT_ASSERT(registry.Arrive(IdAt(kNow, "3"), kDigest, {}, kNow).reason ==
+                   Reason::kRegistryFull);
     CPPUNIT_ASSERT(registry.Release(IdAt(kNow, "3"), kNow).reason == Reason::kRegistryFull);
     registry.NoteRan(first, {"", std::string(60, 'x')});
-    CPPUNIT_ASSERT(registry.Arrive(first, {}, kNow).kind == Kind::kReplay);
+    CPPUNIT_ASSERT(registry.Arrive(first, kDigest, {}, kNow).kind == Kind::kReplay);
     registry.NoteRan(second, {"", std::string(60, 'x')});
-    CPPUNIT_ASSERT(registry.Arrive(first, {}, kNow).reason == Reason::kAlreadyRan);
-    CPPUNIT_ASSERT(registry.Arrive(second, {}, kNow).kind == Kind::kReplay);
+    CPPUNIT_ASSERT(registry.Arrive(first, kDigest, {}, kNow).reason == Reason::kAlreadyRan);
+    CPPUNIT_ASSERT(registry.Arrive(second, kDigest, {}, kNow).kind == Kind::kReplay);
     // Old entries make room.
     const WallTime later = kNow + minutes(11);
     const std::string large = IdAt(later, "4");
-    CPPUNIT_ASSERT(registry.Arrive(large, {}, later).kind == Kind::kAccept);
+    CPPUNIT_ASSERT(registry.Arrive(large, kDigest, {}, later).kind == Kind::kAccept);
     registry.NoteRan(large, {"", std::string(61, 'x')});
-    CPPUNIT_ASSERT(registry.Arrive(large, {}, later).reason == Reason::kAlreadyRan);
+    CPPUNIT_ASSERT(registry.Arrive(large, kDigest, {}, later).reason == Reason::kAlreadyRan);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Count());
   }
 
@@ -304,7 +320,7 @@
     const std::string id = IdAt(kNow);
     RequestRegistry registry(BackendServerId("s9"), kStarted);
     registry.SetInventory(Servers(), 1, kStarted);
-    CPPUNIT_ASSERT(registry.Arrive(id, {}, kNow).reason == Reason::kWrongServer);
+    CPPUNIT_ASSERT(registry.Arrive(id, kDigest, {}, kNow).reason == Reason::kWrongServer);
     CPPUNIT_ASSERT(registry.Release(id, kNow).released);
   }
 };
