Let the next home decide on a request id whose home is cut off

Cause: after link_unavailable a call was sent to the same home again, as any other call may be.

Change: only calls without a request id may return to a server whose link was at fault.

--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -214,13 +214,19 @@
   m_context.router.NotePaidLinkBytes(bytes);
 }
 
+void IngressShard::AllowReturn(PendingCall& call, const BackendServerId& server, Reason reason) {
+  // The next home of a request id decides whether it may run without the one that is cut off.
+  if (!call.call_class.request_id.empty()) return;
+  if (IsLinkFault(reason)) std::erase(call.tried, server);
+}
+
 void IngressShard::HandleNotRun(CallId id, Reason reason) {
   const Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
   if (call.relayed == id) return HandleUnknown(id, reason);  // A part of its answer has been sent.
-  if (IsLinkFault(reason)) std::erase(call.tried, attempt->server);
+  AllowReturn(call, attempt->server, reason);
   // The owner's memory of ended calls is limited, so a refusal this late proves nothing.
   if (MonotonicNow() > call.deadline + kDeadlineGrace) {
     return HandleUnknown(id, Reason::kLinkSilent);
@@ -236,7 +242,7 @@
   if (attempt == nullptr) return;
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
-  if (IsLinkFault(reason)) std::erase(call.tried, attempt->server);
+  AllowReturn(call, attempt->server, reason);
   EndAttempt(id, AttemptResult::kFailed);
   if (call.relayed == id) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -119,6 +119,8 @@
   bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
   void NotePaidLinkBytes(std::size_t bytes);
   void HandleChunk(const wire::ResponseChunk& chunk);
+  // Lets a call try a server again whose link was at fault.
+  static void AllowReturn(PendingCall& call, const BackendServerId& server, Reason reason);
   void HandleNotRun(CallId attempt, Reason reason);
   void HandleUnknown(CallId attempt, Reason reason);
   void HandleStatus(const wire::StatusResult& status);
