--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -40,6 +40,7 @@
   int deadline_ms = 5000;
   int max_body_bytes = 4 << 20;
   int health_interval_ms = 500;
+  double hedge_share = 0.05;
   int measuring_bytes_per_second = 100000;
   int paid_link_bytes_per_second = 3000000;
 };
