Tell not-run of a request id only with a home's word

Cause: "not-run" of a call with a request id covered this send only. A resend that met a home which was cut off, draining or had released the id was told not-run although an earlier send had run (seen: ResentRequest "after the home restarted", not-run with reason home_released after the first send was answered).

Change: an owner marks a refusal that comes after the id was accepted as new; without that mark the ingress answers unknown for refusals of 5xx.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -98,7 +98,8 @@
      "The node that remembers this request id started after the id was created.",
      "The caller must check whether its request took effect."},
     {Reason::kHomeUnreachable, "home_unreachable", kNotRun, 503, false,
-     "A node that may remember this request id cannot be asked; this send was not run.",
+     "A node that may remember this request id cannot be asked; this send was not run, an earlier "
+     "one may have been.",
      "Check that node with `damaskhollow status`."},
     {Reason::kHomeReleased, "home_released", kNotRun, 503, true,
      "This node gave the request id up to another home, which may have run the request; this send "
--- a/src/libs/node/callheaders.cpp
+++ b/src/libs/node/callheaders.cpp
@@ -99,10 +99,10 @@
   return answer;
 }
 
-ReasonAnswer AnswerFor(Reason reason) {
+ReasonAnswer AnswerFor(Reason reason, Outcome outcome) {
   const ReasonInfo& info = InfoOf(reason);
   QJsonObject json;
-  json.insert("outcome", ToQString(OutcomeName(info.outcome)));
+  json.insert("outcome", ToQString(OutcomeName(outcome)));
   json.insert("reason", ToQString(info.name));
   json.insert("explanation", ToQString(info.explanation));
   ReasonAnswer answer;
@@ -110,8 +110,7 @@
   answer.head.status = info.http_status;
   answer.head.content_length = answer.body.size();
   answer.head.headers.push_back({"Content-Type", "application/json"});
-  answer.head.headers.push_back(
-      {std::string(kOutcomeHeader), std::string(OutcomeName(info.outcome))});
+  answer.head.headers.push_back({std::string(kOutcomeHeader), std::string(OutcomeName(outcome))});
   answer.head.headers.push_back({std::string(kReasonHeader), std::string(info.name)});
   if (info.http_status == 503) answer.head.headers.push_back({"Retry-After", "1"});
   return answer;
--- a/src/libs/node/callheaders.h
+++ b/src/libs/node/callheaders.h
@@ -41,7 +41,7 @@
   HttpResponseHead head;
   std::string body;
 };
-ReasonAnswer AnswerFor(Reason reason);
+ReasonAnswer AnswerFor(Reason reason, Outcome outcome);
 
 }  // namespace damaskhollow
 
--- a/src/libs/node/claimservice.cpp
+++ b/src/libs/node/claimservice.cpp
@@ -37,7 +37,8 @@
   }
   Claim& claim = m_claims[call];
   claim.request_id = request_id;
-  if (decision.kind == RequestDecision::Kind::kAccept) return decision;
+  claim.is_accepted = decision.kind == RequestDecision::Kind::kAccept;
+  if (claim.is_accepted) return decision;
   claim.query = m_next_query++;
   claim.awaited = {decision.ask.begin(), decision.ask.end()};
   claim.give_up_at = now + kReleaseTimeout;
@@ -92,6 +93,7 @@
   const OwnedCallId call = query->second;
   m_queries.erase(query);
   m_claims.at(call).query = 0;
+  m_claims.at(call).is_accepted = refusal == Reason::kNone;
   return {call, refusal};
 }
 
@@ -108,6 +110,11 @@
   return settled;
 }
 
+bool ClaimService::IsAccepted(OwnedCallId call) const {
+  const auto found = m_claims.find(call);
+  return found != m_claims.end() && found->second.is_accepted;
+}
+
 void ClaimService::NoteChunk(OwnedCallId call, const wire::ResponseChunk& chunk) {
   const auto found = m_claims.find(call);
   if (found == m_claims.end()) return;
--- a/src/libs/node/claimservice.h
+++ b/src/libs/node/claimservice.h
@@ -51,6 +51,9 @@
   RequestDecision Start(OwnedCallId call, const std::string& request_id, std::string_view digest,
                         TimePoint now, WallTime wall);
 
+  // Whether the call was accepted as the first of its request id that may run.
+  bool IsAccepted(OwnedCallId call) const;
+
   // Copies a part of the call's answer.
   void NoteChunk(OwnedCallId call, const wire::ResponseChunk& chunk);
 
@@ -73,6 +76,7 @@
  private:
   struct Claim {
     std::string request_id;
+    bool is_accepted = false;
     std::uint64_t query = 0;  // 0 when no answer is awaited.
     std::set<BackendServerId> awaited;
     TimePoint give_up_at{};
--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -62,7 +62,7 @@
   if (connections >= limit) CloseIdleConnections();
   if (connections >= limit + limit / kUrgentReserveDivisor) {
     m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
-    const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded);
+    const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded, Outcome::kNotRun);
     auto* socket = new QTcpSocket(this);
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
     socket->setSocketDescriptor(descriptor);
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -131,6 +131,7 @@
   attempt.sent = MonotonicNow();
   attempt.crosses_regions = choice.crosses_regions;
   call.attempts.push_back(id);
+  call.request_id_not_run = false;
   call.tried.push_back(server);
   ++call.sends;
   wire::Envelope message =
@@ -151,6 +152,9 @@
       return HandleChunk(message.response_chunk());
     case wire::Envelope::kRefused:
       m_context.router.NoteState(owner, message.refused().state());
+      if (message.refused().request_id_not_run()) {
+        NoteRequestIdNotRun(CallId{message.refused().call_id()});
+      }
       return HandleNotRun(CallId{message.refused().call_id()},
                           static_cast<Reason>(message.refused().reason()));
     case wire::Envelope::kCallFailed:
@@ -383,14 +387,30 @@
   return call.attempts.empty() ? reason : Reason::kLinkSilent;
 }
 
+Outcome IngressShard::ProvedOutcome(const PendingCall& call, Reason reason) {
+  const ReasonInfo& info = InfoOf(reason);
+  const bool has_id = !FindHeader(call.request.headers, kRequestIdHeader).empty();
+  // An invalid request is refused at each send, so that no earlier one can have run.
+  const bool is_invalid = info.http_status < static_cast<int>(kFirstErrorStatus);
+  const bool lacks_proof = has_id && !is_invalid && !call.request_id_not_run;
+  return info.outcome == Outcome::kNotRun && lacks_proof ? Outcome::kUnknown : info.outcome;
+}
+
+void IngressShard::NoteRequestIdNotRun(CallId id) {
+  const Attempt* attempt = FindAttempt(id);
+  if (attempt != nullptr) m_calls.at(attempt->connection).request_id_not_run = true;
+}
+
 void IngressShard::AnswerReason(ConnectionId connection, Reason reason) {
+  Outcome outcome = InfoOf(reason).outcome;
   if (PendingCall* call = FindCall(connection); call != nullptr) {
     reason = ProvedReason(*call, reason);
+    outcome = ProvedOutcome(*call, reason);
     CancelAttempts(*call);
     EndCall(connection);
   }
   m_context.metrics.CountRefusal(reason);
-  const ReasonAnswer answer = AnswerFor(reason);
+  const ReasonAnswer answer = AnswerFor(reason, outcome);
   CallerConnection& caller = *m_connections.at(connection);
   caller.StartAnswer(answer.head);
   caller.SendBody(answer.body);
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -82,10 +82,11 @@
     TimePoint started{};
     TimePoint deadline{};
     std::vector<BackendServerId> tried;
-    std::size_t sends = 0;         // Attempts so far.
-    std::vector<CallId> attempts;  // Those that still run.
-    CallId relayed;                // The attempt whose answer goes to the caller; 0 for none.
-    bool waiting = false;          // For a server that can take it.
+    std::size_t sends = 0;            // Attempts so far.
+    std::vector<CallId> attempts;     // Those that still run.
+    bool request_id_not_run = false;  // A home says that no send of the request id has run.
+    CallId relayed;                   // The attempt whose answer goes to the caller; 0 for none.
+    bool waiting = false;             // For a server that can take it.
     TimePoint waiting_until{};
     bool hedged = false;
     bool asked_at_deadline = false;  // Whether its owners were sent a Cancel at the deadline.
@@ -142,6 +143,11 @@
   // The reason that may be given to the caller: one that says not-run only if that is proved for
   // all attempts.
   static Reason ProvedReason(const PendingCall& call, Reason reason);
+
+  // What the caller may conclude. For a call with a request id, not-run stands for all its sends,
+  // so it needs the word of a home that accepted the id.
+  static Outcome ProvedOutcome(const PendingCall& call, Reason reason);
+  void NoteRequestIdNotRun(CallId id);
   void AnswerReason(ConnectionId connection, Reason reason);
   void EndCall(ConnectionId connection);
   void Tick();
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -282,13 +282,15 @@
   m_pool->AddCredit(id, credit.bytes());
 }
 
-void OwnerService::Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason) {
+void OwnerService::Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason,
+                          bool request_id_not_run) {
   m_metrics.CountRefusal(reason);
   wire::Envelope message;
   // Some refusals concern an earlier send of the request, which may have run.
   if (InfoOf(reason).outcome == Outcome::kNotRun) {
     message.mutable_refused()->set_call_id(call_id);
     message.mutable_refused()->set_reason(static_cast<std::uint32_t>(reason));
+    message.mutable_refused()->set_request_id_not_run(request_id_not_run);
     *message.mutable_refused()->mutable_state() = LockedState();
   } else {
     message.mutable_call_failed()->set_call_id(call_id);
@@ -301,8 +303,9 @@
 void OwnerService::RefuseUnrun(OwnedCallId id, Reason reason) {
   const OwnedCall& call = m_calls.At(id);
   m_suspects.Leave(id);
+  const bool request_id_not_run = m_claims.IsAccepted(id);
   m_claims.End(id, ClaimEnd::kNotRun);
-  Refuse(call.route, call.key.call.value, reason);
+  Refuse(call.route, call.key.call.value, reason, request_id_not_run);
   m_calls.RemoveRefused(id, MonotonicNow());
 }
 
@@ -360,9 +363,10 @@
   if (call.shed) {
     const ReplyRoute route = call.route;
     const std::uint64_t call_id = call.key.call.value;
+    const bool request_id_not_run = m_claims.IsAccepted(id);
     m_claims.End(id, ClaimEnd::kNotRun);
     Finish(id, SlotResult::kShed);
-    return Refuse(route, call_id, Reason::kBackendShed);
+    return Refuse(route, call_id, Reason::kBackendShed, request_id_not_run);
   }
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   m_claims.End(id, ClaimEnd::kRan);
@@ -380,11 +384,12 @@
   if (reason == Reason::kBackendClosed && may_have_run) {
     m_crash_guard.NoteAborted(call->request.digest());
   }
+  const bool request_id_not_run = !may_have_run && m_claims.IsAccepted(id);
   const bool may_run_again = !may_have_run || call->request.idempotent();
   m_claims.End(id, may_run_again ? ClaimEnd::kNotRun : ClaimEnd::kMayHaveRun, reason);
   Finish(id, SlotResult::kFailed);
   if (discard) return;
-  Refuse(route, call_id, may_have_run ? reason : Reason::kBackendUnreachable);
+  Refuse(route, call_id, may_have_run ? reason : Reason::kBackendUnreachable, request_id_not_run);
 }
 
 void OwnerService::Finish(OwnedCallId id, SlotResult result) {
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -103,7 +103,9 @@
   void Replay(OwnedCallId id, OwnedCall& call, const KeptRequestAnswer& answer);
   void Dispatch(TimePoint now);
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
-  void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason);
+  // `request_id_not_run`: the call has a request id, and no send of that id has run.
+  void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason,
+              bool request_id_not_run = false);
   // Refuses a call that is not running, and forgets it.
   void RefuseUnrun(OwnedCallId id, Reason reason);
   // `replayed_head` stands for the part's own head if it is not null.
