--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -54,7 +54,7 @@
   const int stop_signals = OpenStopSignals();
   QCoreApplication application(argc, argv);
   damaskhollow::StartLogging(*damaskhollow::LogLevelFromName(loaded.value().settings.log_level));
-  damaskhollow::Node node(loaded.value().settings);
+  damaskhollow::Node node(loaded.value().settings, damaskhollow::OwnSeams(loaded.value().settings));
   if (Result<void> result = node.Start(); !result) {
     DAMASKHOLLOW_LOG(kNode, kError) << damaskhollow::Describe(result.error());
     return kStartFailedStatus;
--- a/src/libs/base/ids.h
+++ b/src/libs/base/ids.h
@@ -39,6 +39,7 @@
 using RegionId = NamedId<struct RegionTag>;
 using DataCentreId = NamedId<struct DataCentreTag>;
 using ServiceId = NamedId<struct ServiceTag>;
+using RouteId = NamedId<struct RouteTag>;
 using PriorityId = NamedId<struct PriorityTag>;
 // Names a backend server and, as each backend server has exactly one node, also that node.
 using BackendServerId = NamedId<struct BackendServerTag>;
--- a/src/libs/configuration/platformreader.h
+++ b/src/libs/configuration/platformreader.h
@@ -7,6 +7,8 @@
 #include <QTimer>
 #include <QUrl>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -26,15 +28,27 @@
   virtual void OnPlatformFailed(std::string_view detail) = 0;
 };
 
+// Reads one document of the platform.
+class DocumentReader {
+ public:
+  virtual ~DocumentReader() = default;
+
+  // Starts a read and gives up one that still runs, without an event for that. Each read that is
+  // not given up ends with one event.
+  virtual void Start(const StoreRead& read) = 0;
+};
+
+// Makes the reader of a document; `events` outlives it.
+using MakeDocumentReader = std::function<std::unique_ptr<DocumentReader>(PlatformEvents& events)>;
+
 // Reads one of the platform's services over HTTP (docs/platform.md).
-class PlatformReader : public QObject {
+class PlatformReader : public QObject, public DocumentReader {
  public:
   // `url` is the service's address; if it has no path, `default_path` is added.
   PlatformReader(const std::string& url, const std::string& default_path, PlatformEvents& events);
   ~PlatformReader() override;
 
-  // Starts a read and gives up one that still runs, without an event for that.
-  void Start(const StoreRead& read);
+  void Start(const StoreRead& read) override;
 
  private:
   void CheckSize();
--- /dev/null
+++ b/src/libs/configuration/vmlist.cpp
@@ -0,0 +1,94 @@
+#include "configuration/vmlist.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <string>
+
+#include "base/endpoint.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr int kMostSlots = 10000;
+constexpr char kLive[] = "live";
+constexpr char kLeaving[] = "leaving";
+
+std::string TextOf(const QJsonObject& entry, const char* field) {
+  return entry.value(field).toString().toStdString();
+}
+
+QString ToQString(const std::string& text) { return QString::fromStdString(text); }
+
+// The backend server of an entry; empty if a field is missing or of another type.
+std::optional<BackendServer> ReadServer(const QJsonObject& entry) {
+  BackendServer server;
+  server.id = BackendServerId(TextOf(entry, "id"));
+  server.service = ServiceId(TextOf(entry, "service"));
+  server.address = TextOf(entry, "address");
+  server.peer_address = TextOf(entry, "peer_address");
+  server.region = RegionId(TextOf(entry, "region"));
+  server.data_centre = DataCentreId(TextOf(entry, "data_centre"));
+  server.instance = TextOf(entry, "instance");
+  server.warming = entry.value("warming").toBool();
+  const int slots = entry.value("slots").toInt();
+  const bool has_addresses = ParseEndpoint(server.address) && ParseEndpoint(server.peer_address);
+  if (server.service.IsEmpty() || !has_addresses || slots < 1 || slots > kMostSlots) {
+    return std::nullopt;
+  }
+  server.slots = static_cast<std::size_t>(slots);
+  return server;
+}
+
+}  // namespace
+
+std::optional<VmList> ParseVmList(std::string_view text) {
+  const QJsonDocument document =
+      QJsonDocument::fromJson(QByteArray(text.data(), static_cast<qsizetype>(text.size())));
+  const QJsonValue vms = document.object().value("vms");
+  if (!vms.isArray()) return std::nullopt;
+  VmList list;
+  if (document.object().value("live_inventory").toBool()) list.inventory.emplace();
+  for (const QJsonValue value : vms.toArray()) {
+    const QJsonObject entry = value.toObject();
+    const std::string id = TextOf(entry, "id");
+    const std::string state = TextOf(entry, "state");
+    if (id.empty() || (state != kLive && state != kLeaving)) return std::nullopt;
+    list.entries.push_back({BackendServerId(id), state == kLeaving});
+    if (!list.inventory) continue;
+    std::optional<BackendServer> server = ReadServer(entry);
+    if (!server) return std::nullopt;
+    list.inventory->push_back(std::move(*server));
+  }
+  return list;
+}
+
+std::string FormatVmList(const std::vector<BackendServer>& inventory,
+                         const std::vector<VmEntry>& entries) {
+  QJsonArray vms;
+  for (const BackendServer& server : inventory) {
+    const bool is_leaving = std::any_of(entries.begin(), entries.end(), [&](const VmEntry& entry) {
+      return entry.server == server.id && entry.leaving;
+    });
+    QJsonObject entry;
+    entry.insert("id", ToQString(server.id.Value()));
+    entry.insert("state", is_leaving ? kLeaving : kLive);
+    entry.insert("service", ToQString(server.service.Value()));
+    entry.insert("address", ToQString(server.address));
+    entry.insert("peer_address", ToQString(server.peer_address));
+    entry.insert("region", ToQString(server.region.Value()));
+    entry.insert("data_centre", ToQString(server.data_centre.Value()));
+    entry.insert("slots", static_cast<int>(server.slots));
+    entry.insert("instance", ToQString(server.instance));
+    entry.insert("warming", server.warming);
+    vms.append(entry);
+  }
+  QJsonObject list;
+  list.insert("live_inventory", true);
+  list.insert("vms", vms);
+  return QJsonDocument(list).toJson(QJsonDocument::Compact).toStdString();
+}
+
+}  // namespace damaskhollow
--- a/src/libs/declaration/declaration.cpp
+++ b/src/libs/declaration/declaration.cpp
@@ -51,6 +51,17 @@
   return best;
 }
 
+const Route* Declaration::FindRoute(std::string_view host, std::string_view path) const {
+  const std::string_view name = host.substr(0, host.rfind(':'));
+  const Route* best = nullptr;
+  for (const Route& route : routes) {
+    if (route.host != host && route.host != name) continue;
+    if (!path.starts_with(route.path_prefix)) continue;
+    if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) best = &route;
+  }
+  return best;
+}
+
 std::vector<const BackendServer*> Declaration::ServersOf(const ServiceId& service) const {
   std::vector<const BackendServer*> servers;
   for (const BackendServer& server : backend_servers) {
--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -56,6 +56,33 @@
   std::vector<Rule> rules;
 };
 
+// A part of a route's requests and the service that runs them.
+struct RoutePart {
+  ServiceId service;
+  double weight = 1.0;  // Share of the requests, relative to the other parts.
+};
+
+// Classifies requests by host and path. A declaration with routes uses them in place of the
+// services' rules.
+struct Route {
+  RouteId id;
+  std::string host;
+  std::string path_prefix;
+  PriorityId priority;
+  bool idempotent = false;
+  Duration timeout{};            // Longest time that a caller is kept waiting.
+  std::size_t attempts = 1;      // Backend servers that one call may reach.
+  std::vector<RoutePart> parts;  // At least one.
+};
+
+// What callers may send, and how long they may take. Zero: the node's default.
+struct CallerBounds {
+  std::size_t header_bytes = 0;
+  std::size_t body_bytes = 0;
+  Duration header_timeout{};  // From the first byte of a request's head to its end.
+  Duration idle_timeout{};    // Without a request.
+};
+
 // One entry of the inventory.
 struct BackendServer {
   BackendServerId id;
@@ -67,6 +94,8 @@
   std::size_t slots = 0;        // Requests that run at the same time.
   std::size_t connections = 0;  // Connections that the server accepts.
   std::string peer_public_key;  // CURVE key in Z85; empty when links are not encrypted.
+  std::string instance;  // Incarnation of the backend server; empty if the inventory has none.
+  bool warming = false;  // Started so recently that it is slow.
 };
 
 struct Budgets {
@@ -75,6 +104,13 @@
   std::size_t paid_link_bytes_per_second = 0;  // All traffic of one region to other regions.
   double retry_share = 0.0;                    // Retries as part of first attempts.
   double hedge_share = 0.0;                    // Part of the retry budget that hedges may use.
+  // Retries of one service by one node that need no first attempts, saved up at most.
+  double retry_floor = 10.0;
+  // As retry_floor, for all nodes together; each takes an equal part. Replaces retry_floor.
+  std::optional<double> fleet_retry_floor;
+  // Whether a call that an owner refused before anything reached its server is sent to another
+  // without using the budget.
+  bool refusals_are_free = false;
 };
 
 // The operators' declaration: inventory and rules.
@@ -82,8 +118,10 @@
   std::vector<Region> regions;
   std::vector<Priority> priorities;  // Ordered by rank.
   std::vector<Service> services;
+  std::vector<Route> routes;
   std::vector<BackendServer> backend_servers;
   Budgets budgets;
+  CallerBounds caller_bounds;
 
   // Look-ups return null when there is no such entry; pointers live as long as the declaration.
   const Service* FindService(const ServiceId& id) const;
@@ -95,6 +133,9 @@
   static const Rule* FindRule(const Service& service, std::string_view method,
                               std::string_view path);
 
+  // The route of this host with the longest prefix that begins the path, or null.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+
   // The inventory of one service in declared order.
   std::vector<const BackendServer*> ServersOf(const ServiceId& service) const;
 };
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kDayMs = 86400000;
 constexpr std::size_t kMaxBodyBytes = 8UL * 1024UL * 1024UL;
+constexpr std::size_t kMaxCallerBodyBytes = 1024UL * 1024UL * 1024UL;
+constexpr std::size_t kMaxRouteAttempts = 100;
 constexpr std::size_t kMaxBytesPerSecond = 10UL * 1000UL * 1000UL * 1000UL;
 constexpr std::size_t kMaxServers = 100000;
 constexpr double kShareTolerance = 1e-9;
@@ -132,6 +134,42 @@
   return server;
 }
 
+RoutePart ReadPart(JsonReader& reader) {
+  RoutePart part;
+  part.service = ServiceId(reader.Text("service"));
+  part.weight = reader.Number("weight", 0.0, 1e6);
+  return part;
+}
+
+Route ReadRoute(JsonReader& reader) {
+  Route route;
+  route.id = RouteId(reader.Text("id"));
+  route.host = reader.Text("host");
+  route.path_prefix = reader.Text("path_prefix");
+  route.priority = PriorityId(reader.Text("priority"));
+  route.idempotent = reader.Flag("idempotent");
+  route.timeout = reader.Milliseconds("timeout_ms", 1, kDayMs);
+  route.attempts = reader.Whole("attempts", 1, kMaxRouteAttempts);
+  route.parts = ReadList<RoutePart>(reader, "parts", ReadPart);
+  if (route.path_prefix.empty() || route.path_prefix.front() != '/') {
+    reader.Fail(FailureCode::kOutOfRange, "path_prefix", "must begin with /");
+  }
+  double sum = 0.0;
+  for (const RoutePart& part : route.parts) sum += part.weight;
+  if (sum <= 0.0) reader.Fail(FailureCode::kImpossibleShare, "parts", "must have some weight");
+  return route;
+}
+
+CallerBounds ReadCallerBounds(JsonReader reader) {
+  CallerBounds bounds;
+  bounds.header_bytes = reader.Whole("header_bytes", 1, kMaxBodyBytes);
+  bounds.body_bytes = reader.Whole("body_bytes", 0, kMaxCallerBodyBytes);
+  bounds.header_timeout = reader.Milliseconds("header_timeout_ms", 1, kDayMs);
+  bounds.idle_timeout = reader.Milliseconds("idle_timeout_ms", 1, kDayMs);
+  reader.RejectUnknownFields();
+  return bounds;
+}
+
 Budgets ReadBudgets(JsonReader reader) {
   Budgets budgets;
   budgets.measuring_bytes_per_second =
@@ -141,6 +179,11 @@
       reader.Whole("paid_link_bytes_per_second", 0, kMaxBytesPerSecond);
   budgets.retry_share = reader.Number("retry_share", 0.0, 1.0);
   budgets.hedge_share = reader.Number("hedge_share", 0.0, 1.0);
+  if (reader.Has("refusals_are_free")) budgets.refusals_are_free = reader.Flag("refusals_are_free");
+  if (reader.Has("fleet_retry_floor")) {
+    budgets.fleet_retry_floor = reader.Number("fleet_retry_floor", 0.0, 1e6);
+  }
+  if (reader.Has("retry_floor")) budgets.retry_floor = reader.Number("retry_floor", 0.0, 1e6);
   reader.RejectUnknownFields();
   return budgets;
 }
@@ -186,6 +229,27 @@
   }
 }
 
+void CheckRoutes(JsonReader& root, const Declaration& declaration) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (std::size_t index = 0; index < declaration.routes.size(); ++index) {
+    const Route& route = declaration.routes[index];
+    const std::string path = "routes[" + std::to_string(index) + "]";
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      root.Fail(FailureCode::kDuplicateId, path + ".path_prefix",
+                "another route has the same host and prefix");
+    }
+    if (!route.priority.IsEmpty() && declaration.FindPriority(route.priority) == nullptr) {
+      root.Fail(FailureCode::kUnknownReference, path + ".priority",
+                "\"" + route.priority.Value() + "\" is not a declared priority");
+    }
+    for (const RoutePart& part : route.parts) {
+      if (part.service.IsEmpty() || declaration.FindService(part.service) != nullptr) continue;
+      root.Fail(FailureCode::kUnknownReference, path + ".parts",
+                "\"" + part.service.Value() + "\" is not a declared service");
+    }
+  }
+}
+
 bool IsDeclaredPlace(const Declaration& declaration, const BackendServer& server) {
   for (const Region& region : declaration.regions) {
     if (region.id != server.region) continue;
@@ -236,16 +300,22 @@
   declaration.regions = ReadList<Region>(root, "regions", ReadRegion);
   declaration.priorities = ReadList<Priority>(root, "priorities", ReadPriority);
   declaration.services = ReadList<Service>(root, "services", ReadService);
+  if (root.Has("routes")) declaration.routes = ReadList<Route>(root, "routes", ReadRoute);
   declaration.backend_servers = ReadList<BackendServer>(root, "backend_servers", ReadServer);
+  if (root.Has("caller_bounds")) {
+    declaration.caller_bounds = ReadCallerBounds(root.Object("caller_bounds"));
+  }
   declaration.budgets = ReadBudgets(root.Object("budgets"));
   root.RejectUnknownFields();
 
   RejectDuplicates(root, "regions", declaration.regions);
   RejectDuplicates(root, "priorities", declaration.priorities);
   RejectDuplicates(root, "services", declaration.services);
+  RejectDuplicates(root, "routes", declaration.routes);
   RejectDuplicates(root, "backend_servers", declaration.backend_servers);
   CheckPriorities(root, declaration.priorities);
   CheckServices(root, declaration);
+  CheckRoutes(root, declaration);
   CheckServers(root, declaration);
   return parsed;
 }
--- a/src/libs/fleet/fleetview.cpp
+++ b/src/libs/fleet/fleetview.cpp
@@ -81,6 +81,7 @@
 }
 
 bool FleetView::IsDoubtful(const std::map<BackendServerId, bool>& listed) const {
+  if (m_list_trusted) return false;
   return listed.empty() || listed.size() * 2 < m_listed.size();
 }
 
--- a/src/libs/fleet/fleetview.h
+++ b/src/libs/fleet/fleetview.h
@@ -69,6 +69,9 @@
   // 30 s and none of the servers that it lacks has a live link.
   ListResult NoteList(std::vector<VmEntry> entries, TimePoint now, WallTime wall);
 
+  // Whether lists are taken as they are. A source that loses nothing need not be doubted.
+  void SetListTrusted(bool trusted) { m_list_trusted = trusted; }
+
   // Notes a statement. Returns true if it is news: the first of its server, of a later incarnation,
   // or later than the one known.
   bool NoteStatement(const PeerStatement& statement);
@@ -127,6 +130,7 @@
   std::map<BackendServerId, Member> m_members;
   std::map<BackendServerId, bool> m_listed;  // Of the accepted list: whether it is leaving.
   bool m_has_list = false;
+  bool m_list_trusted = false;
   std::optional<DoubtedList> m_doubted;
 };
 
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -1,8 +1,14 @@
 #include "http/backendconnection.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
+#include <charconv>
 #include <sstream>
 #include <utility>
 
@@ -14,6 +20,23 @@
 
 constexpr qint64 kReadBufferBytes = 64LL * 1024LL;
 constexpr std::uint32_t kHeaderLimitBytes = 64 * 1024;
+constexpr std::size_t kUnframedReadBytes = 16UL * 1024UL;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
+
+// The `timeout` parameter of a Keep-Alive field, which is in whole seconds.
+std::optional<Duration> KeepAliveTime(std::string_view field) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t start = field.find(kName);
+  if (start == std::string_view::npos) return std::nullopt;
+  int seconds = 0;
+  const char* begin = field.data() + start + kName.size();
+  const auto [end, error] = std::from_chars(begin, field.data() + field.size(), seconds);
+  if (error != std::errc() || end == begin || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
 
 std::string SerializeRequest(const HttpRequest& request) {
   http::request_header<> message;
@@ -42,10 +65,15 @@
   connect(&m_timer, &QTimer::timeout, this, [this] { Fail(Reason::kBackendTimeout); });
 }
 
-BackendConnection::~BackendConnection() { m_socket.disconnect(this); }
+BackendConnection::~BackendConnection() {
+  m_socket.disconnect(this);
+  CloseUnframedBody();
+}
 
 void BackendConnection::Send(const HttpRequest& request, std::size_t credit,
-                             std::chrono::milliseconds timeout) {
+                             std::chrono::milliseconds timeout, AnswerCheck check) {
+  m_check = std::move(check);
+  m_skipping = false;
   m_output = SerializeRequest(request);
   m_method = request.method;
   m_credit = credit;
@@ -100,11 +128,21 @@
   while (!m_parser->is_done() && !m_input.empty() && !error) {
     const std::size_t used = m_parser->put(boost::asio::buffer(m_input), error);
     m_input.erase(0, used);
-    if (!m_head_parsed && m_parser->is_header_done()) AcceptHead();
+    if (!m_head_parsed && m_parser->is_header_done()) {
+      AcceptHead();
+      if (m_state == State::kClosed) return;
+    }
     CollectBody();
+    if (m_skipping && m_parser->is_done()) {
+      m_skipping = false;
+      m_head_parsed = false;
+      m_state = State::kWaiting;
+      StartParser();
+    }
   }
   if (error && error != http::error::need_more) return Fail(Reason::kBackendMalformed);
-  if (m_parser->is_done()) Finish();
+  if (m_parser->is_done()) return Finish();
+  if (m_head_parsed && m_parser->need_eof()) StartUnframedBody();
 }
 
 void BackendConnection::StartParser() {
@@ -127,13 +165,74 @@
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
   if (const auto length = m_parser->content_length()) head.content_length = *length;
-  m_part.head = std::move(head);
+  m_skipping = IsAnswerToOther(head);
+  if (!m_skipping && !IsTrusted(head)) return Fail(Reason::kBackendMalformed);
+  m_kept_idle_for = KeepAliveTime(FindHeader(head.headers, "Keep-Alive"));
+  if (!m_skipping) m_part.head = std::move(head);
   m_head_parsed = true;
   m_state = State::kReading;
 }
 
+bool BackendConnection::IsAnswerToOther(const HttpResponseHead& head) const {
+  if (m_check.id_field.empty() || m_check.id.empty()) return false;
+  const std::string_view id = FindHeader(head.headers, m_check.id_field);
+  return !id.empty() && id != m_check.id;
+}
+
+bool BackendConnection::IsTrusted(const HttpResponseHead& head) const {
+  if (!IsSuccess(head.status)) return true;
+  const bool needs_id = !m_check.id_field.empty() && !m_check.id.empty();
+  if (needs_id && !HasHeader(head.headers, m_check.id_field)) return false;
+  if (m_check.mark_field.empty()) return true;
+  // Callers ask for no encoding, so an encoded body is not the one that the mark stands for.
+  return HasHeader(head.headers, m_check.mark_field) &&
+         !HasHeader(head.headers, "Content-Encoding");
+}
+
+void BackendConnection::StartUnframedBody() {
+  if (m_unframed_descriptor >= 0) return;
+  m_unframed_descriptor = ::dup(static_cast<int>(m_socket.socketDescriptor()));
+  if (m_unframed_descriptor < 0) return Fail(Reason::kBackendClosed);
+  const QByteArray buffered = m_socket.readAll();
+  m_socket.disconnect(this);
+  m_socket.abort();  // Closes its own descriptor only.
+  m_unframed_notifier =
+      std::make_unique<QSocketNotifier>(m_unframed_descriptor, QSocketNotifier::Read);
+  connect(m_unframed_notifier.get(), &QSocketNotifier::activated, this,
+          &BackendConnection::ReadUnframedBody);
+  m_input.append(buffered.constData(), static_cast<std::size_t>(buffered.size()));
+  if (!m_input.empty()) Parse();
+}
+
+void BackendConnection::ReadUnframedBody() {
+  std::array<char, kUnframedReadBytes> data{};
+  const ssize_t count = ::recv(m_unframed_descriptor, data.data(), data.size(), MSG_DONTWAIT);
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (count < 0) return Fail(Reason::kBackendClosed);
+  if (count > 0) {
+    m_input.append(data.data(), static_cast<std::size_t>(count));
+    Parse();
+    if (m_state == State::kReading) EmitPart();
+    return;
+  }
+  boost::system::error_code error;
+  m_parser->put_eof(error);
+  if (error || !m_parser->is_done() || m_skipping) return Fail(Reason::kBackendClosed);
+  Finish();
+  EmitPart();
+}
+
+void BackendConnection::CloseUnframedBody() {
+  if (m_unframed_descriptor < 0) return;
+  m_unframed_notifier->setEnabled(false);
+  m_unframed_notifier.release()->deleteLater();
+  ::close(m_unframed_descriptor);
+  m_unframed_descriptor = -1;
+}
+
 void BackendConnection::CollectBody() {
   if (!m_head_parsed) return;
+  if (m_skipping) return m_parser->get().body().clear();
   m_part.data += std::exchange(m_parser->get().body(), std::string());
 }
 
@@ -149,6 +248,7 @@
   m_reusable = m_parser->keep_alive() && m_input.empty() &&
                m_socket.state() == QAbstractSocket::ConnectedState;
   m_parser.reset();
+  CloseUnframedBody();
   m_state = m_reusable ? State::kIdle : State::kClosed;
   m_idle_since = MonotonicNow();
   m_part.last = true;
@@ -158,6 +258,8 @@
   if (m_state == State::kClosed) return;
   m_timer.stop();
   m_state = State::kClosed;
+  m_part = AnswerPart();
+  CloseUnframedBody();
   m_socket.abort();
   m_events.OnBackendFailed(m_id, reason, m_written);
 }
@@ -175,12 +277,6 @@
     m_credit = std::max<std::size_t>(m_credit, kReadBufferBytes);
     ReadMore();
     if (m_state != State::kReading) return;
-    boost::system::error_code error;
-    m_parser->put_eof(error);
-    if (!error && m_parser->is_done()) {
-      Finish();
-      return EmitPart();
-    }
   }
   Fail(m_written ? Reason::kBackendClosed : Reason::kBackendUnreachable);
 }
@@ -188,6 +284,7 @@
 void BackendConnection::Abort() {
   m_timer.stop();
   m_state = State::kClosed;
+  CloseUnframedBody();
   m_socket.abort();
 }
 
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -2,12 +2,14 @@
 #define DAMASKHOLLOW_HTTP_BACKENDCONNECTION_H_
 
 #include <QObject>
+#include <QSocketNotifier>
 #include <QTcpSocket>
 #include <QTimer>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -28,6 +30,13 @@
   bool IsEmpty() const { return !head && data.empty() && !last; }
 };
 
+// What an answer must show to belong to its request. Empty names are not checked.
+struct AnswerCheck {
+  std::string id_field;    // Repeats the request's id on its answer.
+  std::string id;          // Of the request; empty if it has none.
+  std::string mark_field;  // Each success bears it.
+};
+
 // Gets what happens on connections to the backend server. Members are called on the connection's
 // thread.
 class BackendEvents {
@@ -89,7 +98,10 @@
 
   // Sends a request, connecting first if needed. The answer is read as far as `credit` bytes of
   // body allow. After `timeout` the request fails with kBackendTimeout and the connection closes.
-  void Send(const HttpRequest& request, std::size_t credit, std::chrono::milliseconds timeout);
+  // An answer that bears the id of another request is skipped; a success that lacks id or mark
+  // fails the request with kBackendMalformed.
+  void Send(const HttpRequest& request, std::size_t credit, std::chrono::milliseconds timeout,
+            AnswerCheck check = {});
 
   // Allows `bytes` more of the answer's body.
   void AddCredit(std::size_t bytes);
@@ -100,6 +112,9 @@
   bool IsIdle() const { return m_state == State::kIdle; }
   TimePoint IdleSince() const { return m_idle_since; }
 
+  // How long the backend server keeps the idle connection, by its last answer; empty if unsaid.
+  std::optional<Duration> KeptIdleFor() const { return m_kept_idle_for; }
+
  private:
   enum class State { kNew, kConnecting, kWaiting, kReading, kIdle, kClosed };
   using Parser = boost::beast::http::response_parser<CollectedBody>;
@@ -110,6 +125,11 @@
   void Parse();
   void StartParser();
   void AcceptHead();
+  bool IsAnswerToOther(const HttpResponseHead& head) const;
+  bool IsTrusted(const HttpResponseHead& head) const;
+  void StartUnframedBody();
+  void ReadUnframedBody();
+  void CloseUnframedBody();
   void CollectBody();
   void EmitPart();
   void Finish();
@@ -125,6 +145,13 @@
   std::string m_output;  // The request until it is written.
   std::string m_method;
   std::string m_input;
+  AnswerCheck m_check;
+  bool m_skipping = false;  // The answer being read belongs to another request.
+  std::optional<Duration> m_kept_idle_for;
+  // A body without length is read from the descriptor itself, as Qt does not tell a reset from an
+  // orderly end. -1 unless one is being read.
+  int m_unframed_descriptor = -1;
+  std::unique_ptr<QSocketNotifier> m_unframed_notifier;
   std::optional<Parser> m_parser;
   std::size_t m_credit = 0;
   bool m_head_parsed = false;
--- a/src/libs/node/adminserver.cpp
+++ b/src/libs/node/adminserver.cpp
@@ -6,13 +6,14 @@
 
 namespace damaskhollow {
 
-AdminServer::AdminServer(const MetricsRegistry& metrics, StatusSource status, ReadySource ready) {
+AdminServer::AdminServer(const MetricsRegistry& metrics, const std::string& ready_path,
+                         StatusSource status, ReadySource ready) {
   m_server.route("/metrics", [&metrics] {
     return QHttpServerResponse("text/plain; version=0.0.4",
                                QByteArray::fromStdString(metrics.PrometheusText()));
   });
   m_server.route("/healthz", [] { return QHttpServerResponse("text/plain", "ok\n"); });
-  m_server.route("/readyz", [ready = std::move(ready)] {
+  m_server.route(QString::fromStdString(ready_path), [ready = std::move(ready)] {
     const bool is_ready = ready();
     return QHttpServerResponse("text/plain", is_ready ? "ready\n" : "not ready\n",
                                is_ready ? QHttpServerResponse::StatusCode::Ok
--- a/src/libs/node/adminserver.h
+++ b/src/libs/node/adminserver.h
@@ -4,6 +4,7 @@
 #include <QHttpServer>
 #include <QJsonObject>
 #include <functional>
+#include <string>
 
 #include "base/endpoint.h"
 #include "base/result.h"
@@ -11,14 +12,15 @@
 
 namespace damaskhollow {
 
-// Serves /metrics, /healthz, /readyz and /status. All handlers are synchronous: Qt's HTTP server
-// crashes when a caller leaves before an asynchronous answer.
+// Serves /metrics, /healthz, /status and, at `ready_path`, whether the node is ready. All handlers
+// are synchronous: Qt's HTTP server crashes when a caller leaves before an asynchronous answer.
 class AdminServer {
  public:
   using StatusSource = std::function<QJsonObject()>;
   using ReadySource = std::function<bool()>;
 
-  AdminServer(const MetricsRegistry& metrics, StatusSource status, ReadySource ready);
+  AdminServer(const MetricsRegistry& metrics, const std::string& ready_path, StatusSource status,
+              ReadySource ready);
 
   // Fails with kSocket.
   Result<void> Listen(const Endpoint& endpoint);
--- a/src/libs/node/backendpool.cpp
+++ b/src/libs/node/backendpool.cpp
@@ -1,5 +1,7 @@
 #include "node/backendpool.h"
 
+#include <algorithm>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -12,6 +14,8 @@
 // used just before.
 constexpr std::chrono::milliseconds kFreshIdle{1000};
 constexpr std::chrono::milliseconds kLongestIdle{30000};
+// The server counts from when it sent its answer, and the next request needs some time to arrive.
+constexpr std::chrono::milliseconds kKeepAliveMargin{500};
 
 }  // namespace
 
@@ -30,7 +34,7 @@
     const ConnectionId id = TakeConnection(request.idempotent);
     m_calls[id] = call;
     m_connection_of[call] = id;
-    m_connections.at(id)->Send(request.request, request.credit, request.timeout);
+    m_connections.at(id)->Send(request.request, request.credit, request.timeout, request.check);
   }
 
   void AddCredit(OwnedCallId call, std::size_t bytes) {
@@ -82,8 +86,13 @@
     while (!m_idle.empty()) {
       const ConnectionId id = m_idle.back();  // The one used last.
       m_idle.pop_back();
-      const Duration idle = now - m_connections.at(id)->IdleSince();
-      if (idle < (idempotent ? Duration(kLongestIdle) : Duration(kFreshIdle))) return id;
+      const BackendConnection& connection = *m_connections.at(id);
+      const Duration idle = now - connection.IdleSince();
+      Duration longest = idempotent ? Duration(kLongestIdle) : Duration(kFreshIdle);
+      if (const std::optional<Duration> kept = connection.KeptIdleFor()) {
+        longest = std::min<Duration>(longest, *kept - kKeepAliveMargin);
+      }
+      if (idle < longest) return id;
       Drop(id);
     }
     const ConnectionId id{m_next_connection++};
--- a/src/libs/node/backendpool.h
+++ b/src/libs/node/backendpool.h
@@ -32,6 +32,7 @@
   std::size_t credit = 0;  // Bytes of body that may be sent on before AddCredit.
   std::chrono::milliseconds timeout{};
   bool idempotent = false;
+  AnswerCheck check;
 };
 
 // The connections to the backend server, spread over the worker threads. Commands may be called
--- a/src/libs/node/callheaders.cpp
+++ b/src/libs/node/callheaders.cpp
@@ -2,8 +2,6 @@
 
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <algorithm>
-#include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <string>
@@ -13,60 +11,105 @@
 
 namespace {
 
+bool IsSameName(std::string_view left, std::string_view right) {
+  return !right.empty() &&
+         boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
 // Fields by which a backend server could contradict the node.
-constexpr std::array<std::string_view, 5> kNodeFields{
-    kOutcomeHeader, kReasonHeader, kServedByHeader, kReplayedHeader, kDrainHeader};
+bool IsNodeField(std::string_view name, const CallConvention& convention) {
+  for (const std::string* field : {&convention.outcome, &convention.reason, &convention.served_by,
+                                   &convention.replayed, &convention.drain}) {
+    if (IsSameName(name, *field)) return true;
+  }
+  return false;
+}
 
-bool IsNodeField(std::string_view name) {
-  return std::any_of(kNodeFields.begin(), kNodeFields.end(), [&](std::string_view field) {
-    return boost::beast::iequals({field.data(), field.size()}, {name.data(), name.size()});
-  });
+bool IsReplacedField(std::string_view name, const CallConvention& convention) {
+  return IsSameName(name, convention.deadline) || IsSameName(name, convention.depth) ||
+         IsSameName(name, convention.expected_instance);
+}
+
+std::string_view FieldOf(const HttpRequest& request, std::string_view name) {
+  return name.empty() ? std::string_view() : FindHeader(request.headers, name);
 }
 
-bool IsReplacedField(std::string_view name) {
-  return boost::beast::iequals({name.data(), name.size()},
-                               {kDeadlineHeader.data(), kDeadlineHeader.size()}) ||
-         boost::beast::iequals({name.data(), name.size()},
-                               {kDepthHeader.data(), kDepthHeader.size()});
+void AddField(std::vector<HttpHeader>& headers, const std::string& name, std::string_view value) {
+  if (!name.empty() && !value.empty()) headers.push_back({name, std::string(value)});
 }
 
 QString ToQString(std::string_view text) {
   return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
 }
 
+// Seconds with a fraction, as callers read them.
+std::string ToSeconds(std::chrono::milliseconds time) {
+  constexpr long kMillisecondsPerSecond = 1000;
+  const long whole = time.count() / kMillisecondsPerSecond;
+  const long rest = time.count() % kMillisecondsPerSecond;
+  if (rest == 0) return std::to_string(whole);
+  std::string fraction = std::to_string(kMillisecondsPerSecond + rest).substr(1);
+  fraction.erase(fraction.find_last_not_of('0') + 1);
+  return std::to_string(whole) + "." + fraction;
+}
+
+// The status for a caller that reads promises off it: 503 where the call was not run, and none of
+// the statuses that promise it where that is not proved.
+int PromisedStatus(int status, Outcome outcome) {
+  constexpr int kUnavailable = 503;
+  constexpr int kBadGateway = 502;
+  constexpr int kFirstServerError = 500;
+  constexpr int kUnprocessable = 422;
+  const bool is_own_fault = status >= kFirstServerError || status == kUnprocessable;
+  if (outcome == Outcome::kNotRun) return is_own_fault ? kUnavailable : status;
+  const bool is_promise = status == kUnavailable || status < kFirstServerError;
+  return is_promise ? kBadGateway : status;
+}
+
 }  // namespace
 
-CallDescription DescribeCall(const HttpRequest& request) {
+CallDescription DescribeCall(const HttpRequest& request, const CallConvention& convention) {
   CallDescription call;
   call.method = request.method;
   call.target = request.target;
   call.host = FindHeader(request.headers, "Host");
-  call.service = FindHeader(request.headers, kServiceHeader);
-  call.priority = FindHeader(request.headers, kPriorityHeader);
-  call.deadline = FindHeader(request.headers, kDeadlineHeader);
-  call.depth = FindHeader(request.headers, kDepthHeader);
-  call.request_id = FindHeader(request.headers, kRequestIdHeader);
+  call.service = FieldOf(request, convention.service);
+  call.priority = FieldOf(request, convention.priority);
+  call.deadline = FieldOf(request, convention.deadline);
+  call.depth = FieldOf(request, convention.depth);
+  call.request_id = FieldOf(request, convention.request_id);
   return call;
 }
 
-HttpRequest BackendRequestOf(wire::CallRequest& request, std::chrono::milliseconds remaining) {
+void StampOrigin(HttpRequest& request, const CallConvention& convention, const ServiceId& origin) {
+  std::erase_if(request.headers, [&](const HttpHeader& header) {
+    return IsSameName(header.name, convention.caller_service) ||
+           IsSameName(header.name, convention.expected_instance);
+  });
+  AddField(request.headers, convention.caller_service, origin.Value());
+}
+
+HttpRequest BackendRequestOf(wire::CallRequest& request, std::chrono::milliseconds remaining,
+                             const CallConvention& convention, std::string_view instance) {
   HttpRequest http;
   http.method = request.method();
   http.target = request.target();
   for (const wire::Header& header : request.headers()) {
-    if (!IsReplacedField(header.name())) http.headers.push_back({header.name(), header.value()});
+    if (IsReplacedField(header.name(), convention)) continue;
+    http.headers.push_back({header.name(), header.value()});
   }
-  http.headers.push_back({std::string(kDeadlineHeader), std::to_string(remaining.count())});
-  http.headers.push_back({std::string(kDepthHeader), std::to_string(request.depth() + 1)});
+  AddField(http.headers, convention.deadline, std::to_string(remaining.count()));
+  AddField(http.headers, convention.depth, std::to_string(request.depth() + 1));
+  AddField(http.headers, convention.expected_instance, instance);
   http.body = std::move(*request.mutable_body());
   return http;
 }
 
-wire::ResponseHead ToWire(const HttpResponseHead& head) {
+wire::ResponseHead ToWire(const HttpResponseHead& head, const CallConvention& convention) {
   wire::ResponseHead message;
   message.set_status(static_cast<std::uint32_t>(head.status));
   for (const HttpHeader& header : EndToEndHeaders(head.headers)) {
-    if (IsNodeField(header.name)) continue;
+    if (IsNodeField(header.name, convention)) continue;
     wire::Header& field = *message.add_headers();
     field.set_name(header.name);
     field.set_value(header.value);
@@ -79,7 +122,8 @@
   return message;
 }
 
-HttpResponseHead AnsweredHead(const wire::ResponseHead& head, std::string_view server) {
+HttpResponseHead AnsweredHead(const wire::ResponseHead& head, const CallConvention& convention,
+                              std::string_view server) {
   HttpResponseHead answer;
   answer.status = static_cast<int>(head.status());
   for (const wire::Header& header : head.headers()) {
@@ -92,14 +136,15 @@
     std::from_chars(text.data(), text.data() + text.size(), length);
     answer.content_length = length;
   }
-  answer.headers.push_back(
-      {std::string(kOutcomeHeader), std::string(OutcomeName(Outcome::kAnswered))});
-  answer.headers.push_back({std::string(kServedByHeader), std::string(server)});
-  if (head.replayed()) answer.headers.push_back({std::string(kReplayedHeader), "1"});
+  AddField(answer.headers, convention.outcome, OutcomeName(Outcome::kAnswered));
+  AddField(answer.headers, convention.served_by, server);
+  if (head.replayed()) AddField(answer.headers, convention.replayed, "1");
   return answer;
 }
 
-ReasonAnswer AnswerFor(Reason reason, Outcome outcome) {
+ReasonAnswer AnswerFor(Reason reason, Outcome outcome, const CallConvention& convention,
+                       std::chrono::milliseconds return_after) {
+  constexpr int kUnavailable = 503;
   const ReasonInfo& info = InfoOf(reason);
   QJsonObject json;
   json.insert("outcome", ToQString(OutcomeName(outcome)));
@@ -107,12 +152,15 @@
   json.insert("explanation", ToQString(info.explanation));
   ReasonAnswer answer;
   answer.body = QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString() + "\n";
-  answer.head.status = info.http_status;
+  answer.head.status =
+      convention.status_is_promise ? PromisedStatus(info.http_status, outcome) : info.http_status;
   answer.head.content_length = answer.body.size();
   answer.head.headers.push_back({"Content-Type", "application/json"});
-  answer.head.headers.push_back({std::string(kOutcomeHeader), std::string(OutcomeName(outcome))});
-  answer.head.headers.push_back({std::string(kReasonHeader), std::string(info.name)});
-  if (info.http_status == 503) answer.head.headers.push_back({"Retry-After", "1"});
+  AddField(answer.head.headers, convention.outcome, OutcomeName(outcome));
+  AddField(answer.head.headers, convention.reason, info.name);
+  if (answer.head.status == kUnavailable) {
+    answer.head.headers.push_back({"Retry-After", ToSeconds(return_after)});
+  }
   return answer;
 }
 
--- a/src/libs/node/callheaders.h
+++ b/src/libs/node/callheaders.h
@@ -4,44 +4,42 @@
 #include <chrono>
 #include <string_view>
 
+#include "base/ids.h"
 #include "base/reason.h"
+#include "http/callconvention.h"
 #include "http/message.h"
 #include "policy/callclassifier.h"
 #include "wire/messages.pb.h"
 
 namespace damaskhollow {
 
-// Header fields between callers, nodes and backend servers.
-constexpr std::string_view kServiceHeader = "Damaskhollow-Service";
-constexpr std::string_view kPriorityHeader = "Damaskhollow-Priority";
-constexpr std::string_view kDeadlineHeader = "Damaskhollow-Deadline-Ms";
-constexpr std::string_view kDepthHeader = "Damaskhollow-Depth";
-constexpr std::string_view kRequestIdHeader = "Damaskhollow-Request-Id";
-constexpr std::string_view kOutcomeHeader = "Damaskhollow-Outcome";
-constexpr std::string_view kReasonHeader = "Damaskhollow-Reason";
-constexpr std::string_view kServedByHeader = "Damaskhollow-Served-By";
-constexpr std::string_view kReplayedHeader = "Damaskhollow-Replayed";
-constexpr std::string_view kDrainHeader = "Damaskhollow-Drain";
-
 // The view that classification takes of a request; valid as long as the request.
-CallDescription DescribeCall(const HttpRequest& request);
+CallDescription DescribeCall(const HttpRequest& request, const CallConvention& convention);
+
+// Replaces what the caller may not say itself: the service that it calls from, and the instance
+// that is meant.
+void StampOrigin(HttpRequest& request, const CallConvention& convention, const ServiceId& origin);
 
 // The request to the backend server: the caller's, with the time left and the depth of the calls
-// that it makes itself.
-HttpRequest BackendRequestOf(wire::CallRequest& request, std::chrono::milliseconds remaining);
+// that it makes itself. `instance` is the incarnation that is meant; it may be empty.
+HttpRequest BackendRequestOf(wire::CallRequest& request, std::chrono::milliseconds remaining,
+                             const CallConvention& convention, std::string_view instance);
 
 // The head of an answer for the wire, without connection fields.
-wire::ResponseHead ToWire(const HttpResponseHead& head);
+wire::ResponseHead ToWire(const HttpResponseHead& head, const CallConvention& convention);
 
 // The head of an answer for the caller, with outcome and server.
-HttpResponseHead AnsweredHead(const wire::ResponseHead& head, std::string_view server);
+HttpResponseHead AnsweredHead(const wire::ResponseHead& head, const CallConvention& convention,
+                              std::string_view server);
 
 // An answer made by the node itself, and its body.
 struct ReasonAnswer {
   HttpResponseHead head;
   std::string body;
 };
-ReasonAnswer AnswerFor(Reason reason, Outcome outcome);
+// `return_after` is when the caller may come again, for answers that ask it to.
+ReasonAnswer AnswerFor(Reason reason, Outcome outcome, const CallConvention& convention,
+                       std::chrono::milliseconds return_after);
 
 }  // namespace damaskhollow
 
--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -52,16 +52,19 @@
       m_links(context.transport, context.messenger),
       m_configuration(context.metrics,
                       [this](const auto& declaration, std::uint64_t version) {
-                        NoteApplied(declaration, version);
+                        NoteRules(declaration, version);
                       }),
-      m_vm_list(m_membership, [this] { m_view_changed = m_announce = true; }),
-      m_configuration_sync(wire::DOCUMENT_CONFIGURATION, m_self, context.settings.configuration_url,
-                           "/v1/configuration", m_configuration, context.metrics,
+      m_vm_list(
+          m_membership,
+          [this](std::vector<BackendServer> inventory) { NoteInventory(std::move(inventory)); },
+          [this] { m_view_changed = m_announce = true; }),
+      m_configuration_sync(wire::DOCUMENT_CONFIGURATION, m_self, context.seams.read_configuration,
+                           m_configuration, context.metrics,
                            [this](const BackendServerId& peer, wire::Envelope message) {
                              m_links.Send(peer, std::move(message), MonotonicNow());
                            }),
-      m_vm_list_sync(wire::DOCUMENT_VM_LIST, m_self, context.settings.vm_list_url, "/v1/vms",
-                     m_vm_list, context.metrics,
+      m_vm_list_sync(wire::DOCUMENT_VM_LIST, m_self, context.seams.read_vm_list, m_vm_list,
+                     context.metrics,
                      [this](const BackendServerId& peer, wire::Envelope message) {
                        m_links.Send(peer, std::move(message), MonotonicNow());
                      }),
@@ -84,6 +87,7 @@
   const bool is_seed = settings.seed_peers.contains(m_self.id);
   m_fresh.emplace(has_seeds, is_seed, m_random, now);
   DialSeeds();
+  if (m_context.seams.has_live_inventory) UpdatePlace(now);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -101,6 +105,35 @@
       targets, [](const BackendServerId&) { return false; }, MonotonicNow());
 }
 
+void ControlService::NoteRules(const std::shared_ptr<const Declaration>& rules,
+                               std::uint64_t version) {
+  m_rules = rules;
+  m_rules_version = version;
+  NoteApplied(WithInventory(rules), version);
+}
+
+void ControlService::NoteInventory(std::vector<BackendServer> inventory) {
+  m_inventory = std::move(inventory);
+  if (m_rules) NoteApplied(WithInventory(m_rules), m_rules_version);
+}
+
+std::shared_ptr<const Declaration> ControlService::WithInventory(
+    const std::shared_ptr<const Declaration>& rules) const {
+  if (!m_inventory) return rules;
+  auto joined = std::make_shared<Declaration>(*rules);
+  joined->backend_servers.clear();
+  // A server of a service that the rules do not name yet waits for the rules.
+  for (const BackendServer& server : *m_inventory) {
+    if (joined->FindService(server.service) != nullptr) joined->backend_servers.push_back(server);
+  }
+  Budgets& budgets = joined->budgets;
+  if (budgets.fleet_retry_floor) {
+    const auto nodes = static_cast<double>(std::max<std::size_t>(m_inventory->size(), 1));
+    budgets.retry_floor = *budgets.fleet_retry_floor / nodes;
+  }
+  return joined;
+}
+
 void ControlService::NoteApplied(const std::shared_ptr<const Declaration>& declaration,
                                  std::uint64_t version) {
   const TimePoint now = MonotonicNow();
@@ -163,8 +196,13 @@
 }
 
 void ControlService::UpdatePlace(TimePoint now) {
-  const ReaderPlace place =
-      PlaceOf(m_membership.LiveNodes(), m_self, m_context.settings.configuration_region);
+  const std::vector<FleetNode> live = m_membership.LiveNodes();
+  ReaderPlace place = PlaceOf(live, m_self, m_context.settings.configuration_region);
+  // A node that the live inventory does not list, or not yet, has no place among its readers and
+  // peers may not know it, so it watches for itself.
+  const bool is_listed =
+      std::any_of(live.begin(), live.end(), [&](const auto& node) { return node.id == m_self.id; });
+  if (m_context.seams.has_live_inventory && !is_listed) place.role = ReaderRole::kWatcher;
   if (place.role != m_configuration_sync.Plan().Role()) {
     DAMASKHOLLOW_LOG(kConfiguration, kInfo) << "this node is now a " << ReaderRoleName(place.role);
   }
@@ -244,8 +282,9 @@
   if (const std::shared_ptr<const Declaration> candidate = m_configuration.Candidate()) {
     m_fresh->NoteCandidate(now);
     // The peers that the candidate names are dialled before their answers are counted.
-    UpdateOverlay(NodesOf(*candidate));
-    UpdateLinks(*candidate, now);
+    const std::shared_ptr<const Declaration> joined = WithInventory(candidate);
+    UpdateOverlay(NodesOf(*joined));
+    UpdateLinks(*joined, now);
   }
   PeersAsked peers;
   peers.asked = m_links.WantedCount();
--- a/src/libs/node/controlservice.h
+++ b/src/libs/node/controlservice.h
@@ -22,6 +22,7 @@
 #include "node/documentsync.h"
 #include "node/healthprobe.h"
 #include "node/membership.h"
+#include "node/nodeseams.h"
 #include "node/ownerservice.h"
 #include "node/peerlinks.h"
 #include "node/sharedrouter.h"
@@ -41,6 +42,7 @@
   OwnerService& owner;
   PeerTransport& transport;
   ViewGate& gate;
+  const NodeSeams& seams;
 };
 
 // The control role: keeps configuration and VM list up to date, exchanges gossip, decides on links
@@ -82,6 +84,11 @@
   void AddStatus(QJsonObject& status) const;
 
  private:
+  // Puts accepted rules into force, with the live inventory if there is one.
+  void NoteRules(const std::shared_ptr<const Declaration>& rules, std::uint64_t version);
+  void NoteInventory(std::vector<BackendServer> inventory);
+  std::shared_ptr<const Declaration> WithInventory(
+      const std::shared_ptr<const Declaration>& rules) const;
   void NoteApplied(const std::shared_ptr<const Declaration>& declaration, std::uint64_t version);
   void TickFreshStart(TimePoint now);
   void TickSecond(TimePoint now);
@@ -126,7 +133,10 @@
   DrainTracker m_drain;
   HealthProbe m_probe;
   std::optional<FreshStart> m_fresh;
-  std::shared_ptr<const Declaration> m_declaration;
+  std::shared_ptr<const Declaration> m_rules;  // As accepted.
+  std::uint64_t m_rules_version = 0;
+  std::optional<std::vector<BackendServer>> m_inventory;  // Live; empty if the declared one counts.
+  std::shared_ptr<const Declaration> m_declaration;       // Rules and inventory in force.
   std::atomic<std::shared_ptr<const RegionMap>> m_regions;
 
   std::vector<FleetNode> m_overlay_nodes;        // That the overlay was computed from.
--- a/src/libs/node/documentsync.cpp
+++ b/src/libs/node/documentsync.cpp
@@ -8,17 +8,15 @@
 namespace damaskhollow {
 
 DocumentSync::DocumentSync(wire::Document document, const FleetNode& self,
-                           const std::string& reader_url, const std::string& reader_path,
-                           DocumentHolder& holder, MetricsRegistry& metrics, SendFunction send)
+                           const MakeDocumentReader& make_reader, DocumentHolder& holder,
+                           MetricsRegistry& metrics, SendFunction send)
     : m_document(document),
       m_holder(holder),
       m_metrics(metrics),
       m_send(std::move(send)),
       m_random(SystemSeed()),
       m_plan(self) {
-  if (!reader_url.empty()) {
-    m_reader = std::make_unique<PlatformReader>(reader_url, reader_path, *this);
-  }
+  if (make_reader) m_reader = make_reader(*this);
 }
 
 void DocumentSync::Tick(TimePoint now) {
--- a/src/libs/node/documentsync.h
+++ b/src/libs/node/documentsync.h
@@ -40,10 +40,10 @@
  public:
   using SendFunction = std::function<void(const BackendServerId& peer, wire::Envelope message)>;
 
-  // `reader_url` is empty if the service is not read.
-  DocumentSync(wire::Document document, const FleetNode& self, const std::string& reader_url,
-               const std::string& reader_path, DocumentHolder& holder, MetricsRegistry& metrics,
-               SendFunction send);
+  // `make_reader` is empty if the service is not read.
+  DocumentSync(wire::Document document, const FleetNode& self,
+               const MakeDocumentReader& make_reader, DocumentHolder& holder,
+               MetricsRegistry& metrics, SendFunction send);
 
   FetchPlan& Plan() { return m_plan; }
   const FetchPlan& Plan() const { return m_plan; }
@@ -77,7 +77,7 @@
   SendFunction m_send;
   RandomSource m_random;
   FetchPlan m_plan;
-  std::unique_ptr<PlatformReader> m_reader;
+  std::unique_ptr<DocumentReader> m_reader;
   std::optional<PartTransfer> m_transfer;
   std::uint64_t m_seen = 0;  // Highest version that the service gave.
   bool m_store_is_far = false;
--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -13,6 +13,8 @@
 // A flood of other work may fill the connection limit; a quarter more is kept for the most urgent.
 constexpr std::size_t kUrgentReserveDivisor = 4;
 constexpr std::chrono::milliseconds kIdleCloseInterval{100};
+// When a caller that found no connection free may come again.
+constexpr std::chrono::milliseconds kOverloadedReturn{1000};
 
 // The call that an owner's message belongs to; 0 for messages that belong to none.
 std::uint64_t CallOf(const wire::Envelope& message) {
@@ -62,7 +64,8 @@
   if (connections >= limit) CloseIdleConnections();
   if (connections >= limit + limit / kUrgentReserveDivisor) {
     m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
-    const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded, Outcome::kNotRun);
+    const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded, Outcome::kNotRun,
+                                          m_context.convention, kOverloadedReturn);
     auto* socket = new QTcpSocket(this);
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
     socket->setSocketDescriptor(descriptor);
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -28,6 +28,22 @@
               static_cast<int>(CallProgress::kDone) == wire::CALL_STATE_DONE &&
               static_cast<int>(CallProgress::kCancelled) == wire::CALL_STATE_CANCELLED);
 
+CallerLimits LimitsOf(const CallerBounds& bounds) {
+  const auto milliseconds = [](Duration time) {
+    return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  };
+  CallerLimits limits;
+  if (bounds.header_bytes > 0) limits.header_bytes = bounds.header_bytes;
+  if (bounds.header_timeout.count() > 0) {
+    limits.header_timeout_ms = milliseconds(bounds.header_timeout);
+  }
+  if (bounds.idle_timeout.count() > 0) limits.idle_timeout_ms = milliseconds(bounds.idle_timeout);
+  return limits;
+}
+
+// Whether an attempt that was not run reached the backend server, which sent it back.
+bool ReachedServer(Reason reason) { return reason == Reason::kBackendShed; }
+
 // Whether the link is at fault rather than the server, so that the server may be tried again.
 bool IsLinkFault(Reason reason) {
   return reason == Reason::kLinkSilent || reason == Reason::kLinkUnavailable;
@@ -36,7 +52,7 @@
 }  // namespace
 
 IngressShard::IngressShard(IngressContext context, std::size_t index, std::size_t count)
-    : m_context(std::move(context)), m_index(index), m_count(count) {
+    : m_context(std::move(context)), m_index(index), m_count(count), m_random(SystemSeed()) {
   QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { Tick(); });
 }
 
@@ -44,14 +60,16 @@
 
 void IngressShard::AddCaller(qintptr descriptor) {
   const ConnectionId id{m_next_connection++};
-  m_connections.emplace(id, std::make_unique<CallerConnection>(id, descriptor, CallerLimits{},
-                                                               m_context.body_budget, *this));
+  const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
+  const CallerLimits limits = declaration ? LimitsOf(declaration->caller_bounds) : CallerLimits{};
+  m_connections.emplace(
+      id, std::make_unique<CallerConnection>(id, descriptor, limits, m_context.body_budget, *this));
 }
 
 std::size_t IngressShard::BodyLimit(const HttpRequest& head) const {
   const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
   if (!declaration) return kDefaultBodyLimit;
-  return MaxBodyBytes(*declaration, DescribeCall(head), kDefaultBodyLimit);
+  return MaxBodyBytes(*declaration, DescribeCall(head, m_context.convention), kDefaultBodyLimit);
 }
 
 void IngressShard::OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) {
@@ -62,7 +80,8 @@
   call.started = MonotonicNow();
   const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
   if (!declaration) return AnswerReason(connection, Reason::kNoConfiguration);
-  Classification classification = ClassifyCall(*declaration, DescribeCall(call.request));
+  Classification classification =
+      ClassifyCall(*declaration, DescribeCall(call.request, m_context.convention));
   if (classification.refusal != Reason::kNone) {
     return AnswerReason(connection, classification.refusal);
   }
@@ -71,6 +90,13 @@
     return AnswerReason(connection, Reason::kIngressOverloaded);
   }
   call.call_class = std::move(classification.call_class);
+  if (call.call_class.service.IsEmpty()) {
+    const std::string_view target = call.request.target;
+    const auto* route = declaration->FindRoute(FindHeader(call.request.headers, "Host"),
+                                               target.substr(0, target.find('?')));
+    call.call_class.service = m_splits.Pick(route->id, route->parts);
+  }
+  StampOrigin(call.request, m_context.convention, m_context.own_service);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
   if (const Reason reason = m_context.crash_guard.Check(call.digest); reason != Reason::kNone) {
@@ -133,7 +159,6 @@
   call.attempts.push_back(id);
   call.request_id_not_run = false;
   call.tried.push_back(server);
-  ++call.sends;
   wire::Envelope message =
       CallRequestFor(NameOf(id, attempt), server, call.call_class, call.digest, call.request);
   m_context.router.NoteSent(server, id, call.call_class.priority_index);
@@ -177,7 +202,8 @@
   if (call.relayed.value != 0) return false;  // Another attempt of this call answers.
   call.relayed = id;
   CancelOthers(call, id);
-  m_connections.at(attempt.connection)->StartAnswer(AnsweredHead(head, attempt.server.Value()));
+  m_connections.at(attempt.connection)
+      ->StartAnswer(AnsweredHead(head, m_context.convention, attempt.server.Value()));
   return true;
 }
 
@@ -231,6 +257,7 @@
   PendingCall& call = m_calls.at(connection);
   if (call.relayed == id) return HandleUnknown(id, reason);  // A part of its answer has been sent.
   AllowReturn(call, attempt->server, reason);
+  ++(ReachedServer(reason) ? call.arrivals : call.refusals);
   // The owner's memory of ended calls is limited, so a refusal this late proves nothing.
   if (MonotonicNow() > call.deadline + kDeadlineGrace) {
     return HandleUnknown(id, Reason::kLinkSilent);
@@ -247,6 +274,7 @@
   const ConnectionId connection = attempt->connection;
   PendingCall& call = m_calls.at(connection);
   AllowReturn(call, attempt->server, reason);
+  ++call.arrivals;
   EndAttempt(id, AttemptResult::kFailed);
   if (call.relayed == id) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
@@ -265,10 +293,17 @@
   failed.reason = reason;
   failed.proved_not_run = proved_not_run;
   failed.idempotent = call.call_class.idempotent;
-  failed.attempts = call.sends;
+  failed.attempts = call.arrivals + call.attempts.size();
+  failed.most_attempts = MostArrivals(call);
+  failed.refusals = call.refusals;
+  failed.reached_server = !proved_not_run || ReachedServer(reason);
   return m_retries.DecideRetry(failed, m_budgets, MonotonicNow());
 }
 
+std::size_t IngressShard::MostArrivals(const PendingCall& call) {
+  return call.call_class.attempts > 0 ? call.call_class.attempts : kMaxAttempts;
+}
+
 void IngressShard::RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
                                  bool proved_not_run) {
   call.last_reason = reason;
@@ -304,7 +339,8 @@
   PendingCall& call = m_calls.at(connection);
   const TimePoint now = MonotonicNow();
   const bool may_send = call.relayed.value == 0 && call.call_class.request_id.empty() &&
-                        call.sends < kMaxAttempts && now < call.deadline;
+                        call.arrivals + call.attempts.size() < MostArrivals(call) &&
+                        now < call.deadline;
   if (!may_send) return;
   const RoutingChoice choice = Choose(call, call.call_class.may_cross_regions);
   if (choice.refusal != Reason::kNone) return;
@@ -389,7 +425,7 @@
 
 Outcome IngressShard::ProvedOutcome(const PendingCall& call, Reason reason) {
   const ReasonInfo& info = InfoOf(reason);
-  const bool has_id = !FindHeader(call.request.headers, kRequestIdHeader).empty();
+  const bool has_id = !call.call_class.request_id.empty();
   // An invalid request is refused at each send, so that no earlier one can have run.
   const bool is_invalid = info.http_status < static_cast<int>(kFirstErrorStatus);
   const bool lacks_proof = has_id && !is_invalid && !call.request_id_not_run;
@@ -410,7 +446,8 @@
     EndCall(connection);
   }
   m_context.metrics.CountRefusal(reason);
-  const ReasonAnswer answer = AnswerFor(reason, outcome);
+  const ReasonAnswer answer =
+      AnswerFor(reason, outcome, m_context.convention, AdviseReturn(m_random));
   CallerConnection& caller = *m_connections.at(connection);
   caller.StartAnswer(answer.head);
   caller.SendBody(answer.body);
@@ -492,7 +529,7 @@
   for (const auto& [connection, call] : m_calls) {
     const bool may_hedge = call.call_class.idempotent && call.call_class.request_id.empty() &&
                            !call.hedged && call.attempts.size() == 1 && call.relayed.value == 0 &&
-                           call.sends < kMaxAttempts && now < call.deadline;
+                           call.arrivals + 1 < MostArrivals(call) && now < call.deadline;
     if (!may_hedge) continue;
     const std::optional<Duration> delay = m_retries.HedgeDelay(call.call_class.service);
     if (delay && now - m_attempts.at(call.attempts.front()).sent >= *delay) {
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -22,6 +22,7 @@
 #include "policy/callclassifier.h"
 #include "policy/requesthome.h"
 #include "policy/retrypolicy.h"
+#include "policy/splitpicker.h"
 
 namespace damaskhollow {
 
@@ -38,6 +39,8 @@
   // Beyond it, only calls of the most urgent priority are taken.
   std::size_t max_caller_connections = 0;
   AbsentSince absent_since = {};
+  const CallConvention& convention;
+  ServiceId own_service;  // Of the calls that come in here.
 };
 
 // The calls of some caller connections, on one worker thread. All members run on that thread.
@@ -82,7 +85,8 @@
     TimePoint started{};
     TimePoint deadline{};
     std::vector<BackendServerId> tried;
-    std::size_t sends = 0;            // Attempts so far.
+    std::size_t arrivals = 0;         // Ended attempts that reached or may have reached a server.
+    std::size_t refusals = 0;         // Attempts that owners refused before that.
     std::vector<CallId> attempts;     // Those that still run.
     bool request_id_not_run = false;  // A home says that no send of the request id has run.
     CallId relayed;                   // The attempt whose answer goes to the caller; 0 for none.
@@ -129,6 +133,7 @@
 
   // kNone if the call may be sent again, which uses up budget; otherwise the reason to answer with.
   Reason DecideRetry(const PendingCall& call, Reason reason, bool proved_not_run);
+  static std::size_t MostArrivals(const PendingCall& call);
   void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
                      bool proved_not_run);
   void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
@@ -167,6 +172,8 @@
   std::unordered_map<CallId, Attempt> m_attempts;
   RetryPolicy m_retries;  // Its budgets are those of this shard's part of the calls.
   Budgets m_budgets;      // Of the declaration that the last call came under.
+  SplitPicker m_splits;
+  RandomSource m_random;
   QTimer m_timer;
 };
 
--- a/src/libs/node/membership.cpp
+++ b/src/libs/node/membership.cpp
@@ -21,6 +21,11 @@
   m_view.SetInventory(nodes, MonotonicNow(), WallNow());
 }
 
+void Membership::SetListTrusted(bool trusted) {
+  const std::lock_guard lock(m_lock);
+  m_view.SetListTrusted(trusted);
+}
+
 FleetView::ListResult Membership::NoteList(std::vector<VmEntry> entries) {
   const std::lock_guard lock(m_lock);
   return m_view.NoteList(std::move(entries), MonotonicNow(), WallNow());
--- a/src/libs/node/membership.h
+++ b/src/libs/node/membership.h
@@ -20,6 +20,7 @@
   explicit Membership(SharedRouter& router) : m_router(router) {}
 
   void SetInventory(std::span<const FleetNode> nodes);
+  void SetListTrusted(bool trusted);
   FleetView::ListResult NoteList(std::vector<VmEntry> entries);
 
   // Notes a statement. Returns true if it starts or ends a drain, which is worth telling others.
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -25,15 +25,16 @@
 
 }  // namespace
 
-Node::Node(NodeSettings settings)
+Node::Node(NodeSettings settings, NodeSeams seams)
     : m_settings(std::move(settings)),
+      m_seams(std::move(seams)),
       m_identity{m_settings.server_id, Incarnation{SystemSeed()}, WallNow()},
       m_body_budget(m_settings.body_memory_bytes),
       m_router(m_settings.routing_strategy,
                Place{m_settings.server_id, m_settings.region, m_settings.data_centre},
                SystemSeed()),
       m_crash_guard(m_settings.crash_guard),
-      m_owner(m_identity, m_metrics, *this, m_crash_guard),
+      m_owner(m_identity, m_metrics, *this, m_crash_guard, m_seams.convention),
       m_crash_reporter(m_identity.server, m_identity.incarnation, m_crash_guard, m_metrics, *this) {
   m_owner.SetViewGate(&m_gate);
   m_router.SetViewGate(&m_gate);
@@ -68,21 +69,20 @@
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
                      m_declaration, m_caller_connections, m_settings.caller_connections,
-                     absent_since},
+                     absent_since, m_seams.convention, m_seams.own_service},
       m_workers);
-  m_control =
-      std::make_unique<ControlService>(ControlContext{m_settings, m_identity, m_metrics, *this,
-                                                      m_router, m_owner, *m_transport, m_gate},
-                                       [this](const auto& declaration, std::uint64_t version) {
-                                         ApplyDeclaration(declaration, version);
-                                       });
+  m_control = std::make_unique<ControlService>(
+      ControlContext{m_settings, m_identity, m_metrics, *this, m_router, m_owner, *m_transport,
+                     m_gate, m_seams},
+      [this](const auto& declaration, std::uint64_t version) {
+        ApplyDeclaration(declaration, version);
+      });
   if (Result<void> result = m_transport->Start(); !result) return result;
   if (Result<void> result = m_control->Start(); !result) return result;
   if (Result<void> result = m_ingress->Listen(m_settings.listen); !result) return result;
 
   m_admin = std::make_unique<AdminServer>(
-      m_metrics, [this] { return Status(); },
-      [this] { return m_declaration.load() != nullptr && !m_drained && !m_is_closing; });
+      m_metrics, m_seams.ready_path, [this] { return Status(); }, [this] { return IsReady(); });
   if (Result<void> result = m_admin->Listen(m_settings.admin_listen); !result) return result;
   connect(&m_timer, &QTimer::timeout, this, &Node::Tick);
   m_timer.start(kTick);
@@ -133,6 +133,11 @@
       });
 }
 
+bool Node::IsReady() const {
+  const std::shared_ptr<const Declaration> declaration = m_declaration.load();
+  return declaration && !declaration->backend_servers.empty() && !m_drained && !m_is_closing;
+}
+
 void Node::StartDrain(std::function<void()> done) {
   if (m_drained) return;
   m_drained = std::move(done);
@@ -251,6 +256,8 @@
   const std::shared_ptr<const Declaration> declaration = m_declaration.load();
   if (!declaration) return peer.IsEmpty() ? false : m_settings.secret_key_file.empty();
   const bool needs_key = !m_settings.secret_key_file.empty();
+  // Two nodes may know a change of a live inventory at different times.
+  if (m_seams.has_live_inventory && !needs_key) return !peer.IsEmpty();
   for (const BackendServer& server : declaration->backend_servers) {
     const bool key_fits = !needs_key || server.peer_public_key == public_key;
     if (key_fits && (peer.IsEmpty() || server.id == peer)) return true;
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -22,6 +22,7 @@
 #include "node/crashreporter.h"
 #include "node/ingressservice.h"
 #include "node/messenger.h"
+#include "node/nodeseams.h"
 #include "node/ownerservice.h"
 #include "node/sharedcrashguard.h"
 #include "node/sharedrouter.h"
@@ -35,7 +36,7 @@
 // One node: wires the ingress, owner and control roles together. Lives on the main thread.
 class Node : public QObject, public Messenger, public PeerHandler {
  public:
-  explicit Node(NodeSettings settings);
+  Node(NodeSettings settings, NodeSeams seams);
   ~Node() override;
 
   // Reads the declaration and opens all ports.
@@ -66,9 +67,11 @@
   void Tick();
   void CheckCrashes();
   void CheckDrained();
+  bool IsReady() const;
   QJsonObject Status() const;
 
   const NodeSettings m_settings;
+  const NodeSeams m_seams;
   const NodeIdentity m_identity;
   MetricsRegistry m_metrics;
   BodyBudget m_body_budget;
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -20,11 +20,12 @@
 }  // namespace
 
 OwnerService::OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
-                           SharedCrashGuard& crash_guard)
+                           SharedCrashGuard& crash_guard, const CallConvention& convention)
     : m_identity(std::move(identity)),
       m_metrics(metrics),
       m_messenger(messenger),
       m_crash_guard(crash_guard),
+      m_convention(convention),
       m_admission(AdmissionLimits{}, {}),
       m_calls(m_identity.incarnation),
       m_claims(m_identity.server, m_identity.started, m_messenger),
@@ -42,6 +43,8 @@
         << "this backend server is not in the inventory; refusing new calls";
     return;
   }
+  if (m_instance != server->instance) m_slowness = 1.0;
+  m_instance = server->instance;
   m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
   AdmissionLimits limits;
   limits.slots = server->slots;
@@ -209,10 +212,13 @@
   call.state = OwnedCallState::kRunning;
   call.dispatched_at = now;
   BackendRequest request;
-  request.request = BackendRequestOf(call.request, remaining);
+  request.request = BackendRequestOf(call.request, remaining, m_convention, m_instance);
   request.credit = kAnswerWindowBytes;
   request.timeout = remaining;
   request.idempotent = call.request.idempotent();
+  request.check.id_field = m_convention.call_id;
+  request.check.id = FindHeader(request.request.headers, m_convention.call_id);
+  request.check.mark_field = m_convention.answer_mark;
   call.request.clear_body();
   m_metrics.Add(Metric::kCallsDispatched);
   m_pool->Run(id, std::move(request));
@@ -313,15 +319,31 @@
   const std::lock_guard lock(m_lock);
   OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) return;
-  if (part.head) call->shed = m_service != nullptr && m_service->shed_status == part.head->status;
-  if (part.head) NoteDrainHeader(*part.head);
+  if (part.head) {
+    call->shed = SaysNotRun(*part.head);
+    NoteDrainHeader(*part.head);
+    NoteLoad(*part.head);
+  }
   const bool last = part.last;
   if (!call->shed) SendPart(id, *call, std::move(part), nullptr);
   if (last) FinishAnswered(id, *call);
 }
 
+bool OwnerService::SaysNotRun(const HttpResponseHead& head) const {
+  if (!m_convention.not_run.empty()) return HasHeader(head.headers, m_convention.not_run);
+  return m_service != nullptr && m_service->shed_status == head.status;
+}
+
+void OwnerService::NoteLoad(const HttpResponseHead& head) {
+  if (m_convention.decode_load == nullptr) return;
+  const std::string_view text = FindHeader(head.headers, m_convention.load);
+  if (text.empty()) return;
+  if (const auto load = m_convention.decode_load(text)) m_slowness = load->slowness;
+}
+
 void OwnerService::NoteDrainHeader(const HttpResponseHead& head) {
-  const std::string_view value = FindHeader(head.headers, kDrainHeader);
+  if (m_convention.drain.empty()) return;
+  const std::string_view value = FindHeader(head.headers, m_convention.drain);
   if (value.empty()) return;
   const bool is_leaving = value == "1";
   m_drain_header = m_drain_header.value_or(false) || is_leaving;
@@ -348,7 +370,7 @@
   wire::ResponseChunk& chunk = *message.mutable_response_chunk();
   chunk.set_call_id(call.key.call.value);
   chunk.set_sequence(call.next_sequence++);
-  if (part.head) *chunk.mutable_head() = ToWire(*part.head);
+  if (part.head) *chunk.mutable_head() = ToWire(*part.head, m_convention);
   if (replayed_head != nullptr) *chunk.mutable_head() = *replayed_head;
   chunk.set_data(std::move(part.data));
   chunk.set_last(part.last);
@@ -447,6 +469,7 @@
   state.set_draining(m_draining || m_backend_leaving);
   state.set_started_ms(static_cast<std::uint64_t>(m_identity.started.time_since_epoch().count()));
   state.set_configuration_version(m_version);
+  state.set_slowness_percent(static_cast<std::uint32_t>(m_slowness * 100.0));
   return state;
 }
 
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "declaration/declaration.h"
+#include "http/callconvention.h"
 #include "metrics/metricsregistry.h"
 #include "node/backendpool.h"
 #include "node/claimservice.h"
@@ -35,7 +36,7 @@
 class OwnerService : public BackendAnswers {
  public:
   OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
-               SharedCrashGuard& crash_guard);
+               SharedCrashGuard& crash_guard, const CallConvention& convention);
 
   // Must be called before the first message.
   void SetBackendPool(BackendPool* pool) { m_pool = pool; }
@@ -86,6 +87,8 @@
  private:
   // The members below expect m_lock to be held.
   void NoteDrainHeader(const HttpResponseHead& head);
+  void NoteLoad(const HttpResponseHead& head);
+  bool SaysNotRun(const HttpResponseHead& head) const;
   bool IsViewFresh(TimePoint now) const { return m_gate == nullptr || m_gate->IsOpen(now); }
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
@@ -120,6 +123,7 @@
   MetricsRegistry& m_metrics;
   Messenger& m_messenger;
   SharedCrashGuard& m_crash_guard;
+  const CallConvention& m_convention;
   BackendPool* m_pool = nullptr;
   const ViewGate* m_gate = nullptr;
 
@@ -127,6 +131,8 @@
   std::shared_ptr<const Declaration> m_declaration;
   std::uint64_t m_version = 0;
   const Service* m_service = nullptr;  // In m_declaration.
+  std::string m_instance;              // Incarnation of the backend server, if known.
+  double m_slowness = 1.0;             // As the backend server said last.
   AdmissionQueue m_admission;
   OwnedCalls m_calls;
   SuspectGate m_suspects;
--- a/src/libs/node/vmlistkeeper.cpp
+++ b/src/libs/node/vmlistkeeper.cpp
@@ -1,8 +1,5 @@
 #include "node/vmlistkeeper.h"
 
-#include <QJsonArray>
-#include <QJsonDocument>
-#include <QJsonObject>
 #include <optional>
 #include <utility>
 
@@ -14,42 +11,29 @@
 
 constexpr std::chrono::seconds kDoubtInterval{10};
 
-// The entries of a list; empty if the text is not a list of this protocol.
-std::optional<std::vector<VmEntry>> ParseList(std::string_view text) {
-  const QJsonDocument document =
-      QJsonDocument::fromJson(QByteArray(text.data(), static_cast<qsizetype>(text.size())));
-  const QJsonValue vms = document.object().value("vms");
-  if (!vms.isArray()) return std::nullopt;
-  std::vector<VmEntry> entries;
-  for (const QJsonValue value : vms.toArray()) {
-    const QString id = value.toObject().value("id").toString();
-    const QString state = value.toObject().value("state").toString();
-    if (id.isEmpty() || (state != "live" && state != "leaving")) return std::nullopt;
-    entries.push_back({BackendServerId(id.toStdString()), state == "leaving"});
-  }
-  return entries;
-}
-
 }  // namespace
 
 OfferResult VmListKeeper::OfferDocument(std::uint64_t version, std::string_view text,
                                         DocumentSource, std::string_view name) {
   if (version == m_version) return OfferResult::kUnchanged;
   if (version < m_version) return OfferResult::kOlder;
-  std::optional<std::vector<VmEntry>> entries = ParseList(text);
-  if (!entries) {
+  std::optional<VmList> list = ParseVmList(text);
+  if (!list) {
     DAMASKHOLLOW_LOG(kFleet, kWarning) << "VM list version " << version << " from " << name
                                        << " is not valid; the last one is kept";
     return OfferResult::kInvalid;
   }
   m_version = version;
   m_text = std::string(text);
-  m_entries = std::move(*entries);
+  m_entries = std::move(list->entries);
+  const bool is_inventory = list->inventory.has_value();
+  m_membership.SetListTrusted(is_inventory);
   m_last_note = MonotonicNow();
   if (m_membership.NoteList(m_entries) == FleetView::ListResult::kDoubted) {
     DAMASKHOLLOW_LOG(kFleet, kWarning)
         << "VM list version " << version << " is empty or shrank by more than half; kept aside";
   }
+  if (is_inventory) m_take_inventory(std::move(*list->inventory));
   m_changed();
   return OfferResult::kAccepted;
 }
--- a/src/libs/node/vmlistkeeper.h
+++ b/src/libs/node/vmlistkeeper.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "configuration/vmlist.h"
 #include "node/documentsync.h"
 #include "node/membership.h"
 
@@ -14,9 +15,15 @@
 // Holds the node's copy of the VM list and hands it to the membership view.
 class VmListKeeper : public DocumentHolder {
  public:
-  // `changed` is called after each list that was taken or kept aside.
-  VmListKeeper(Membership& membership, std::function<void()> changed)
-      : m_membership(membership), m_changed(std::move(changed)) {}
+  using InventoryFunction = std::function<void(std::vector<BackendServer> inventory)>;
+
+  // `take_inventory` gets each list that is a live inventory; `changed` is called after each list
+  // that was taken or kept aside.
+  VmListKeeper(Membership& membership, InventoryFunction take_inventory,
+               std::function<void()> changed)
+      : m_membership(membership),
+        m_take_inventory(std::move(take_inventory)),
+        m_changed(std::move(changed)) {}
 
   std::uint64_t HeldVersion() const override { return m_version; }
   std::string_view HeldText() const override { return m_text; }
@@ -28,6 +35,7 @@
 
  private:
   Membership& m_membership;
+  InventoryFunction m_take_inventory;
   std::function<void()> m_changed;
   std::uint64_t m_version = 0;
   std::string m_text;
--- a/src/libs/policy/callclassifier.cpp
+++ b/src/libs/policy/callclassifier.cpp
@@ -36,9 +36,49 @@
 
 Classification Refuse(Reason reason) { return Classification{reason, {}}; }
 
+// What a call's headers say of its time left and depth; kNone or the reason why it is refused.
+Reason ReadLimits(const CallDescription& call, CallClass& call_class) {
+  if (!call.deadline.empty()) {
+    const std::optional<std::uint64_t> milliseconds = ParseWhole(call.deadline);
+    constexpr std::uint64_t kDayMs = 86400000;
+    if (!milliseconds || *milliseconds == 0) return Reason::kDeadlineInvalid;
+    call_class.deadline = std::min<Duration>(
+        call_class.deadline, std::chrono::milliseconds(std::min(*milliseconds, kDayMs)));
+  }
+  if (!call.depth.empty()) {
+    const std::optional<std::uint64_t> depth = ParseWhole(call.depth);
+    if (!depth || *depth > kMaxDepth) return Reason::kDepthExceeded;
+    call_class.depth = static_cast<std::uint32_t>(*depth);
+  }
+  return Reason::kNone;
+}
+
+void SetPriority(const Declaration& declaration, const Priority& priority, CallClass& call_class) {
+  call_class.priority = priority.id;
+  call_class.priority_index = static_cast<std::size_t>(&priority - declaration.priorities.data());
+  call_class.may_cross_regions = priority.may_cross_regions;
+  call_class.target = priority.target;
+}
+
+Classification ClassifyByRoute(const Declaration& declaration, const CallDescription& call) {
+  const Route* route = declaration.FindRoute(call.host, PathOf(call.target));
+  if (route == nullptr) return Refuse(Reason::kNoRule);
+  Classification classification;
+  CallClass& call_class = classification.call_class;
+  call_class.route = route->id;
+  if (route->parts.size() == 1) call_class.service = route->parts.front().service;
+  SetPriority(declaration, *declaration.FindPriority(route->priority), call_class);
+  call_class.idempotent = route->idempotent;
+  call_class.attempts = route->attempts;
+  call_class.deadline = route->timeout;
+  classification.refusal = ReadLimits(call, call_class);
+  return classification;
+}
+
 }  // namespace
 
 Classification ClassifyCall(const Declaration& declaration, const CallDescription& call) {
+  if (!declaration.routes.empty()) return ClassifyByRoute(declaration, call);
   const Service* service = FindCalledService(declaration, call);
   if (service == nullptr) return Refuse(Reason::kUnknownService);
   const Rule* rule = Declaration::FindRule(*service, call.method, PathOf(call.target));
@@ -49,32 +89,20 @@
   Classification classification;
   CallClass& call_class = classification.call_class;
   call_class.service = service->id;
-  call_class.priority = priority->id;
-  call_class.priority_index = static_cast<std::size_t>(priority - declaration.priorities.data());
+  SetPriority(declaration, *priority, call_class);
   call_class.idempotent = rule->idempotent;
-  call_class.may_cross_regions = priority->may_cross_regions;
   if (!call.request_id.empty() && !CreationTime(call.request_id)) {
     return Refuse(Reason::kRequestIdInvalid);
   }
   call_class.request_id = std::string(call.request_id);
   call_class.deadline = rule->deadline.value_or(service->default_deadline);
-  if (!call.deadline.empty()) {
-    const std::optional<std::uint64_t> milliseconds = ParseWhole(call.deadline);
-    constexpr std::uint64_t kDayMs = 86400000;
-    if (!milliseconds || *milliseconds == 0) return Refuse(Reason::kDeadlineInvalid);
-    call_class.deadline = std::min<Duration>(
-        call_class.deadline, std::chrono::milliseconds(std::min(*milliseconds, kDayMs)));
-  }
-  if (!call.depth.empty()) {
-    const std::optional<std::uint64_t> depth = ParseWhole(call.depth);
-    if (!depth || *depth > kMaxDepth) return Refuse(Reason::kDepthExceeded);
-    call_class.depth = static_cast<std::uint32_t>(*depth);
-  }
+  classification.refusal = ReadLimits(call, call_class);
   return classification;
 }
 
 std::size_t MaxBodyBytes(const Declaration& declaration, const CallDescription& call,
                          std::size_t fallback) {
+  if (declaration.caller_bounds.body_bytes > 0) return declaration.caller_bounds.body_bytes;
   const Service* service = FindCalledService(declaration, call);
   return service == nullptr ? fallback : service->max_body_bytes;
 }
--- a/src/libs/policy/callclassifier.h
+++ b/src/libs/policy/callclassifier.h
@@ -31,13 +31,16 @@
 
 // How a call is to be treated.
 struct CallClass {
-  ServiceId service;
+  ServiceId service;  // Empty while the part of a route is not chosen.
+  RouteId route;      // Empty if the call was classified by a rule of its service.
   PriorityId priority;
   std::size_t priority_index = 0;  // Position in Declaration::priorities, most urgent first.
   bool idempotent = false;
   bool may_cross_regions = false;
-  std::uint32_t depth = 0;  // Of this call; 0 for a call from outside.
-  Duration deadline{};      // Time left.
+  std::uint32_t depth = 0;   // Of this call; 0 for a call from outside.
+  Duration deadline{};       // Time left.
+  Duration target{};         // Aimed-at answer time.
+  std::size_t attempts = 0;  // Backend servers that the call may reach; 0: the node's default.
   std::string request_id;
 };
 
--- a/src/libs/policy/retrypolicy.cpp
+++ b/src/libs/policy/retrypolicy.cpp
@@ -10,18 +10,26 @@
 // Tokens are saved up for this long, so that the calls in flight to a server that stops can all be
 // sent to others.
 constexpr double kSavingSeconds = 10.0;
-// Lets a service retry that has had too few calls to earn tokens. The refill is so slow that the
+// A service that has had too few calls to earn tokens gets them at this rate, so slowly that the
 // floors of all services of all nodes stay far below the share.
-constexpr double kFloorTokens = 10.0;
 constexpr double kFloorTokensPerSecond = 0.1;
 
+// Long enough for slots to become free, short enough to leave time for the second try.
+constexpr std::chrono::milliseconds kShortestReturn{200};
+constexpr std::chrono::milliseconds kLongestReturn{600};
+
 constexpr std::size_t kFewestAnswers = 32;
 constexpr std::size_t kAnswersPerUpdate = 16;
 
 }  // namespace
 
+std::chrono::milliseconds AdviseReturn(RandomSource& random) {
+  const auto spread = static_cast<double>((kLongestReturn - kShortestReturn).count());
+  return kShortestReturn + std::chrono::milliseconds(static_cast<int>(spread * random.Unit()));
+}
+
 void RetryBudget::Refill(const Budgets& budgets, TimePoint now) {
-  const double floor = budgets.retry_share > 0.0 ? kFloorTokens : 0.0;
+  const double floor = budgets.retry_share > 0.0 ? budgets.retry_floor : 0.0;
   if (!m_is_started) {
     m_is_started = true;
     m_tokens = floor;
@@ -85,7 +93,10 @@
                                 TimePoint now) {
   if (!InfoOf(failed.reason).try_another_server) return failed.reason;
   if (!failed.proved_not_run && !failed.idempotent) return failed.reason;
-  if (failed.attempts >= kMaxAttempts) return failed.reason;
+  if (!failed.reached_server && budgets.refusals_are_free) {
+    return failed.refusals < kMaxRefusals ? Reason::kNone : failed.reason;
+  }
+  if (failed.attempts + failed.refusals >= failed.most_attempts) return failed.reason;
   if (m_services[failed.service].budget.TakeRetry(budgets, now)) return Reason::kNone;
   // retry_budget says that the call was not run, which is not proved for the other outcomes.
   return failed.proved_not_run ? Reason::kRetryBudget : failed.reason;
--- a/src/libs/policy/retrypolicy.h
+++ b/src/libs/policy/retrypolicy.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "base/ids.h"
+#include "base/randomsource.h"
 #include "base/reason.h"
 #include "base/time.h"
 #include "declaration/declaration.h"
@@ -16,6 +17,9 @@
 // Sends of one call at most, hedges included.
 constexpr std::size_t kMaxAttempts = 3;
 
+// Sends that owners refuse cost the servers nothing, so they have a bound of their own.
+constexpr std::size_t kMaxRefusals = 8;
+
 // Tokens for the retries and hedges of one service. Each first attempt adds a share of a token; a
 // retry takes one, and a hedge takes one that must also be within the hedges' part.
 class RetryBudget {
@@ -48,13 +52,20 @@
   std::optional<Duration> m_percentile;
 };
 
+// When a caller whose call was not run may come again. Spread out, so that the callers that are
+// refused at one moment do not return at one moment.
+std::chrono::milliseconds AdviseReturn(RandomSource& random);
+
 // An attempt that ended without an answer.
 struct FailedAttempt {
   ServiceId service;
   Reason reason = Reason::kNone;
   bool proved_not_run = false;
   bool idempotent = false;
-  std::size_t attempts = 0;  // Sends of this call so far.
+  std::size_t attempts = 0;  // Sends of this call that reached or may have reached a server.
+  std::size_t most_attempts = kMaxAttempts;
+  bool reached_server = true;  // Whether the last one did or may have.
+  std::size_t refusals = 0;    // Sends that owners refused before anything reached a server.
 };
 
 // Decides which calls are sent again and when a second copy is sent. Answers of backend servers,
