Log one structured line for each decision on a call

Cause: a failed request could not be followed from its id; lines were sentences on standard error, written by the thread that served the call. Change: field=value lines on standard output, written by a thread of their own behind a bounded queue; lines on calls are sampled by request id, lines on failures bounded by rate.

--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -66,5 +66,7 @@
     }
     node.StartDrain([&application] { application.quit(); });
   });
-  return QCoreApplication::exec();
+  const int status = QCoreApplication::exec();
+  damaskhollow::StopLogging();
+  return status;
 }
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -1,28 +1,91 @@
 #include "logging/logger.h"
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <cstddef>
 #include <iostream>
-#include <string>
+#include <utility>
 
 namespace damaskhollow {
 
 namespace {
 
+namespace sinks = boost::log::sinks;
+
+// About 300 bytes a line, so that a reader that stops costs at most some 600 KB.
+constexpr std::size_t kQueuedLines = 2000;
+
 constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 8> kPartNames{
+    "node", "ingress", "owner", "routing", "configuration", "fleet", "link", "admin"};
 
-constexpr std::array<std::string_view, 8> kPrefixes{
-    "node: ",          "ingress: ", "owner: ", "routing: ",
-    "configuration: ", "fleet: ",   "link: ",  "admin: "};
+std::atomic<std::uint64_t> dropped_lines{0};
+std::atomic<LogLevel> least_level{LogLevel::kInfo};
+
+// Drops what the queue cannot take, and counts it.
+class CountDropped {
+ public:
+  template <class Lock>
+  // NOLINTNEXTLINE(readability-identifier-naming): name fixed by Boost.Log.
+  static bool on_overflow(const boost::log::record_view&, Lock&) {
+    dropped_lines.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  // NOLINTNEXTLINE(readability-identifier-naming): name fixed by Boost.Log.
+  static void on_queue_space_available() {}
+  // NOLINTNEXTLINE(readability-identifier-naming): name fixed by Boost.Log.
+  static void interrupt() {}
+};
+
+using Backend = sinks::text_ostream_backend;
+using Sink = sinks::asynchronous_sink<Backend, sinks::bounded_fifo_queue<kQueuedLines, CountDropped>>;
+
+boost::shared_ptr<Sink>& RunningSink() {
+  static boost::shared_ptr<Sink> sink;
+  return sink;
+}
+
+void WriteLine(LogLevel level, const std::string& line) {
+  static boost::log::sources::severity_logger_mt<LogLevel> logger;
+  BOOST_LOG_SEV(logger, level) << line;
+}
+
+std::string StartOf(LogPart part, LogLevel level, std::string_view event) {
+  std::string line = "level=";
+  line += kLevelNames[static_cast<std::size_t>(level)];
+  line += " part=";
+  line += kPartNames[static_cast<std::size_t>(part)];
+  line += " event=";
+  line += event;
+  return line;
+}
+
+// Quotes a value that is empty or has characters that would end it, on one line.
+std::string Quoted(std::string_view value) {
+  const bool is_plain = !value.empty() && std::all_of(value.begin(), value.end(), [](char letter) {
+    return letter > ' ' && letter != '"' && letter != '=';
+  });
+  if (is_plain) return std::string(value);
+  std::string quoted = "\"";
+  for (const char letter : value) {
+    if (letter == '"') quoted += '\'';
+    else quoted += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+  }
+  return quoted + '"';
+}
 
 }  // namespace
 
@@ -34,31 +97,62 @@
 }
 
 void StartLogging(LogLevel level) {
-  namespace expressions = boost::log::expressions;
-  namespace sinks = boost::log::sinks;
-  using Backend = sinks::text_ostream_backend;
+  least_level.store(level);
   auto backend = boost::make_shared<Backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   backend->auto_flush(true);
-  auto sink = boost::make_shared<sinks::synchronous_sink<Backend>>(backend);
-  sink->set_filter(expressions::attr<LogLevel>("Severity") >= level);
+  auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(
       [](const boost::log::record_view& record, boost::log::formatting_ostream& out) {
         const auto time = boost::log::extract<boost::posix_time::ptime>("TimeStamp", record);
-        const auto severity = boost::log::extract<LogLevel>("Severity", record);
-        if (time) out << boost::posix_time::to_iso_extended_string(time.get()) << "Z ";
-        if (severity) out << kLevelNames[static_cast<std::size_t>(severity.get())] << ' ';
-        out << record[expressions::smessage];
+        if (time) out << "time=" << boost::posix_time::to_iso_extended_string(time.get()) << "Z ";
+        out << record[boost::log::expressions::smessage];
       });
   boost::log::core::get()->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
   boost::log::core::get()->add_sink(sink);
+  RunningSink() = sink;
 }
 
-SeverityLogger& Logger() {
-  static SeverityLogger logger;
-  return logger;
+void StopLogging() {
+  boost::shared_ptr<Sink>& sink = RunningSink();
+  if (!sink) return;
+  boost::log::core::get()->remove_sink(sink);
+  sink->stop();
+  sink->flush();
+  sink.reset();
 }
 
-std::string_view PartPrefix(LogPart part) { return kPrefixes[static_cast<std::size_t>(part)]; }
+std::uint64_t DroppedLogLines() { return dropped_lines.load(std::memory_order_relaxed); }
+
+bool IsLogged(LogLevel level) { return level >= least_level.load(std::memory_order_relaxed); }
+
+EventLine::EventLine(LogPart part, LogLevel level, std::string_view event, bool wanted)
+    : m_level(level) {
+  if (wanted && IsLogged(level)) m_line = StartOf(part, level, event);
+}
+
+EventLine::EventLine(EventLine&& other) noexcept
+    : m_level(other.m_level), m_line(std::exchange(other.m_line, std::string())) {}
+
+EventLine::~EventLine() {
+  if (!m_line.empty()) WriteLine(m_level, m_line);
+}
+
+EventLine& EventLine::With(std::string_view field, std::string_view value) {
+  if (m_line.empty()) return *this;
+  m_line.append(" ").append(field).append("=").append(Quoted(value));
+  return *this;
+}
+
+EventLine& EventLine::With(std::string_view field, std::int64_t value) {
+  if (m_line.empty()) return *this;
+  m_line.append(" ").append(field).append("=").append(std::to_string(value));
+  return *this;
+}
+
+NoteLine::~NoteLine() {
+  if (!IsLogged(m_level)) return;
+  WriteLine(m_level, StartOf(m_part, m_level, "note") + " text=" + Quoted(m_text.str()));
+}
 
 }  // namespace damaskhollow
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -1,16 +1,18 @@
 #ifndef DAMASKHOLLOW_LOGGING_LOGGER_H_
 #define DAMASKHOLLOW_LOGGING_LOGGER_H_
 
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
+#include <cstdint>
 #include <optional>
+#include <ostream>
+#include <sstream>
+#include <string>
 #include <string_view>
 
 namespace damaskhollow {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-// Parts of the system; each has a fixed prefix in the log.
+// Parts of the system; each line names its part.
 enum class LogPart {
   kNode,
   kIngress,
@@ -22,25 +24,60 @@
   kAdmin,
 };
 
-using SeverityLogger = boost::log::sources::severity_logger_mt<LogLevel>;
-
 // The level with the given name (debug, info, warning, error); empty when there is none.
 std::optional<LogLevel> LogLevelFromName(std::string_view name);
 
-// Sends log lines of at least `level` to standard error, one line per record: time, level, part
-// prefix, message.
+// Sends log lines of at least `level` to standard output, one a record, as `field=value` pairs.
+// Lines are written by a thread of their own; when it falls behind, further lines are dropped and
+// counted, so that a reader that stops never holds up a call.
 void StartLogging(LogLevel level);
 
-// The logger shared by all parts.
-SeverityLogger& Logger();
+// Writes what is queued and stops. Lines that come later are lost.
+void StopLogging();
+
+// Lines dropped since the start because the queue was full.
+std::uint64_t DroppedLogLines();
+
+// Whether lines of this level are written.
+bool IsLogged(LogLevel level);
+
+// One log line of structured fields, written when the object ends. Values are quoted where needed.
+class EventLine {
+ public:
+  // `wanted` is false for a line that a bound on the log leaves out.
+  EventLine(LogPart part, LogLevel level, std::string_view event, bool wanted = true);
+  ~EventLine();
+  EventLine(EventLine&& other) noexcept;
+  EventLine& operator=(const EventLine&) = delete;
+
+  EventLine& With(std::string_view field, std::string_view value);
+  EventLine& With(std::string_view field, std::int64_t value);
 
-// The fixed prefix of a part, for instance "ingress: ".
-std::string_view PartPrefix(LogPart part);
+ private:
+  const LogLevel m_level;
+  std::string m_line;  // Empty if the level is not logged.
+};
+
+// One log line with a sentence in its field `text`, written when the object ends.
+class NoteLine {
+ public:
+  NoteLine(LogPart part, LogLevel level) : m_part(part), m_level(level) {}
+  ~NoteLine();
+  NoteLine(const NoteLine&) = delete;
+  NoteLine& operator=(const NoteLine&) = delete;
+
+  std::ostream& Stream() { return m_text; }
+
+ private:
+  const LogPart m_part;
+  const LogLevel m_level;
+  std::ostringstream m_text;
+};
 
 }  // namespace damaskhollow
 
-#define DAMASKHOLLOW_LOG(part, level)                                      \
-  BOOST_LOG_SEV(::damaskhollow::Logger(), ::damaskhollow::LogLevel::level) \
-      << ::damaskhollow::PartPrefix(::damaskhollow::LogPart::part)
+#define DAMASKHOLLOW_LOG(part, level)                                                          \
+  ::damaskhollow::NoteLine(::damaskhollow::LogPart::part, ::damaskhollow::LogLevel::level) \
+      .Stream()
 
 #endif  // DAMASKHOLLOW_LOGGING_LOGGER_H_
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -41,6 +41,10 @@
   return limits;
 }
 
+std::int64_t ToMilliseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 // Whether an attempt that was not run reached the backend server, which sent it back.
 bool ReachedServer(Reason reason) { return reason == Reason::kBackendShed; }
 
@@ -52,7 +56,9 @@
 }  // namespace
 
 IngressShard::IngressShard(IngressContext context, std::size_t index, std::size_t count)
-    : m_context(std::move(context)), m_index(index), m_count(count), m_random(SystemSeed()) {
+    : m_context(std::move(context)), m_index(index), m_count(count),
+      m_random(SystemSeed()),
+      m_log(m_context.request_log, LogPart::kIngress) {
   QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { Tick(); });
 }
 
@@ -78,6 +84,8 @@
   call.request = std::move(request);
   call.body_bytes = body_bytes;
   call.started = MonotonicNow();
+  call.log_id = LogIdOf(call.request, m_context.convention);
+  m_log.NoteRequest(call.started);
   const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
   if (!declaration) return AnswerReason(connection, Reason::kNoConfiguration);
   Classification classification =
@@ -96,6 +104,12 @@
                                                target.substr(0, target.find('?')));
     call.call_class.service = m_splits.Pick(route->id, route->parts);
   }
+  m_log.Step("received", call.log_id)
+      .With("route", call.call_class.route.Value())
+      .With("service", call.call_class.service.Value())
+      .With("priority", call.call_class.priority.Value())
+      .With("deadline_ms", ToMilliseconds(call.call_class.deadline))
+      .With("version", static_cast<std::int64_t>(m_context.version.load()));
   StampOrigin(call.request, m_context.convention, m_context.own_service);
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
@@ -162,6 +176,12 @@
   wire::Envelope message =
       CallRequestFor(NameOf(id, attempt), server, call.call_class, call.digest, call.request);
   m_context.router.NoteSent(server, id, call.call_class.priority_index);
+  m_log.Step("sent", call.log_id)
+      .With("server", server.Value())
+      .With("attempt", static_cast<std::int64_t>(id.value))
+      .With("expected_us", choice.expected_delay.count())
+      .With("report_age_us", choice.report_age.count())
+      .With("remaining_ms", ToMilliseconds(call.deadline - attempt.sent));
   if (choice.crosses_regions) {
     m_context.metrics.Add(Metric::kCallPaidLinkBytes, message.ByteSizeLong());
   }
@@ -219,6 +239,7 @@
   }
   if (chunk.has_head() && !StartRelay(id, *attempt, chunk.head())) return;
   if (chunk.has_head()) {
+    attempt->status = chunk.head().status();
     attempt->is_error = chunk.head().status() >= kFirstErrorStatus;
     m_retries.NoteAnswerTime(m_calls.at(connection).call_class.service,
                              MonotonicNow() - attempt->sent);
@@ -233,6 +254,10 @@
   m_context.metrics.Add(Metric::kCallsAnswered);
   m_context.crash_guard.NoteAnswered(call.digest);
   m_context.metrics.RecordLatency(call.call_class.priority, MonotonicNow() - call.started);
+  m_log.Step("answered", call.log_id)
+      .With("server", attempt->server.Value())
+      .With("status", attempt->status)
+      .With("total_us", (MonotonicNow() - call.started).count());
   EndAttempt(id, result);
   CancelAttempts(call);
   EndCall(connection);
@@ -262,6 +287,9 @@
   if (MonotonicNow() > call.deadline + kDeadlineGrace) {
     return HandleUnknown(id, Reason::kLinkSilent);
   }
+  m_log.Failure("attempt_refused", call.log_id, reason)
+      .With("server", attempt->server.Value())
+      .With("after_us", (MonotonicNow() - attempt->sent).count());
   // An owner without its backend server refuses at once; that must not attract calls.
   EndAttempt(id, reason == Reason::kBackendUnreachable ? AttemptResult::kNoBackend
                                                        : AttemptResult::kRefused);
@@ -275,6 +303,9 @@
   PendingCall& call = m_calls.at(connection);
   AllowReturn(call, attempt->server, reason);
   ++call.arrivals;
+  m_log.Failure("attempt_failed", call.log_id, reason)
+      .With("server", attempt->server.Value())
+      .With("after_us", (MonotonicNow() - attempt->sent).count());
   EndAttempt(id, AttemptResult::kFailed);
   if (call.relayed == id) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
@@ -316,6 +347,10 @@
   }
   if (decision != Reason::kNone) return AnswerReason(connection, decision);
   m_context.metrics.CountRetry(reason);
+  m_log.Step("retry", call.log_id)
+      .With("reason", InfoOf(reason).name)
+      .With("arrivals", static_cast<std::int64_t>(call.arrivals))
+      .With("refusals", static_cast<std::int64_t>(call.refusals));
   Route(connection, call);
 }
 
@@ -439,15 +474,23 @@
 
 void IngressShard::AnswerReason(ConnectionId connection, Reason reason) {
   Outcome outcome = InfoOf(reason).outcome;
+  std::string log_id = "-";
+  Duration elapsed{};
   if (PendingCall* call = FindCall(connection); call != nullptr) {
     reason = ProvedReason(*call, reason);
     outcome = ProvedOutcome(*call, reason);
+    log_id = call->log_id;
+    elapsed = MonotonicNow() - call->started;
     CancelAttempts(*call);
     EndCall(connection);
   }
   m_context.metrics.CountRefusal(reason);
   const ReasonAnswer answer =
       AnswerFor(reason, outcome, m_context.convention, AdviseReturn(m_random));
+  m_log.Failure("call_failed", log_id, reason)
+      .With("outcome", OutcomeName(outcome))
+      .With("status", answer.head.status)
+      .With("total_us", elapsed.count());
   CallerConnection& caller = *m_connections.at(connection);
   caller.StartAnswer(answer.head);
   caller.SendBody(answer.body);
@@ -480,6 +523,8 @@
 void IngressShard::OnCallerGone(ConnectionId connection) {
   if (PendingCall* call = FindCall(connection); call != nullptr) {
     m_context.metrics.CountRefusal(Reason::kCancelled);
+    m_log.Failure("caller_left", call->log_id, Reason::kCancelled)
+        .With("total_us", (MonotonicNow() - call->started).count());
     CancelAttempts(*call);
     EndCall(connection);
   }
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -15,6 +15,7 @@
 #include "http/callerconnection.h"
 #include "metrics/metricsregistry.h"
 #include "node/attemptmessages.h"
+#include "node/calllog.h"
 #include "node/messenger.h"
 #include "node/ownerservice.h"
 #include "node/sharedcrashguard.h"
@@ -41,6 +42,8 @@
   AbsentSince absent_since = {};
   const CallConvention& convention;
   ServiceId own_service;  // Of the calls that come in here.
+  RequestLog& request_log;
+  std::atomic<std::uint64_t>& version;  // Of the declaration.
 };
 
 // The calls of some caller connections, on one worker thread. All members run on that thread.
@@ -79,6 +82,7 @@
   // it names the call.
   struct PendingCall {
     HttpRequest request;
+    std::string log_id;
     std::size_t body_bytes = 0;  // Reserved in the body budget.
     CallClass call_class;
     std::string digest;
@@ -107,6 +111,7 @@
     std::uint32_t next_sequence = 0;
     bool in_doubt = false;  // Its link went silent.
     bool crosses_regions = false;
+    std::uint32_t status = 0;
     bool is_error = false;  // The answer has a status of 500 or above.
   };
 
@@ -174,6 +179,7 @@
   Budgets m_budgets;      // Of the declaration that the last call came under.
   SplitPicker m_splits;
   RandomSource m_random;
+  CallLog m_log;
   QTimer m_timer;
 };
 
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -34,7 +34,7 @@
                Place{m_settings.server_id, m_settings.region, m_settings.data_centre},
                SystemSeed()),
       m_crash_guard(m_settings.crash_guard),
-      m_owner(m_identity, m_metrics, *this, m_crash_guard, m_seams.convention),
+      m_owner(m_identity, m_metrics, *this, m_crash_guard, m_seams.convention, m_request_log),
       m_crash_reporter(m_identity.server, m_identity.incarnation, m_crash_guard, m_metrics, *this) {
   m_owner.SetViewGate(&m_gate);
   m_router.SetViewGate(&m_gate);
@@ -69,7 +69,8 @@
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
                      m_declaration, m_caller_connections, m_settings.caller_connections,
-                     absent_since, m_seams.convention, m_seams.own_service},
+                     absent_since, m_seams.convention, m_seams.own_service, m_request_log,
+                     m_version},
       m_workers);
   m_control = std::make_unique<ControlService>(
       ControlContext{m_settings, m_identity, m_metrics, *this, m_router, m_owner, *m_transport,
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -75,6 +75,7 @@
   const NodeIdentity m_identity;
   MetricsRegistry m_metrics;
   BodyBudget m_body_budget;
+  RequestLog m_request_log;
   std::atomic<std::shared_ptr<const Declaration>> m_declaration;
   std::atomic<std::uint64_t> m_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
--- a/src/libs/node/ownedcalls.h
+++ b/src/libs/node/ownedcalls.h
@@ -24,7 +24,9 @@
   CallKey key;
   ReplyRoute route;
   wire::CallRequest request;  // Without its body once it is dispatched.
+  std::string log_id;
   OwnedCallState state = OwnedCallState::kQueued;
+  TimePoint arrived{};
   TimePoint dispatched_at{};
   bool discard_answer = false;  // The ingress no longer waits for it.
   bool shed = false;
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -20,12 +20,14 @@
 }  // namespace
 
 OwnerService::OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
-                           SharedCrashGuard& crash_guard, const CallConvention& convention)
+                           SharedCrashGuard& crash_guard, const CallConvention& convention,
+                           RequestLog& request_log)
     : m_identity(std::move(identity)),
       m_metrics(metrics),
       m_messenger(messenger),
       m_crash_guard(crash_guard),
       m_convention(convention),
+      m_log(request_log, LogPart::kOwner),
       m_admission(AdmissionLimits{}, {}),
       m_calls(m_identity.incarnation),
       m_claims(m_identity.server, m_identity.started, m_messenger),
@@ -105,10 +107,12 @@
   if (decision.ignore) return;  // Delivered twice.
   if (decision.refusal != Reason::kNone) {
     m_calls.NoteRefused(key, request, now);
-    return Refuse(route, request.call_id(), decision.refusal);
+    return Refuse(route, request.call_id(), decision.refusal, LogIdOf(request, m_convention));
   }
   const OwnedCallId id = m_calls.Add(key, route, std::move(request));
   OwnedCall& call = m_calls.At(id);
+  call.log_id = LogIdOf(call.request, m_convention);
+  call.arrived = now;
   if (call.request.request_id().empty()) return Admit(id, now);
   Claim(id, call, now);
 }
@@ -211,6 +215,12 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(call.Deadline() - now);
   call.state = OwnedCallState::kRunning;
   call.dispatched_at = now;
+  m_log.Step("dispatched", call.log_id)
+      .With("instance", m_instance)
+      .With("waited_us", (now - call.arrived).count())
+      .With("in_flight", static_cast<std::int64_t>(m_admission.Load().in_flight))
+      .With("slowness_percent", static_cast<std::int64_t>(m_slowness * 100.0))
+      .With("remaining_ms", remaining.count());
   BackendRequest request;
   request.request = BackendRequestOf(call.request, remaining, m_convention, m_instance);
   request.credit = kAnswerWindowBytes;
@@ -289,8 +299,14 @@
 }
 
 void OwnerService::Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason,
-                          bool request_id_not_run) {
+                          std::string_view log_id, bool request_id_not_run) {
   m_metrics.CountRefusal(reason);
+  const AdmissionLoad load = m_admission.Load();
+  m_log.Failure("owner_refused", log_id, reason)
+      .With("in_flight", static_cast<std::int64_t>(load.in_flight))
+      .With("queued", static_cast<std::int64_t>(load.queued))
+      .With("limit", static_cast<std::int64_t>(load.limit))
+      .With("queue_delay_us", load.queue_delay.count());
   wire::Envelope message;
   // Some refusals concern an earlier send of the request, which may have run.
   if (InfoOf(reason).outcome == Outcome::kNotRun) {
@@ -311,7 +327,7 @@
   m_suspects.Leave(id);
   const bool request_id_not_run = m_claims.IsAccepted(id);
   m_claims.End(id, ClaimEnd::kNotRun);
-  Refuse(call.route, call.key.call.value, reason, request_id_not_run);
+  Refuse(call.route, call.key.call.value, reason, call.log_id, request_id_not_run);
   m_calls.RemoveRefused(id, MonotonicNow());
 }
 
@@ -323,6 +339,10 @@
     call->shed = SaysNotRun(*part.head);
     NoteDrainHeader(*part.head);
     NoteLoad(*part.head);
+    m_log.Step("server_answered", call->log_id)
+        .With("status", part.head->status)
+        .With("time_us", (MonotonicNow() - call->dispatched_at).count())
+        .With("slowness_percent", static_cast<std::int64_t>(m_slowness * 100.0));
   }
   const bool last = part.last;
   if (!call->shed) SendPart(id, *call, std::move(part), nullptr);
@@ -385,10 +405,11 @@
   if (call.shed) {
     const ReplyRoute route = call.route;
     const std::uint64_t call_id = call.key.call.value;
+    const std::string log_id = call.log_id;
     const bool request_id_not_run = m_claims.IsAccepted(id);
     m_claims.End(id, ClaimEnd::kNotRun);
     Finish(id, SlotResult::kShed);
-    return Refuse(route, call_id, Reason::kBackendShed, request_id_not_run);
+    return Refuse(route, call_id, Reason::kBackendShed, log_id, request_id_not_run);
   }
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   m_claims.End(id, ClaimEnd::kRan);
@@ -403,6 +424,7 @@
   const ReplyRoute route = call->route;
   const std::uint64_t call_id = call->key.call.value;
   const bool discard = call->discard_answer;
+  const std::string log_id = call->log_id;
   if (reason == Reason::kBackendClosed && may_have_run) {
     m_crash_guard.NoteAborted(call->request.digest());
   }
@@ -411,7 +433,8 @@
   m_claims.End(id, may_run_again ? ClaimEnd::kNotRun : ClaimEnd::kMayHaveRun, reason);
   Finish(id, SlotResult::kFailed);
   if (discard) return;
-  Refuse(route, call_id, may_have_run ? reason : Reason::kBackendUnreachable, request_id_not_run);
+  Refuse(route, call_id, may_have_run ? reason : Reason::kBackendUnreachable, log_id,
+         request_id_not_run);
 }
 
 void OwnerService::Finish(OwnedCallId id, SlotResult result) {
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -12,6 +12,7 @@
 #include "http/callconvention.h"
 #include "metrics/metricsregistry.h"
 #include "node/backendpool.h"
+#include "node/calllog.h"
 #include "node/claimservice.h"
 #include "node/keptanswers.h"
 #include "node/messenger.h"
@@ -36,7 +37,8 @@
 class OwnerService : public BackendAnswers {
  public:
   OwnerService(NodeIdentity identity, MetricsRegistry& metrics, Messenger& messenger,
-               SharedCrashGuard& crash_guard, const CallConvention& convention);
+               SharedCrashGuard& crash_guard, const CallConvention& convention,
+               RequestLog& request_log);
 
   // Must be called before the first message.
   void SetBackendPool(BackendPool* pool) { m_pool = pool; }
@@ -108,7 +110,7 @@
   void RunCall(OwnedCallId id, OwnedCall& call, TimePoint now);
   // `request_id_not_run`: the call has a request id, and no send of that id has run.
   void Refuse(const ReplyRoute& route, std::uint64_t call_id, Reason reason,
-              bool request_id_not_run = false);
+              std::string_view log_id, bool request_id_not_run = false);
   // Refuses a call that is not running, and forgets it.
   void RefuseUnrun(OwnedCallId id, Reason reason);
   // `replayed_head` stands for the part's own head if it is not null.
@@ -124,6 +126,7 @@
   Messenger& m_messenger;
   SharedCrashGuard& m_crash_guard;
   const CallConvention& m_convention;
+  CallLog m_log;
   BackendPool* m_pool = nullptr;
   const ViewGate* m_gate = nullptr;
 
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -165,7 +165,10 @@
   const ServerScore& score = m_scores[*picked];
   const bool crosses = score.Tier() == ServerTier::kOtherRegion;
   if (crosses) m_paid_link.Spend(request.bytes + kCallOverheadBytes, now);
-  return RoutingChoice{Reason::kNone, score.Id(), crosses};
+  return RoutingChoice{
+      Reason::kNone, score.Id(), crosses,
+      score.ExpectedDelay(request.priority_index, found->second.typical_service_time, now),
+      score.ReportAge(now)};
 }
 
 bool Router::HasOpenServerFarAway(const RoutingPool& pool) const {
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -26,6 +26,8 @@
   Reason refusal = Reason::kNone;
   BackendServerId server;
   bool crosses_regions = false;
+  Duration expected_delay{};  // That the choice was made by.
+  Duration report_age{};      // Of the server's last report.
 };
 
 // Chooses backend servers for calls. Subsets are computed when the declaration or the membership
