--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -94,6 +94,8 @@
   if (request.server_id() != m_identity.server.Value() || m_service == nullptr) {
     return {Reason::kWrongServer, false};
   }
+  // A VM's address may pass to a server of another service while ingresses still know the old one.
+  if (request.service() != m_service->id.Value()) return {Reason::kWrongServer, false};
   const SendDecision decision = m_calls.Arrive(key, request, now);
   if (decision.refusal != Reason::kNone || decision.ignore) return decision;
   if (m_draining || m_backend_leaving) return {Reason::kDraining, false};
