Ask near owners for their load before a server is chosen

Cause: reports of other VMs are stale within 300 ms, so choices by them sent a fifth of the calls to VMs that worked four times slower or had all slots taken (431 calls took more than half their objective to reach a server). Change: the ingress asks three near owners, which ask their server's health path if their own knowledge is older than 25 ms; the best offer gets the call. The region is left only if no near server can answer in time. Ruled out: queues at the nodes themselves (received to sent was under 2 ms).

--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/node/ingressservice.cpp
@@ -29,6 +29,8 @@
       return message.status_result().call_id();
     case wire::Envelope::kCancelResult:
       return message.cancel_result().call_id();
+    case wire::Envelope::kLoadAnswer:
+      return message.load_answer().call_id();
     default:
       return 0;
   }
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -20,6 +20,11 @@
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
 // A connection that was just opened has not sent its request yet and must not count as idle.
 constexpr std::chrono::milliseconds kCrowdedIdle{1000};
+// Owners asked for their load before a choice. Two more than two random ones are hardly better; the
+// third covers one that does not answer.
+constexpr std::size_t kServersAsked = 3;
+// Round trip inside a region and a probe of the backend server there.
+constexpr std::chrono::milliseconds kAskTime{15};
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
 constexpr std::uint32_t kFirstErrorStatus = 500;
 static_assert(static_cast<int>(CallProgress::kNeverSeen) == wire::CALL_STATE_NEVER_SEEN &&
@@ -127,6 +132,10 @@
     return ChooseHome(*m_context.declaration.load(), call.call_class.service,
                       call.call_class.request_id, call.tried, m_context.absent_since);
   }
+  return m_context.router.Choose(RequestOf(call, may_cross_regions));
+}
+
+RoutingRequest IngressShard::RequestOf(const PendingCall& call, bool may_cross_regions) {
   RoutingRequest request;
   request.service = call.call_class.service;
   request.idempotent = call.call_class.idempotent;
@@ -134,13 +143,64 @@
   request.bytes = call.request.body.size();
   request.excluded = call.tried;
   request.priority_index = call.call_class.priority_index;
-  return m_context.router.Choose(request);
+  request.target_left = call.started + call.call_class.target - MonotonicNow();
+  return request;
+}
+
+bool IngressShard::AskForLoad(ConnectionId connection, PendingCall& call) {
+  const bool may_ask = m_context.convention.decode_load != nullptr &&
+                       call.call_class.request_id.empty() && call.attempts.empty();
+  if (!may_ask) return false;
+  const std::vector<BackendServerId> servers = m_context.router.ServersToAsk(
+      RequestOf(call, call.call_class.may_cross_regions), kServersAsked);
+  if (servers.empty()) return false;
+  call.question = m_next_attempt++ * m_count + m_index;
+  call.unanswered = servers.size();
+  call.offers.clear();
+  m_questions[call.question] = connection;
+  const std::uint64_t question = call.question;
+  QTimer::singleShot(kAskTime, &m_timer, [this, connection, question] {
+    PendingCall* waiting = FindCall(connection);
+    if (waiting != nullptr && waiting->question == question) EndQuestion(connection, *waiting);
+  });
+  for (const BackendServerId& server : servers) {
+    wire::Envelope message;
+    message.mutable_load_query()->set_call_id(question);
+    message.mutable_load_query()->set_priority(call.call_class.priority.Value());
+    m_context.messenger.Send(server, std::move(message));
+  }
+  return true;
+}
+
+void IngressShard::HandleLoadAnswer(const BackendServerId& owner, const wire::LoadAnswer& answer) {
+  m_context.router.NoteState(owner, answer.state());
+  const auto found = m_questions.find(answer.call_id());
+  if (found == m_questions.end()) return;
+  const ConnectionId connection = found->second;
+  PendingCall& call = m_calls.at(connection);
+  call.offers.push_back(
+      {owner, Duration(static_cast<Duration::rep>(answer.expected_us()))});
+  if (--call.unanswered == 0) EndQuestion(connection, call);
+}
+
+void IngressShard::EndQuestion(ConnectionId connection, PendingCall& call) {
+  m_questions.erase(std::exchange(call.question, 0));
+  const TimePoint now = MonotonicNow();
+  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
+  const RoutingChoice choice = m_context.router.ChooseAmong(
+      RequestOf(call, call.call_class.may_cross_regions), call.offers);
+  RouteTo(connection, call, choice, now);
 }
 
 void IngressShard::Route(ConnectionId connection, PendingCall& call) {
   const TimePoint now = MonotonicNow();
   if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
-  const RoutingChoice choice = Choose(call, call.call_class.may_cross_regions);
+  if (call.question != 0 || AskForLoad(connection, call)) return;
+  RouteTo(connection, call, Choose(call, call.call_class.may_cross_regions), now);
+}
+
+void IngressShard::RouteTo(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
+                           TimePoint now) {
   if (choice.refusal == Reason::kNone) {
     if (const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now)) {
       call.waiting = false;
@@ -206,6 +266,8 @@
       m_context.router.NoteState(owner, message.call_failed().state());
       return HandleUnknown(CallId{message.call_failed().call_id()},
                            static_cast<Reason>(message.call_failed().reason()));
+    case wire::Envelope::kLoadAnswer:
+      return HandleLoadAnswer(owner, message.load_answer());
     case wire::Envelope::kStatusResult:
       m_context.router.NoteState(owner, message.status_result().state());
       return HandleStatus(message.status_result());
@@ -501,6 +563,7 @@
   const auto found = m_calls.find(connection);
   if (found == m_calls.end()) return;
   m_context.body_budget.Release(found->second.body_bytes);
+  m_questions.erase(found->second.question);
   m_calls.erase(found);
 }
 
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -94,6 +94,9 @@
     std::vector<CallId> attempts;     // Those that still run.
     bool request_id_not_run = false;  // A home says that no send of the request id has run.
     CallId relayed;                   // The attempt whose answer goes to the caller; 0 for none.
+    std::uint64_t question = 0;  // Names the load queries that are out; 0 for none.
+    std::size_t unanswered = 0;  // Of them.
+    std::vector<LoadOffer> offers;
     bool waiting = false;             // For a server that can take it.
     TimePoint waiting_until{};
     bool hedged = false;
@@ -120,6 +123,13 @@
 
   void Route(ConnectionId connection, PendingCall& call);
 
+  // Asks near owners for their load; false if the choice is to be made without.
+  bool AskForLoad(ConnectionId connection, PendingCall& call);
+  void HandleLoadAnswer(const BackendServerId& owner, const wire::LoadAnswer& answer);
+  void EndQuestion(ConnectionId connection, PendingCall& call);
+  void RouteTo(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
+               TimePoint now);
+
   // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
   // wait for the new link. The first answer counts.
   void RouteBeside(ConnectionId connection);
@@ -145,6 +155,7 @@
 
   // A request with an id goes to its home, any other to where the router sends it.
   RoutingChoice Choose(const PendingCall& call, bool may_cross_regions);
+  static RoutingRequest RequestOf(const PendingCall& call, bool may_cross_regions);
   AttemptName NameOf(CallId id, const Attempt& attempt) const;
   void EndAttempt(CallId attempt, AttemptResult result);
   void CancelAttempts(PendingCall& call);
@@ -175,6 +186,7 @@
   std::unordered_map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
   std::map<ConnectionId, PendingCall> m_calls;
   std::unordered_map<CallId, Attempt> m_attempts;
+  std::unordered_map<std::uint64_t, ConnectionId> m_questions;
   RetryPolicy m_retries;  // Its budgets are those of this shard's part of the calls.
   Budgets m_budgets;      // Of the declaration that the last call came under.
   SplitPicker m_splits;
--- /dev/null
+++ b/src/libs/node/loadprobe.cpp
@@ -0,0 +1,81 @@
+#include "node/loadprobe.h"
+
+#include <QMetaObject>
+
+namespace damaskhollow {
+
+namespace {
+
+// The health path answers at once; a later answer says nothing of the present load.
+constexpr std::chrono::milliseconds kProbeTimeout{20};
+constexpr std::size_t kProbeBodyBytes = 64UL * 1024UL;
+
+}  // namespace
+
+LoadProbe::LoadProbe(const CallConvention& convention, MetricsRegistry& metrics,
+                     OwnerService& owner)
+    : m_convention(convention), m_metrics(metrics), m_owner(owner) {}
+
+LoadProbe::~LoadProbe() { Drop(); }
+
+void LoadProbe::Configure(const Declaration& declaration, const BackendServerId& self) {
+  const BackendServer* server = declaration.FindServer(self);
+  const Service* service = server == nullptr ? nullptr : declaration.FindService(server->service);
+  m_path.clear();
+  if (service == nullptr || !service->health) return;
+  m_path = service->health->path;
+  const Result<Endpoint> address = ParseEndpoint(server->address);
+  if (!address || address.value() == m_server) return;
+  m_server = address.value();
+  if (!m_is_running) Drop();
+}
+
+void LoadProbe::Request() {
+  QMetaObject::invokeMethod(
+      this, [this] { Start(); }, Qt::QueuedConnection);
+}
+
+void LoadProbe::Start() {
+  if (m_is_running) return;
+  if (m_path.empty()) return m_owner.NoteProbeFailed();
+  m_metrics.Add(Metric::kProbes);
+  m_is_running = true;
+  m_load.clear();
+  if (!m_connection || !m_connection->IsIdle()) {
+    Drop();
+    m_connection =
+        std::make_unique<BackendConnection>(ConnectionId{m_next_connection++}, m_server, *this);
+  }
+  HttpRequest request;
+  request.method = "GET";
+  request.target = m_path;
+  request.headers.push_back({"Host", ToString(m_server)});
+  m_connection->Send(request, kProbeBodyBytes, kProbeTimeout);
+}
+
+void LoadProbe::OnBackendPart(ConnectionId, AnswerPart part, bool reusable) {
+  if (part.head) m_load = std::string(FindHeader(part.head->headers, m_convention.load));
+  if (!part.last) return;
+  m_is_running = false;
+  if (!reusable) Drop();
+  const std::optional<ServerLoad> load = m_convention.decode_load(m_load);
+  if (load) return m_owner.NoteProbedLoad(*load);
+  m_owner.NoteProbeFailed();
+}
+
+void LoadProbe::OnBackendFailed(ConnectionId, Reason, bool) {
+  m_is_running = false;
+  Drop();
+  m_owner.NoteProbeFailed();
+}
+
+void LoadProbe::OnBackendIdleClosed(ConnectionId) { Drop(); }
+
+// The connection may be the sender of the present event.
+void LoadProbe::Drop() {
+  if (!m_connection) return;
+  m_connection->Abort();
+  m_connection.release()->deleteLater();
+}
+
+}  // namespace damaskhollow
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -43,6 +43,7 @@
 Node::~Node() {
   m_timer.stop();
   m_admin.reset();
+  m_owner.SetLoadProbe(nullptr);
   if (m_ingress) m_ingress->Stop();
   if (m_pool) m_pool->Stop();
   if (m_transport) m_transport->Stop();
@@ -78,6 +79,10 @@
       [this](const auto& declaration, std::uint64_t version) {
         ApplyDeclaration(declaration, version);
       });
+  if (m_seams.convention.decode_load != nullptr) {
+    m_load_probe = std::make_unique<LoadProbe>(m_seams.convention, m_metrics, m_owner);
+    m_owner.SetLoadProbe([this] { m_load_probe->Request(); });
+  }
   if (Result<void> result = m_transport->Start(); !result) return result;
   if (Result<void> result = m_control->Start(); !result) return result;
   if (Result<void> result = m_ingress->Listen(m_settings.listen); !result) return result;
@@ -107,6 +112,7 @@
   m_metrics.Set(Metric::kConfigurationVersion, version);
   m_router.SetDeclaration(declaration);
   m_owner.ApplyDeclaration(declaration, version);
+  if (m_load_probe) m_load_probe->Configure(*declaration, m_identity.server);
   m_router.NoteState(m_identity.server, m_owner.State());
   m_router.SetReachable(m_identity.server, true);
   DAMASKHOLLOW_LOG(kConfiguration, kInfo) << "version " << version << " is in force";
@@ -213,6 +219,7 @@
     case wire::Envelope::kCredit:
     case wire::Envelope::kClaimRelease:
     case wire::Envelope::kClaimReleased:
+    case wire::Envelope::kLoadQuery:
       m_owner.HandleMessage(route, std::move(message));
       return;
     case wire::Envelope::kPong:
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -21,6 +21,7 @@
 #include "node/controlservice.h"
 #include "node/crashreporter.h"
 #include "node/ingressservice.h"
+#include "node/loadprobe.h"
 #include "node/messenger.h"
 #include "node/nodeseams.h"
 #include "node/ownerservice.h"
@@ -90,6 +91,7 @@
   std::unique_ptr<PeerTransport> m_transport;
   std::unique_ptr<ControlService> m_control;
   std::unique_ptr<AdminServer> m_admin;
+  std::unique_ptr<LoadProbe> m_load_probe;
   QTimer m_timer;
   std::function<void()> m_drained;
   TimePoint m_drain_started{};
--- a/src/libs/node/ownedcalls.h
+++ b/src/libs/node/ownedcalls.h
@@ -6,6 +6,7 @@
 
 #include "node/keptanswers.h"
 #include "policy/admissionqueue.h"
+#include "policy/runestimate.h"
 #include "policy/sendguard.h"
 #include "wire/messages.pb.h"
 #include "wire/peertransport.h"
@@ -28,6 +29,7 @@
   OwnedCallState state = OwnedCallState::kQueued;
   TimePoint arrived{};
   TimePoint dispatched_at{};
+  ServerCondition condition;  // Of the backend server at the dispatch.
   bool discard_answer = false;  // The ingress no longer waits for it.
   bool shed = false;
   std::uint32_t next_sequence = 0;
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -16,6 +16,8 @@
 // Covers the detection of a silent link and the handshake of a new one between regions.
 constexpr std::chrono::seconds kKeptAnswerAge{3};
 constexpr std::chrono::seconds kTombstoneSweep{1};
+// The speed of a VM that is shared with others changes several times a second.
+constexpr std::chrono::milliseconds kLoadFresh{25};
 
 }  // namespace
 
@@ -45,7 +47,7 @@
         << "this backend server is not in the inventory; refusing new calls";
     return;
   }
-  if (m_instance != server->instance) m_slowness = 1.0;
+  if (m_instance != server->instance) m_load_at.reset();
   m_instance = server->instance;
   m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
   AdmissionLimits limits;
@@ -66,6 +68,8 @@
     HandleStatusQuery(route, message.status_query());
   } else if (message.has_credit()) {
     HandleCredit(route, message.credit());
+  } else if (message.has_load_query()) {
+    HandleLoadQuery(route, message.load_query());
   } else if (message.has_claim_release()) {
     m_claims.HandleRelease(route, message.claim_release(), LockedState(), WallNow());
   } else if (message.has_claim_released()) {
@@ -154,10 +158,7 @@
   call.id = id;
   call.deadline = owned.Deadline();
   call.bytes = owned.request.ByteSizeLong();
-  const Priority* priority = m_declaration->FindPriority(PriorityId(owned.request.priority()));
-  call.priority_index = priority == nullptr
-                            ? m_declaration->priorities.size() - 1
-                            : static_cast<std::size_t>(priority - m_declaration->priorities.data());
+  call.priority_index = PriorityIndexOf(owned.request.priority());
   const Admission admission = m_admission.Offer(call, now);
   for (const OwnedCallId evicted : admission.evicted) {
     RefuseUnrun(evicted, admission.eviction_reason);
@@ -166,6 +167,67 @@
   Dispatch(now);
 }
 
+std::size_t OwnerService::PriorityIndexOf(const std::string& priority) const {
+  const Priority* known = m_declaration->FindPriority(PriorityId(priority));
+  if (known == nullptr) return m_declaration->priorities.size() - 1;
+  return static_cast<std::size_t>(known - m_declaration->priorities.data());
+}
+
+void OwnerService::SetLoadProbe(std::function<void()> probe) {
+  const std::lock_guard lock(m_lock);
+  m_probe = std::move(probe);
+}
+
+void OwnerService::HandleLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query) {
+  const bool is_fresh = m_load_at && MonotonicNow() - *m_load_at <= kLoadFresh;
+  if (is_fresh || !m_probe || m_service == nullptr) return AnswerLoadQuery(route, query);
+  m_load_queries.emplace_back(route, query);
+  if (std::exchange(m_is_probing, true)) return;
+  m_probe();
+}
+
+void OwnerService::AnswerLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query) {
+  wire::Envelope message;
+  wire::LoadAnswer& answer = *message.mutable_load_answer();
+  answer.set_call_id(query.call_id());
+  *answer.mutable_state() = LockedState();
+  if (m_declaration) {
+    const Duration wait = m_admission.WaitOf(PriorityIndexOf(query.priority()));
+    const Duration run = m_estimate.Expected(PriorityId(query.priority()), ConditionOfNext());
+    answer.set_expected_us(static_cast<std::uint64_t>((wait + run).count()));
+  }
+  m_messenger.Reply(route, std::move(message));
+}
+
+void OwnerService::AnswerLoadQueries() {
+  m_is_probing = false;
+  for (const auto& [route, query] : std::exchange(m_load_queries, {})) {
+    AnswerLoadQuery(route, query);
+  }
+}
+
+void OwnerService::NoteProbedLoad(const ServerLoad& load) {
+  const std::lock_guard lock(m_lock);
+  NoteServerLoad(load, MonotonicNow());
+  AnswerLoadQueries();
+}
+
+void OwnerService::NoteProbeFailed() {
+  const std::lock_guard lock(m_lock);
+  AnswerLoadQueries();
+}
+
+void OwnerService::NoteServerLoad(const ServerLoad& load, TimePoint now) {
+  m_slowness = load.slowness;
+  m_load_at = now;
+}
+
+ServerCondition OwnerService::ConditionOfNext() const {
+  const AdmissionLoad load = m_admission.Load();
+  const std::size_t slots = m_admission.Slots();
+  return ServerCondition{m_slowness, std::min(load.in_flight + 1, slots), slots};
+}
+
 bool OwnerService::IsKeptBack(OwnedCallId id, OwnedCall& call) {
   const std::string& digest = call.request.digest();
   Reason refusal = m_crash_guard.Check(digest);
@@ -217,6 +279,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(call.Deadline() - now);
   call.state = OwnedCallState::kRunning;
   call.dispatched_at = now;
+  call.condition = ConditionOfNext();
+  call.condition.in_flight = m_admission.Load().in_flight;
   m_log.Step("dispatched", call.log_id)
       .With("instance", m_instance)
       .With("waited_us", (now - call.arrived).count())
@@ -360,7 +424,7 @@
   if (m_convention.decode_load == nullptr) return;
   const std::string_view text = FindHeader(head.headers, m_convention.load);
   if (text.empty()) return;
-  if (const auto load = m_convention.decode_load(text)) m_slowness = load->slowness;
+  if (const auto load = m_convention.decode_load(text)) NoteServerLoad(*load, MonotonicNow());
 }
 
 void OwnerService::NoteDrainHeader(const HttpResponseHead& head) {
@@ -416,6 +480,8 @@
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   m_claims.End(id, ClaimEnd::kRan);
   m_crash_guard.NoteCompletedHere(call.request.digest());
+  m_estimate.NoteCompleted(PriorityId(call.request.priority()),
+                           MonotonicNow() - call.dispatched_at, call.condition);
   Finish(id, SlotResult::kCompleted);
 }
 
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -2,11 +2,14 @@
 #define DAMASKHOLLOW_NODE_OWNERSERVICE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "declaration/declaration.h"
 #include "http/callconvention.h"
@@ -52,6 +55,12 @@
   // A message of this role was not handed to the network.
   void HandleSendFailed(const wire::Envelope& message);
 
+  // `probe` asks the backend server for its load; NoteProbedLoad is called with what it says, or
+  // NoteProbeFailed. Without it, load queries are answered with what is known. From any thread.
+  void SetLoadProbe(std::function<void()> probe);
+  void NoteProbedLoad(const ServerLoad& load);
+  void NoteProbeFailed();
+
   // Notes what another owner says of itself.
   void NotePeerState(const BackendServerId& peer, const wire::OwnerState& state);
 
@@ -96,6 +105,12 @@
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
   void HandleStatusQuery(const ReplyRoute& route, const wire::StatusQuery& query);
   void HandleCredit(const ReplyRoute& route, const wire::Credit& credit);
+  void HandleLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query);
+  void AnswerLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query);
+  void AnswerLoadQueries();
+  void NoteServerLoad(const ServerLoad& load, TimePoint now);
+  std::size_t PriorityIndexOf(const std::string& priority) const;
+  ServerCondition ConditionOfNext() const;
   SendDecision CheckRequest(const CallKey& key, const wire::CallRequest& request,
                             TimePoint now) const;
   void Claim(OwnedCallId id, OwnedCall& call, TimePoint now);
@@ -136,6 +151,11 @@
   const Service* m_service = nullptr;  // In m_declaration.
   std::string m_instance;              // Incarnation of the backend server, if known.
   double m_slowness = 1.0;             // As the backend server said last.
+  std::optional<TimePoint> m_load_at;  // When it did.
+  RunEstimate m_estimate;
+  std::function<void()> m_probe;
+  bool m_is_probing = false;
+  std::vector<std::pair<ReplyRoute, wire::LoadQuery>> m_load_queries;  // That wait for a probe.
   AdmissionQueue m_admission;
   OwnedCalls m_calls;
   SuspectGate m_suspects;
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/node/sharedrouter.cpp
@@ -79,6 +79,21 @@
   return m_router.Choose(request, now);
 }
 
+std::vector<BackendServerId> SharedRouter::ServersToAsk(const RoutingRequest& request,
+                                                        std::size_t most) {
+  const std::lock_guard lock(m_lock);
+  const TimePoint now = MonotonicNow();
+  m_used.insert(request.service);
+  if (m_gate != nullptr && !m_gate->IsOpen(now)) return {};
+  return m_router.ServersToAsk(request, most, now);
+}
+
+RoutingChoice SharedRouter::ChooseAmong(const RoutingRequest& request,
+                                        std::span<const LoadOffer> offers) {
+  const std::lock_guard lock(m_lock);
+  return m_router.ChooseAmong(request, offers, MonotonicNow());
+}
+
 std::optional<ExpiryStamp> SharedRouter::Stamp(const BackendServerId& server,
                                                Duration remaining) const {
   const std::lock_guard lock(m_lock);
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/node/sharedrouter.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
 
   RoutingChoice Choose(const RoutingRequest& request);
+  std::vector<BackendServerId> ServersToAsk(const RoutingRequest& request, std::size_t most);
+  RoutingChoice ChooseAmong(const RoutingRequest& request, std::span<const LoadOffer> offers);
   std::optional<ExpiryStamp> Stamp(const BackendServerId& server, Duration remaining) const;
 
  private:
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKHOLLOW_POLICY_ADMISSIONQUEUE_H_
 #define DAMASKHOLLOW_POLICY_ADMISSIONQUEUE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <list>
 #include <set>
@@ -85,6 +86,13 @@
 
   AdmissionLoad Load() const;
 
+  std::size_t Slots() const { return m_limits.slots; }
+
+  // How long a call of this priority would wait for a slot.
+  Duration WaitOf(std::size_t priority_index) const {
+    return ExpectedWait(std::min(priority_index, m_lanes.size() - 1));
+  }
+
  private:
   // The work of one priority.
   struct Lane {
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -171,6 +171,57 @@
       score.ReportAge(now)};
 }
 
+std::vector<BackendServerId> Router::ServersToAsk(const RoutingRequest& request, std::size_t most,
+                                                  TimePoint now) {
+  const auto found = m_subsets.find(request.service);
+  if (found == m_subsets.end()) return {};
+  const RoutingPool pool(m_scores, found->second, request, kNearTiers);
+  std::vector<std::size_t> open;
+  for (std::size_t tier = 0; tier < pool.TierCount(); ++tier) {
+    for (const std::size_t index : pool.Tier(tier)) {
+      ServerScore& score = pool.Score(index);
+      score.Refresh(now);
+      if (!pool.IsOpen(index)) continue;
+      if (score.CurrentStanding() == ServerScore::Standing::kTrialDue) return {};
+      if (score.CurrentStanding() != ServerScore::Standing::kNormal) continue;
+      const double share = score.RampShare(now);
+      if (share >= 1.0 || m_random.Unit() < share) open.push_back(index);
+    }
+  }
+  // A random part of a large subset, so that ingresses do not all ask the same owners.
+  for (std::size_t index = 0; index < std::min(most, open.size()); ++index) {
+    std::swap(open[index], open[index + m_random.Below(open.size() - index)]);
+  }
+  if (open.size() > most) open.resize(most);
+  std::vector<BackendServerId> servers;
+  servers.reserve(open.size());
+  for (const std::size_t index : open) servers.push_back(m_scores[index].Id());
+  return servers;
+}
+
+RoutingChoice Router::ChooseAmong(const RoutingRequest& request, std::span<const LoadOffer> offers,
+                                  TimePoint now) {
+  const auto found = m_subsets.find(request.service);
+  std::optional<std::size_t> best;
+  Duration least{};
+  for (const LoadOffer& offer : offers) {
+    const ServerScore* score = FindScore(offer.server);
+    if (score == nullptr || !score->IsOpen()) continue;
+    const Duration expected = offer.expected + score->RoundTrip();
+    if (best && expected >= least) continue;
+    best = *m_presence.at(offer.server).score;
+    least = expected;
+  }
+  if (!best || found == m_subsets.end()) return Choose(request, now);
+  const bool is_late = least > request.target_left;
+  if (is_late && request.may_cross_regions && m_paid_link.HasRoom(now)) {
+    RoutingRequest anywhere = request;
+    const RoutingChoice other = Choose(anywhere, now);
+    if (other.crosses_regions && other.expected_delay < least) return other;
+  }
+  return RoutingChoice{Reason::kNone, m_scores[*best].Id(), false, least, Duration(0)};
+}
+
 bool Router::HasOpenServerFarAway(const RoutingPool& pool) const {
   const std::span<const std::size_t> far =
       pool.Tier(static_cast<std::size_t>(ServerTier::kOtherRegion));
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,12 @@
   Duration report_age{};      // Of the server's last report.
 };
 
+// What an owner said of a call that it was asked about.
+struct LoadOffer {
+  BackendServerId server;
+  Duration expected{};  // Wait and run there.
+};
+
 // Chooses backend servers for calls. Subsets are computed when the declaration or the membership
 // changes, so a choice looks only at the subset of its service. Not thread-safe.
 class Router {
@@ -57,6 +64,16 @@
 
   RoutingChoice Choose(const RoutingRequest& request, TimePoint now);
 
+  // The servers of the near tiers whose owners are worth asking for their load before the choice,
+  // at most `most`. Empty if the choice is made without: no server is open, or one is due a trial.
+  std::vector<BackendServerId> ServersToAsk(const RoutingRequest& request, std::size_t most,
+                                            TimePoint now);
+
+  // Chooses among servers whose owners have just said how long the call would take there. Leaves
+  // the region only if none of them can answer within the time that the call aims at.
+  RoutingChoice ChooseAmong(const RoutingRequest& request, std::span<const LoadOffer> offers,
+                            TimePoint now);
+
   // The servers of a service that this node uses, nearest tier first.
   std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
 
--- /dev/null
+++ b/src/libs/policy/runestimate.h
@@ -0,0 +1,35 @@
+#ifndef DAMASKHOLLOW_POLICY_RUNESTIMATE_H_
+#define DAMASKHOLLOW_POLICY_RUNESTIMATE_H_
+
+#include <cstddef>
+#include <unordered_map>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace damaskhollow {
+
+// The state of a backend server at one moment, as far as it decides how long a call takes.
+struct ServerCondition {
+  double slowness = 1.0;      // How long work takes on its VM, as a multiple of the usual time.
+  std::size_t in_flight = 0;  // Calls that run, the one in question included.
+  std::size_t slots = 1;
+};
+
+// Learns how long the calls of each priority take on a backend server whose VM works at its usual
+// speed, and tells how long one takes under given conditions. Not thread-safe.
+class RunEstimate {
+ public:
+  void NoteCompleted(const PriorityId& priority, Duration time, const ServerCondition& at_start);
+
+  // Zero while nothing is known.
+  Duration Expected(const PriorityId& priority, const ServerCondition& condition) const;
+
+ private:
+  std::unordered_map<PriorityId, double> m_usual;  // Microseconds, smoothed.
+  double m_usual_of_all = 0.0;
+};
+
+}  // namespace damaskhollow
+
+#endif  // DAMASKHOLLOW_POLICY_RUNESTIMATE_H_
--- a/src/libs/policy/serverscores.h
+++ b/src/libs/policy/serverscores.h
@@ -73,6 +73,7 @@
   // Since when a trial is due.
   TimePoint TrialDueSince() const { return m_standing_until; }
   const ReportedLoad& Load() const { return m_load; }
+  Duration RoundTrip() const { return m_round_trip; }
   Duration ReportAge(TimePoint now) const { return now - m_load_at; }
 
  private:
