Watch again at once after an immediate read of the store

Ruled out: the store's watch (a watch that ran returned within 30 ms). Test: FetchPlanTest::ImmediateReadDoesNotDelayTheWatch.

--- a/src/libs/configuration/fetchplan.cpp
+++ b/src/libs/configuration/fetchplan.cpp
@@ -113,8 +113,9 @@
   return StoreRead{m_seen, is_watcher ? kStoreReadInterval : std::chrono::milliseconds(0)};
 }
 
-void FetchPlan::NoteStoreReadStarted(TimePoint now) {
+void FetchPlan::NoteStoreReadStarted(TimePoint now, std::chrono::milliseconds wait) {
   m_reading = true;
+  m_read_waits = wait.count() > 0;
   m_read_started = now;
   m_requested_read.reset();
 }
@@ -125,10 +126,12 @@
   m_next_read = m_place.role == ReaderRole::kStandby ? m_read_started + kStoreReadInterval : now;
 }
 
-void FetchPlan::NoteStoreUnchanged(TimePoint) {
+void FetchPlan::NoteStoreUnchanged(TimePoint now) {
   m_reading = false;
   m_failures = 0;
-  m_next_read = m_read_started + kStoreReadInterval;
+  // A watcher whose read was answered at once, as it asked for, has not watched in the meantime.
+  const bool goes_on = m_place.role == ReaderRole::kWatcher && !m_read_waits;
+  m_next_read = goes_on ? now : m_read_started + kStoreReadInterval;
 }
 
 void FetchPlan::NoteStoreFailed(RandomSource& random, TimePoint now) {
--- a/src/libs/configuration/fetchplan.h
+++ b/src/libs/configuration/fetchplan.h
@@ -63,7 +63,8 @@
   // The read that is due, if any. The caller starts it, giving up a read that still runs, and
   // reports its end.
   std::optional<StoreRead> StoreReadDue(TimePoint now) const;
-  void NoteStoreReadStarted(TimePoint now);
+  // `wait` is that of the read.
+  void NoteStoreReadStarted(TimePoint now, std::chrono::milliseconds wait = kStoreReadInterval);
   void NoteStoreChanged(TimePoint now);    // The read brought a higher version.
   void NoteStoreUnchanged(TimePoint now);  // There was none.
   void NoteStoreFailed(RandomSource& random, TimePoint now);
@@ -100,6 +101,7 @@
   TimePoint m_highest_known_since{};
   bool m_reading = false;
   TimePoint m_read_started{};
+  bool m_read_waits = false;  // Whether the service may hold the read.
   TimePoint m_next_read{};
   TimePoint m_retry_not_before{};  // After a failed read.
   std::optional<TimePoint> m_requested_read;
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -29,8 +29,8 @@
 constexpr std::size_t kQueuedLines = 2000;
 
 constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info", "warning", "error"};
-constexpr std::array<std::string_view, 8> kPartNames{
-    "node", "ingress", "owner", "routing", "configuration", "fleet", "link", "admin"};
+constexpr std::array<std::string_view, 8> kPartNames{"node",          "ingress", "owner", "routing",
+                                                     "configuration", "fleet",   "link",  "admin"};
 
 std::atomic<std::uint64_t> dropped_lines{0};
 std::atomic<LogLevel> least_level{LogLevel::kInfo};
@@ -51,7 +51,8 @@
 };
 
 using Backend = sinks::text_ostream_backend;
-using Sink = sinks::asynchronous_sink<Backend, sinks::bounded_fifo_queue<kQueuedLines, CountDropped>>;
+using Sink =
+    sinks::asynchronous_sink<Backend, sinks::bounded_fifo_queue<kQueuedLines, CountDropped>>;
 
 boost::shared_ptr<Sink>& RunningSink() {
   static boost::shared_ptr<Sink> sink;
@@ -81,8 +82,10 @@
   if (is_plain) return std::string(value);
   std::string quoted = "\"";
   for (const char letter : value) {
-    if (letter == '"') quoted += '\'';
-    else quoted += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+    if (letter == '"')
+      quoted += '\'';
+    else
+      quoted += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
   }
   return quoted + '"';
 }
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -76,8 +76,7 @@
 
 }  // namespace damaskhollow
 
-#define DAMASKHOLLOW_LOG(part, level)                                                          \
-  ::damaskhollow::NoteLine(::damaskhollow::LogPart::part, ::damaskhollow::LogLevel::level) \
-      .Stream()
+#define DAMASKHOLLOW_LOG(part, level) \
+  ::damaskhollow::NoteLine(::damaskhollow::LogPart::part, ::damaskhollow::LogLevel::level).Stream()
 
 #endif  // DAMASKHOLLOW_LOGGING_LOGGER_H_
--- a/src/libs/node/documentsync.cpp
+++ b/src/libs/node/documentsync.cpp
@@ -22,7 +22,7 @@
 void DocumentSync::Tick(TimePoint now) {
   if (m_reader) {
     if (const std::optional<StoreRead> read = m_plan.StoreReadDue(now)) {
-      m_plan.NoteStoreReadStarted(now);
+      m_plan.NoteStoreReadStarted(now, read->wait);
       if (m_document == wire::DOCUMENT_CONFIGURATION) m_metrics.Add(Metric::kStoreReads);
       m_reader->Start(*read);
     }
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -61,7 +61,9 @@
 }  // namespace
 
 IngressShard::IngressShard(IngressContext context, std::size_t index, std::size_t count)
-    : m_context(std::move(context)), m_index(index), m_count(count),
+    : m_context(std::move(context)),
+      m_index(index),
+      m_count(count),
       m_random(SystemSeed()),
       m_log(m_context.request_log, LogPart::kIngress) {
   QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { Tick(); });
@@ -178,8 +180,7 @@
   if (found == m_questions.end()) return;
   const ConnectionId connection = found->second;
   PendingCall& call = m_calls.at(connection);
-  call.offers.push_back(
-      {owner, Duration(static_cast<Duration::rep>(answer.expected_us()))});
+  call.offers.push_back({owner, Duration(static_cast<Duration::rep>(answer.expected_us()))});
   if (--call.unanswered == 0) EndQuestion(connection, call);
 }
 
@@ -187,8 +188,8 @@
   m_questions.erase(std::exchange(call.question, 0));
   const TimePoint now = MonotonicNow();
   if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
-  const RoutingChoice choice = m_context.router.ChooseAmong(
-      RequestOf(call, call.call_class.may_cross_regions), call.offers);
+  const RoutingChoice choice =
+      m_context.router.ChooseAmong(RequestOf(call, call.call_class.may_cross_regions), call.offers);
   RouteTo(connection, call, choice, now);
 }
 
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/node/ingressshard.h
@@ -94,10 +94,10 @@
     std::vector<CallId> attempts;     // Those that still run.
     bool request_id_not_run = false;  // A home says that no send of the request id has run.
     CallId relayed;                   // The attempt whose answer goes to the caller; 0 for none.
-    std::uint64_t question = 0;  // Names the load queries that are out; 0 for none.
-    std::size_t unanswered = 0;  // Of them.
+    std::uint64_t question = 0;       // Names the load queries that are out; 0 for none.
+    std::size_t unanswered = 0;       // Of them.
     std::vector<LoadOffer> offers;
-    bool waiting = false;             // For a server that can take it.
+    bool waiting = false;  // For a server that can take it.
     TimePoint waiting_until{};
     bool hedged = false;
     bool asked_at_deadline = false;  // Whether its owners were sent a Cancel at the deadline.
--- a/src/libs/node/ownedcalls.h
+++ b/src/libs/node/ownedcalls.h
@@ -29,7 +29,7 @@
   OwnedCallState state = OwnedCallState::kQueued;
   TimePoint arrived{};
   TimePoint dispatched_at{};
-  ServerCondition condition;  // Of the backend server at the dispatch.
+  ServerCondition condition;    // Of the backend server at the dispatch.
   bool discard_answer = false;  // The ingress no longer waits for it.
   bool shed = false;
   std::uint32_t next_sequence = 0;
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -480,8 +480,8 @@
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   m_claims.End(id, ClaimEnd::kRan);
   m_crash_guard.NoteCompletedHere(call.request.digest());
-  m_estimate.NoteCompleted(PriorityId(call.request.priority()),
-                           MonotonicNow() - call.dispatched_at, call.condition);
+  m_estimate.NoteCompleted(PriorityId(call.request.priority()), MonotonicNow() - call.dispatched_at,
+                           call.condition);
   Finish(id, SlotResult::kCompleted);
 }
 
--- a/src/libs/policy/routingpool.h
+++ b/src/libs/policy/routingpool.h
@@ -20,7 +20,7 @@
   std::size_t bytes = 0;
   std::span<const BackendServerId> excluded;  // Servers that this call has been to.
   std::size_t priority_index = 0;             // 0 is the most urgent.
-  Duration target_left{};  // Until the time that the call aims at is over.
+  Duration target_left{};                     // Until the time that the call aims at is over.
 };
 
 // The servers of one service that this node uses.
--- a/src/libs/policy/runestimate.cpp
+++ b/src/libs/policy/runestimate.cpp
@@ -31,8 +31,7 @@
   Smooth(m_usual_of_all, usual);
 }
 
-Duration RunEstimate::Expected(const PriorityId& priority,
-                               const ServerCondition& condition) const {
+Duration RunEstimate::Expected(const PriorityId& priority, const ServerCondition& condition) const {
   const auto known = m_usual.find(priority);
   const double usual = known == m_usual.end() ? m_usual_of_all : known->second;
   return Duration(static_cast<Duration::rep>(usual * FactorOf(condition)));
--- a/tests/auto/configuration/tst_fetchplan.cpp
+++ b/tests/auto/configuration/tst_fetchplan.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(RefusedStoreVersionLeavesPeersInUse);
   CPPUNIT_TEST(RolesDecideStoreReads);
   CPPUNIT_TEST(UnchangedReadsAreSpacedOut);
+  CPPUNIT_TEST(ImmediateReadDoesNotDelayTheWatch);
   CPPUNIT_TEST(BacksOffFromFailingStore);
   CPPUNIT_TEST(TransferCollectsParts);
   CPPUNIT_TEST(TransferRefusesInconsistentParts);
@@ -74,6 +75,20 @@
     CPPUNIT_ASSERT(second.PeerToAsk(random, At(milliseconds(600))) == other_region.id);
   }
 
+  // Guards against a watcher that looks away for 30 s after a read that asked for an answer at
+  // once.
+  void ImmediateReadDoesNotDelayTheWatch() {
+    FetchPlan plan(self_node);
+    plan.SetPlace(PlaceWith(ReaderRole::kWatcher, {self_node.id}), At(milliseconds(0)));
+    plan.RequestStoreRead(At(milliseconds(0)));
+    const std::optional<StoreRead> immediate = plan.StoreReadDue(At(milliseconds(0)));
+    CPPUNIT_ASSERT(immediate && immediate->wait.count() == 0);
+    plan.NoteStoreReadStarted(At(milliseconds(0)), immediate->wait);
+    plan.NoteStoreUnchanged(At(milliseconds(10)));
+    const std::optional<StoreRead> watch = plan.StoreReadDue(At(milliseconds(10)));
+    CPPUNIT_ASSERT(watch && watch->wait == kStoreReadInterval);
+  }
+
   // Guards against a fresh node that does not know the readers yet and asks nobody.
   void NodeWithoutInventoryAsksAnyPeer() {
     FetchPlan plan(self_node);
