Hold servers that vanish from the inventory in each node, not in the readers

Change: documents say what the store says; each node holds a vanished server for 1 s from when it first learns of it, 2 s where many vanish at once. Ruled out: lost gossip (each version reached all nodes within 0.15 s). Test: InventoryHoldTest::LaterListsDoNotProlongAHold.

--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -55,8 +55,7 @@
                         NoteRules(declaration, version);
                       }),
       m_vm_list(
-          m_membership,
-          [this](std::vector<BackendServer> inventory) { NoteInventory(std::move(inventory)); },
+          m_membership, [this](const VmList& list) { NoteInventory(list, MonotonicNow()); },
           [this] { m_view_changed = m_announce = true; }),
       m_configuration_sync(wire::DOCUMENT_CONFIGURATION, m_self, context.seams.read_configuration,
                            m_configuration, context.metrics,
@@ -112,8 +111,49 @@
   NoteApplied(WithInventory(rules), version);
 }
 
-void ControlService::NoteInventory(std::vector<BackendServer> inventory) {
-  m_inventory = std::move(inventory);
+void ControlService::LogInventoryChange(std::span<const BackendServer> after) const {
+  const std::vector<BackendServer> before = m_inventory.value_or(std::vector<BackendServer>());
+  const auto log = [this](std::string_view event, const BackendServer& server) {
+    EventLine(LogPart::kFleet, LogLevel::kInfo, event)
+        .With("server", server.id.Value())
+        .With("service", server.service.Value())
+        .With("instance", server.instance)
+        .With("version", static_cast<std::int64_t>(m_vm_list.HeldVersion()));
+  };
+  const auto find = [](std::span<const BackendServer> servers, const BackendServer& wanted) {
+    return std::find_if(servers.begin(), servers.end(), [&](const BackendServer& server) {
+      return server.id == wanted.id && server.instance == wanted.instance;
+    });
+  };
+  for (const BackendServer& server : before) {
+    if (find(after, server) == after.end()) log("server_left", server);
+  }
+  for (const BackendServer& server : after) {
+    if (find(before, server) == std::span<const BackendServer>(before).end()) {
+      log("server_joined", server);
+    }
+  }
+}
+
+void ControlService::NoteInventory(const VmList& list, TimePoint now) {
+  m_membership.SetListTrusted(true);
+  m_hold.Take(list, now);
+  ApplyInventory(now);
+}
+
+void ControlService::TickInventory(TimePoint now) {
+  const std::optional<TimePoint> end = m_hold.NextEnd();
+  if (!end || now < *end) return;
+  m_hold.Expire(now);
+  ApplyInventory(now);
+  m_view_changed = true;
+}
+
+void ControlService::ApplyInventory(TimePoint now) {
+  VmList list = m_hold.Current(now);
+  LogInventoryChange(*list.inventory);
+  m_membership.NoteList(std::move(list.entries));
+  m_inventory = std::move(list.inventory);
   if (m_rules) NoteApplied(WithInventory(m_rules), m_rules_version);
 }
 
@@ -172,6 +212,7 @@
   }
   if (m_context.settings.declaration_file.empty()) m_configuration_sync.Tick(now);
   m_vm_list_sync.Tick(now);
+  TickInventory(now);
   if (now >= m_next_second) TickSecond(now);
   if (std::exchange(m_view_changed, false)) TakeView(now);
   TickGossip(now);
--- a/src/libs/node/controlservice.h
+++ b/src/libs/node/controlservice.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "configuration/freshstart.h"
+#include "configuration/inventoryhold.h"
 #include "fleet/draintracker.h"
 #include "fleet/gossipbook.h"
 #include "fleet/linkplan.h"
@@ -86,7 +87,11 @@
  private:
   // Puts accepted rules into force, with the live inventory if there is one.
   void NoteRules(const std::shared_ptr<const Declaration>& rules, std::uint64_t version);
-  void NoteInventory(std::vector<BackendServer> inventory);
+  void NoteInventory(const VmList& list, TimePoint now);
+  void TickInventory(TimePoint now);
+  // Puts the live inventory with what is held of it into force.
+  void ApplyInventory(TimePoint now);
+  void LogInventoryChange(std::span<const BackendServer> after) const;
   std::shared_ptr<const Declaration> WithInventory(
       const std::shared_ptr<const Declaration>& rules) const;
   void NoteApplied(const std::shared_ptr<const Declaration>& declaration, std::uint64_t version);
@@ -133,6 +138,7 @@
   DrainTracker m_drain;
   HealthProbe m_probe;
   std::optional<FreshStart> m_fresh;
+  InventoryHold m_hold;
   std::shared_ptr<const Declaration> m_rules;  // As accepted.
   std::uint64_t m_rules_version = 0;
   std::optional<std::vector<BackendServer>> m_inventory;  // Live; empty if the declared one counts.
--- a/src/libs/node/vmlistkeeper.cpp
+++ b/src/libs/node/vmlistkeeper.cpp
@@ -25,15 +25,16 @@
   }
   m_version = version;
   m_text = std::string(text);
-  m_entries = std::move(list->entries);
-  const bool is_inventory = list->inventory.has_value();
-  m_membership.SetListTrusted(is_inventory);
   m_last_note = MonotonicNow();
-  if (m_membership.NoteList(m_entries) == FleetView::ListResult::kDoubted) {
-    DAMASKHOLLOW_LOG(kFleet, kWarning)
-        << "VM list version " << version << " is empty or shrank by more than half; kept aside";
+  if (list->inventory) {
+    m_take_inventory(std::move(*list));
+  } else {
+    m_entries = std::move(list->entries);
+    if (m_membership.NoteList(m_entries) == FleetView::ListResult::kDoubted) {
+      DAMASKHOLLOW_LOG(kFleet, kWarning)
+          << "VM list version " << version << " is empty or shrank by more than half; kept aside";
+    }
   }
-  if (is_inventory) m_take_inventory(std::move(*list->inventory));
   m_changed();
   return OfferResult::kAccepted;
 }
--- a/src/libs/node/vmlistkeeper.h
+++ b/src/libs/node/vmlistkeeper.h
@@ -15,10 +15,10 @@
 // Holds the node's copy of the VM list and hands it to the membership view.
 class VmListKeeper : public DocumentHolder {
  public:
-  using InventoryFunction = std::function<void(std::vector<BackendServer> inventory)>;
+  using InventoryFunction = std::function<void(VmList list)>;
 
-  // `take_inventory` gets each list that is a live inventory; `changed` is called after each list
-  // that was taken or kept aside.
+  // `take_inventory` gets each list that is a live inventory, which the membership is not told of
+  // here; `changed` is called after each list that was taken or kept aside.
   VmListKeeper(Membership& membership, InventoryFunction take_inventory,
                std::function<void()> changed)
       : m_membership(membership),
