Pace dispatches by what the server's VM can do at this moment

Cause: a call keeps the pace at which it starts. Change: the owner leaves slots free while that gets more done, learns the factor from one round in 64, and holds calls for up to 350 ms while the VM is slowed down for a moment (ServerPacer). Ruled out: work that speeds up again when the VM does (times follow the start).

--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -16,8 +16,6 @@
 // Covers the detection of a silent link and the handshake of a new one between regions.
 constexpr std::chrono::seconds kKeptAnswerAge{3};
 constexpr std::chrono::seconds kTombstoneSweep{1};
-// The speed of a VM that is shared with others changes several times a second.
-constexpr std::chrono::milliseconds kLoadFresh{25};
 
 }  // namespace
 
@@ -47,7 +45,7 @@
         << "this backend server is not in the inventory; refusing new calls";
     return;
   }
-  if (m_instance != server->instance) m_load_at.reset();
+  if (m_instance != server->instance) m_pacer.Reset();
   m_instance = server->instance;
   m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
   AdmissionLimits limits;
@@ -179,10 +177,13 @@
 }
 
 void OwnerService::HandleLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query) {
-  const bool is_fresh = m_load_at && MonotonicNow() - *m_load_at <= kLoadFresh;
-  if (is_fresh || !m_probe || m_service == nullptr) return AnswerLoadQuery(route, query);
+  if (m_pacer.IsFresh(MonotonicNow()) || !m_probe || m_service == nullptr) return AnswerLoadQuery(route, query);
   m_load_queries.emplace_back(route, query);
-  if (std::exchange(m_is_probing, true)) return;
+  StartProbe();
+}
+
+void OwnerService::StartProbe() {
+  if (!m_probe || std::exchange(m_is_probing, true)) return;
   m_probe();
 }
 
@@ -193,7 +194,10 @@
   *answer.mutable_state() = LockedState();
   if (m_declaration) {
     const Duration wait = m_admission.WaitOf(PriorityIndexOf(query.priority()));
-    const Duration run = m_estimate.Expected(PriorityId(query.priority()), ConditionOfNext());
+    const std::size_t slots = m_admission.Slots();
+    const std::size_t in_flight = std::min(m_admission.Load().in_flight + 1, slots);
+    const Duration run =
+        m_pacer.Expected(PriorityId(query.priority()), in_flight, slots, MonotonicNow());
     answer.set_expected_us(static_cast<std::uint64_t>((wait + run).count()));
   }
   m_messenger.Reply(route, std::move(message));
@@ -208,8 +212,10 @@
 
 void OwnerService::NoteProbedLoad(const ServerLoad& load) {
   const std::lock_guard lock(m_lock);
-  NoteServerLoad(load, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  NoteServerLoad(load, now);
   AnswerLoadQueries();
+  Dispatch(now);
 }
 
 void OwnerService::NoteProbeFailed() {
@@ -219,13 +225,7 @@
 
 void OwnerService::NoteServerLoad(const ServerLoad& load, TimePoint now) {
   m_slowness = load.slowness;
-  m_load_at = now;
-}
-
-ServerCondition OwnerService::ConditionOfNext() const {
-  const AdmissionLoad load = m_admission.Load();
-  const std::size_t slots = m_admission.Slots();
-  return ServerCondition{m_slowness, std::min(load.in_flight + 1, slots), slots};
+  m_pacer.NoteSlowness(load.slowness, now);
 }
 
 bool OwnerService::IsKeptBack(OwnedCallId id, OwnedCall& call) {
@@ -271,7 +271,16 @@
 void OwnerService::Dispatch(TimePoint now) {
   // After a pause, the next tick first refuses what has expired, and the view is refreshed.
   if (m_pause.IsOverdue(now) || !IsViewFresh(now)) return;
-  for (const OwnedCallId id : m_admission.TakeDispatchable(now)) RunCall(id, m_calls.At(id), now);
+  m_admission.SetMostInFlight(m_pacer.MostInFlight(m_admission.Slots()));
+  bool is_holding = false;
+  const auto is_held = [&](const PriorityId& priority) {
+    const bool is_held_now = m_pacer.IsHeld(priority, now);
+    is_holding = is_holding || is_held_now;
+    return is_held_now;
+  };
+  const std::vector<OwnedCallId> dispatched = m_admission.TakeDispatchable(now, is_held);
+  for (const OwnedCallId id : dispatched) RunCall(id, m_calls.At(id), now);
+  if (is_holding && !m_pacer.IsFresh(now)) StartProbe();
 }
 
 void OwnerService::RunCall(OwnedCallId id, OwnedCall& call, TimePoint now) {
@@ -279,8 +288,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(call.Deadline() - now);
   call.state = OwnedCallState::kRunning;
   call.dispatched_at = now;
-  call.condition = ConditionOfNext();
-  call.condition.in_flight = m_admission.Load().in_flight;
+  call.condition = m_pacer.Condition(m_admission.Load().in_flight, m_admission.Slots());
   m_log.Step("dispatched", call.log_id)
       .With("instance", m_instance)
       .With("waited_us", (now - call.arrived).count())
@@ -480,7 +488,7 @@
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
   m_claims.End(id, ClaimEnd::kRan);
   m_crash_guard.NoteCompletedHere(call.request.digest());
-  m_estimate.NoteCompleted(PriorityId(call.request.priority()), MonotonicNow() - call.dispatched_at,
+  m_pacer.NoteCompleted(PriorityId(call.request.priority()), MonotonicNow() - call.dispatched_at,
                            call.condition);
   Finish(id, SlotResult::kCompleted);
 }
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/node/ownerservice.h
@@ -24,6 +24,7 @@
 #include "node/viewgate.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
+#include "policy/serverpacer.h"
 #include "policy/suspectgate.h"
 
 namespace damaskhollow {
@@ -110,7 +111,7 @@
   void AnswerLoadQueries();
   void NoteServerLoad(const ServerLoad& load, TimePoint now);
   std::size_t PriorityIndexOf(const std::string& priority) const;
-  ServerCondition ConditionOfNext() const;
+  void StartProbe();
   SendDecision CheckRequest(const CallKey& key, const wire::CallRequest& request,
                             TimePoint now) const;
   void Claim(OwnedCallId id, OwnedCall& call, TimePoint now);
@@ -151,8 +152,7 @@
   const Service* m_service = nullptr;  // In m_declaration.
   std::string m_instance;              // Incarnation of the backend server, if known.
   double m_slowness = 1.0;             // As the backend server said last.
-  std::optional<TimePoint> m_load_at;  // When it did.
-  RunEstimate m_estimate;
+  ServerPacer m_pacer;
   std::function<void()> m_probe;
   bool m_is_probing = false;
   std::vector<std::pair<ReplyRoute, wire::LoadQuery>> m_load_queries;  // That wait for a probe.
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -215,7 +215,7 @@
   return lane.served + static_cast<double>(lane.running) * static_cast<double>(expected.count());
 }
 
-std::size_t AdmissionQueue::NextLane() const {
+std::size_t AdmissionQueue::NextLane(const IsHeld& is_held) const {
   double total = 0.0;
   for (const Lane& lane : m_lanes) total += ProjectedSlotTime(lane);
   std::size_t most_urgent = kNoLane;
@@ -223,7 +223,7 @@
   double least_ratio = 1.0;
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     const Lane& lane = m_lanes[index];
-    if (lane.queue.empty()) continue;
+    if (lane.queue.empty() || (is_held && is_held(lane.priority.id))) continue;
     if (most_urgent == kNoLane) most_urgent = index;
     if (lane.priority.guaranteed_share <= 0.0) continue;
     const double share = total > 0.0 ? ProjectedSlotTime(lane) / total : 0.0;
@@ -235,12 +235,14 @@
   return most_underserved != kNoLane ? most_underserved : most_urgent;
 }
 
-std::vector<OwnedCallId> AdmissionQueue::TakeDispatchable(TimePoint now) {
+std::vector<OwnedCallId> AdmissionQueue::TakeDispatchable(TimePoint now,
+                                                          const IsHeld& is_held) {
   CollectExpired(now);
   Accrue(now);
   std::vector<OwnedCallId> taken;
   while (HasFreeSlot() && !m_queued.empty()) {
-    const std::size_t index = NextLane();
+    const std::size_t index = NextLane(is_held);
+    if (index == kNoLane) break;
     const OwnedCallId id = m_lanes[index].queue.front().id;
     Remove(id);
     ++m_lanes[index].running;
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
+#include <limits>
 #include <list>
 #include <set>
 #include <span>
@@ -67,9 +69,12 @@
   // TakeDispatchable, TakeExpired or a later Admission::evicted, unless it is cancelled.
   Admission Offer(const AdmissionCall& call, TimePoint now);
 
+  // Whether the calls of a priority wait although there are free slots.
+  using IsHeld = std::function<bool(const PriorityId& priority)>;
+
   // Names the calls that are to be dispatched now; each occupies a slot until NoteFinished. Never
-  // names a call whose deadline has passed.
-  std::vector<OwnedCallId> TakeDispatchable(TimePoint now);
+  // names a call whose deadline has passed. `is_held` may be empty.
+  std::vector<OwnedCallId> TakeDispatchable(TimePoint now, const IsHeld& is_held = {});
 
   // Removes and names the queued calls whose deadline has passed.
   std::vector<OwnedCallId> TakeExpired(TimePoint now);
@@ -88,6 +93,9 @@
 
   std::size_t Slots() const { return m_limits.slots; }
 
+  // Keeps fewer calls in flight than the slots allow, from now on.
+  void SetMostInFlight(std::size_t most) { m_most_in_flight = std::max<std::size_t>(most, 1); }
+
   // How long a call of this priority would wait for a slot.
   Duration WaitOf(std::size_t priority_index) const {
     return ExpectedWait(std::min(priority_index, m_lanes.size() - 1));
@@ -114,7 +122,9 @@
     std::list<AdmissionCall>::iterator position;
   };
 
-  std::size_t Limit() const { return static_cast<std::size_t>(m_limit); }
+  std::size_t Limit() const {
+    return std::min(static_cast<std::size_t>(m_limit), m_most_in_flight);
+  }
   bool HasFreeSlot() const { return m_running.size() < Limit(); }
   std::size_t QueuedCount() const { return m_queued.size(); }
   Duration ServiceTimeOf(const Lane& lane) const;
@@ -126,7 +136,7 @@
   Reason CheckRoom(std::size_t lane, std::size_t bytes) const;
   bool MakeRoom(std::size_t lane, std::size_t bytes, Admission& admission);
   double ProjectedSlotTime(const Lane& lane) const;
-  std::size_t NextLane() const;
+  std::size_t NextLane(const IsHeld& is_held) const;
   void Enqueue(const AdmissionCall& call, std::size_t lane);
   void Remove(OwnedCallId id);
   void CollectExpired(TimePoint now);
@@ -144,6 +154,7 @@
   Duration m_service_time{0};
   TimePoint m_accrued_until{};
   double m_limit = 1.0;
+  std::size_t m_most_in_flight = std::numeric_limits<std::size_t>::max();
   TimePoint m_last_decrease{};
 };
 
--- a/src/libs/policy/runestimate.h
+++ b/src/libs/policy/runestimate.h
@@ -20,14 +20,26 @@
 // speed, and tells how long one takes under given conditions. Not thread-safe.
 class RunEstimate {
  public:
+  RunEstimate();
+
   void NoteCompleted(const PriorityId& priority, Duration time, const ServerCondition& at_start);
 
   // Zero while nothing is known.
   Duration Expected(const PriorityId& priority, const ServerCondition& condition) const;
 
+  // The calls that are to run at the same time. A server that slows down when it is nearly full
+  // gets more done with some of its slots left free.
+  std::size_t BestInFlight(std::size_t slots) const;
+
+  // How much longer a call takes that starts on a nearly full server.
+  double NearlyFullFactor() const { return m_nearly_full_factor; }
+
  private:
+  double FactorOf(const ServerCondition& condition) const;
+
   std::unordered_map<PriorityId, double> m_usual;  // Microseconds, smoothed.
   double m_usual_of_all = 0.0;
+  double m_nearly_full_factor;
 };
 
 }  // namespace damaskhollow
--- /dev/null
+++ b/src/libs/policy/serverpacer.cpp
@@ -0,0 +1,68 @@
+#include "policy/serverpacer.h"
+
+#include <algorithm>
+
+namespace damaskhollow {
+
+namespace {
+
+// The speed of a VM that is shared with others changes several times a second.
+constexpr std::chrono::milliseconds kFresh{25};
+// One round of dispatches in so many may fill the server, so that it shows whether it slows down.
+constexpr std::uint64_t kExploreEvery = 64;
+// A VM that works this much slower than usual is worth waiting for.
+constexpr double kSlow = 1.5;
+// A neighbour's burst lasts about 300 ms in the served systems. A VM that stays slow for longer is
+// slow for another reason, which does not pass soon.
+constexpr std::chrono::milliseconds kBurst{350};
+constexpr std::chrono::milliseconds kMeanRest{150};
+
+}  // namespace
+
+void ServerPacer::NoteSlowness(double slowness, TimePoint now) {
+  m_slowness = slowness;
+  m_told = now;
+  if (slowness < kSlow) {
+    m_slow_since.reset();
+  } else if (!m_slow_since) {
+    m_slow_since = now;
+  }
+}
+
+void ServerPacer::Reset() {
+  m_slowness = 1.0;
+  m_told.reset();
+  m_slow_since.reset();
+}
+
+bool ServerPacer::IsFresh(TimePoint now) const { return m_told && now - *m_told <= kFresh; }
+
+std::size_t ServerPacer::MostInFlight(std::size_t slots) {
+  return ++m_rounds % kExploreEvery == 0 ? slots : m_estimate.BestInFlight(slots);
+}
+
+bool ServerPacer::IsHeld(const PriorityId& priority, TimePoint now) const {
+  if (!m_slow_since || now - *m_slow_since > kBurst) return false;
+  const Duration usual = m_estimate.Expected(priority, ServerCondition{});
+  const auto slow = static_cast<double>(usual.count()) * m_slowness;
+  return slow > static_cast<double>((usual + kMeanRest).count());
+}
+
+Duration ServerPacer::Expected(const PriorityId& priority, std::size_t in_flight,
+                               std::size_t slots, TimePoint now) const {
+  ServerCondition condition = Condition(in_flight, slots);
+  if (!IsHeld(priority, now)) return m_estimate.Expected(priority, condition);
+  condition.slowness = 1.0;
+  return m_estimate.Expected(priority, condition) + kMeanRest;
+}
+
+ServerCondition ServerPacer::Condition(std::size_t in_flight, std::size_t slots) const {
+  return ServerCondition{m_slowness, in_flight, std::max<std::size_t>(slots, 1)};
+}
+
+void ServerPacer::NoteCompleted(const PriorityId& priority, Duration time,
+                                const ServerCondition& at_start) {
+  m_estimate.NoteCompleted(priority, time, at_start);
+}
+
+}  // namespace damaskhollow
