Serve calls that can be in time before late ones; take the store's answer at once

A late page view took the slot of one that could still be in time, at a tenth of its use to the caller: calls that cannot be answered within their target now wait behind those of their group that can, and one that would be cut off is not started. After a loss of all nodes 72 calls met 'no_configuration', as each node waited up to 1.5 s for peers that started as well: a current store is taken at once. A hold is for bursts only (factor 2.5 and more), as an instance that has just started is slow for seconds. Ruled out: links (up within 0.1 s of the second node's start).

--- a/src/libs/configuration/freshstart.cpp
+++ b/src/libs/configuration/freshstart.cpp
@@ -16,8 +16,10 @@
 
 }  // namespace
 
-FreshStart::FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now)
-    : m_read_store_at(now + Spread(kSeedReadSpread, random)) {
+FreshStart::FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now,
+                       bool store_is_current)
+    : m_store_is_current(store_is_current),
+      m_read_store_at(now + Spread(kSeedReadSpread, random)) {
   if (has_seeds && is_seed) m_read_store_at += kPeerWait;
   if (has_seeds && !is_seed) m_read_store_at += kPeerWait + Spread(kReadSpread, random);
 }
@@ -27,6 +29,7 @@
 }
 
 FreshStart::Step FreshStart::Next(const PeersAsked& peers, TimePoint now) const {
+  if (m_candidate_since && m_store_is_current) return Step::kApplyCandidate;
   if (m_candidate_since) {
     const bool all_answered = peers.answered >= peers.asked;
     const bool is_late = now >= *m_candidate_since + kPeerWait;
--- a/src/libs/configuration/freshstart.h
+++ b/src/libs/configuration/freshstart.h
@@ -28,9 +28,11 @@
     kFetchFromPeer,   // A peer holds a newer version: take that.
   };
 
-  // `is_seed` says that other nodes ask this one; it then reads the service at once, so that one
+  // `store_is_current` says that the service never answers with less than it has acknowledged; its
+  // answer is then taken at once. `is_seed` says that other nodes ask this one; it then reads the service at once, so that one
   // copy serves all that wait for it.
-  FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now);
+  FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now,
+             bool store_is_current = false);
 
   // The service answered; the value is not in force yet.
   void NoteCandidate(TimePoint now);
@@ -38,6 +40,7 @@
   Step Next(const PeersAsked& peers, TimePoint now) const;
 
  private:
+  bool m_store_is_current;
   TimePoint m_read_store_at;
   std::optional<TimePoint> m_candidate_since;
 };
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -55,6 +55,7 @@
   Priority priority;
   priority.id = PriorityId(reader.Text("id"));
   priority.rank = reader.Whole("rank", 0, 31);
+  priority.group = reader.Has("group") ? reader.Whole("group", 0, 1000) : priority.rank;
   priority.target = reader.Milliseconds("target_ms", 1, kDayMs);
   priority.queue_bound = reader.Has("queue_bound_ms")
                              ? reader.Milliseconds("queue_bound_ms", 0, kDayMs)
@@ -189,6 +190,9 @@
 }
 
 void CheckPriorities(JsonReader& root, std::vector<Priority>& priorities) {
+  std::stable_sort(
+      priorities.begin(), priorities.end(),
+      [](const Priority& left, const Priority& right) { return left.rank < right.rank; });
   double sum = 0.0;
   std::set<std::size_t> ranks;
   for (const Priority& priority : priorities) {
@@ -197,6 +201,10 @@
     root.Fail(FailureCode::kDuplicateId, "priorities",
               "rank " + std::to_string(priority.rank) + " is declared twice");
   }
+  for (std::size_t index = 1; index < priorities.size(); ++index) {
+    if (priorities[index - 1].group <= priorities[index].group) continue;
+    root.Fail(FailureCode::kOutOfRange, "priorities", "the groups must follow the ranks");
+  }
   if (sum > 1.0 + kShareTolerance) {
     root.Fail(FailureCode::kImpossibleShare, "priorities",
               "the guaranteed shares add up to more than 1");
@@ -204,8 +212,6 @@
   if (priorities.empty()) {
     root.Fail(FailureCode::kMissingField, "priorities", "must name at least one priority");
   }
-  std::sort(priorities.begin(), priorities.end(),
-            [](const Priority& left, const Priority& right) { return left.rank < right.rank; });
 }
 
 void CheckServices(JsonReader& root, const Declaration& declaration) {
--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -84,7 +84,7 @@
   const TimePoint now = MonotonicNow();
   const bool has_seeds = !settings.seed_peers.empty() || !settings.peer_overrides.empty();
   const bool is_seed = settings.seed_peers.contains(m_self.id);
-  m_fresh.emplace(has_seeds, is_seed, m_random, now);
+  m_fresh.emplace(has_seeds, is_seed, m_random, now, m_context.seams.store_is_current);
   DialSeeds();
   if (m_context.seams.has_live_inventory) UpdatePlace(now);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/node/ingressshard.cpp
@@ -236,6 +236,13 @@
   call.tried.push_back(server);
   wire::Envelope message =
       CallRequestFor(NameOf(id, attempt), server, call.call_class, call.digest, call.request);
+  if (!call.call_class.route.IsEmpty()) {
+    // Both ends are on the owner's clock.
+    const Duration after_target = call.deadline - (call.started + call.call_class.target);
+    const auto target = static_cast<std::int64_t>(expiry.expires_at_us) - after_target.count();
+    message.mutable_call_request()->set_target_at_us(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(target, 1)));
+  }
   m_context.router.NoteSent(server, id, call.call_class.priority_index);
   m_log.Step("sent", call.log_id)
       .With("server", server.Value())
--- a/src/libs/node/nodeseams.h
+++ b/src/libs/node/nodeseams.h
@@ -14,6 +14,7 @@
 struct NodeSeams {
   MakeDocumentReader read_configuration;  // Empty: the configuration service is not read.
   MakeDocumentReader read_vm_list;        // Empty: every inventory entry is taken as live.
+  bool store_is_current = false;          // Whether reads are never older than what was acknowledged.
   bool has_live_inventory = false;        // Whether the VM list is the inventory.
   CallConvention convention;
   ServiceId own_service;  // That calls of this VM come from; empty if nobody asks.
--- a/src/libs/node/ownedcalls.cpp
+++ b/src/libs/node/ownedcalls.cpp
@@ -9,6 +9,10 @@
   return TimePoint(Duration(static_cast<Duration::rep>(request.expires_at_us())));
 }
 
+TimePoint OwnedCall::Target() const {
+  return TimePoint(Duration(static_cast<Duration::rep>(request.target_at_us())));
+}
+
 SendDecision OwnedCalls::Arrive(const CallKey& key, const wire::CallRequest& request,
                                 TimePoint now) const {
   if (m_ids.contains(key)) return {Reason::kNone, true};
--- a/src/libs/node/ownedcalls.h
+++ b/src/libs/node/ownedcalls.h
@@ -37,6 +37,9 @@
 
   // When the call expires, on this node's clock.
   TimePoint Deadline() const;
+
+  // Until when an answer is in time, on this node's clock; only if the request says so.
+  TimePoint Target() const;
 };
 
 // The calls at an owner and what it remembers of ended ones. Calls that are looked up by key and
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -156,6 +156,7 @@
   call.id = id;
   call.deadline = owned.Deadline();
   call.bytes = owned.request.ByteSizeLong();
+  if (owned.request.target_at_us() > 0) call.target = owned.Target();
   call.priority_index = PriorityIndexOf(owned.request.priority());
   const Admission admission = m_admission.Offer(call, now);
   for (const OwnedCallId evicted : admission.evicted) {
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -19,8 +19,15 @@
 // Keeps the expected wait finite when other priorities take everything.
 constexpr double kLeastShare = 0.01;
 
+// A call that has less than this part of its usual time left is not worth starting.
+constexpr double kWorthStarting = 0.7;
+
 constexpr std::size_t kNoLane = std::numeric_limits<std::size_t>::max();
 
+Duration WorthStarting(Duration run) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(run.count()) * kWorthStarting));
+}
+
 // The room that a lane's guarantee still reserves in a cap of which the lane uses `used`.
 std::size_t UnusedReserve(double guaranteed_share, std::size_t cap, std::size_t used) {
   const auto reserve = static_cast<std::size_t>(guaranteed_share * static_cast<double>(cap));
@@ -54,7 +61,9 @@
       if (priorities[candidate].id == old.priority.id) new_index[index] = candidate;
     }
     Lane& lane = lanes[new_index[index]];
-    lane.queue.splice(lane.queue.end(), old.queue);  // Keeps the iterators in m_queued valid.
+    // Splicing keeps the iterators in m_queued valid.
+    lane.queue.splice(lane.queue.end(), old.queue);
+    lane.late.splice(lane.late.end(), old.late);
     lane.queued_bytes += old.queued_bytes;
     lane.running += old.running;
     lane.served += old.served;
@@ -94,8 +103,9 @@
   double work = own_work;  // Slot time, in microseconds.
   for (std::size_t index = 0; index < lane; ++index) {
     const Lane& ahead = m_lanes[index];
-    work +=
-        static_cast<double>(ahead.queue.size()) * static_cast<double>(ServiceTimeOf(ahead).count());
+    const bool late_goes_first = ahead.priority.group < own.priority.group;
+    const std::size_t count = ahead.queue.size() + (late_goes_first ? ahead.late.size() : 0);
+    work += static_cast<double>(count) * static_cast<double>(ServiceTimeOf(ahead).count());
   }
   const double available = std::max(1.0 - ShareOfLessUrgent(lane), kLeastShare);
   const double by_order = work / (limit * available);
@@ -107,7 +117,46 @@
   return Duration(static_cast<Duration::rep>(wait));
 }
 
+Duration AdmissionQueue::ExpectedLateWait(std::size_t lane) const {
+  const std::size_t group = m_lanes[lane].priority.group;
+  double work = static_cast<double>(ServiceTimeOf(m_lanes[lane]).count());
+  for (const Lane& other : m_lanes) {
+    if (other.priority.group > group) break;
+    work += static_cast<double>(other.queue.size() + other.late.size()) *
+            static_cast<double>(ServiceTimeOf(other).count());
+  }
+  return Duration(static_cast<Duration::rep>(work / static_cast<double>(Limit())));
+}
+
+bool AdmissionQueue::IsInTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const {
+  if (call.target == TimePoint::max()) return true;
+  return now + ExpectedWait(lane) + ServiceTimeOf(m_lanes[lane]) <= call.target;
+}
+
+// Moves the calls that waited too long to be answered in time behind the others, and gives up those
+// that would be cut off while they run.
+void AdmissionQueue::MoveLate(TimePoint now) {
+  for (std::size_t index = 0; index < m_lanes.size(); ++index) {
+    Lane& lane = m_lanes[index];
+    const Duration run = ServiceTimeOf(lane);
+    while (!lane.queue.empty() && lane.queue.front().target != TimePoint::max() &&
+           now + run > lane.queue.front().target) {
+      m_queued.at(lane.queue.front().id).late = true;
+      lane.late.splice(lane.late.end(), lane.queue, lane.queue.begin());
+    }
+    while (!lane.late.empty() && now + WorthStarting(run) > lane.late.front().deadline) {
+      const OwnedCallId id = lane.late.front().id;
+      m_expired.push_back(id);
+      Remove(id);
+    }
+  }
+}
+
 bool AdmissionQueue::FitsTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const {
+  if (call.target != TimePoint::max()) {
+    if (IsInTime(call, lane, now)) return true;
+    return now + ExpectedLateWait(lane) + ServiceTimeOf(m_lanes[lane]) <= call.deadline;
+  }
   const Duration wait = ExpectedWait(lane);
   if (wait.count() == 0) return true;
   const Duration bound = m_lanes[lane].priority.queue_bound;
@@ -123,7 +172,7 @@
     if (index == lane) continue;
     const Lane& other = m_lanes[index];
     const double share = other.priority.guaranteed_share;
-    count += UnusedReserve(share, m_limits.queue_count, other.queue.size());
+    count += UnusedReserve(share, m_limits.queue_count, other.Count());
     total_bytes += UnusedReserve(share, m_limits.queue_bytes, other.queued_bytes);
   }
   if (count > m_limits.queue_count) return Reason::kQueueFullCount;
@@ -141,11 +190,11 @@
   for (std::size_t index = m_lanes.size(); reason != Reason::kNone && index-- > lane + 1;) {
     // What a guarantee reserves is not taken away, or a flood of urgent work would void it.
     Lane& victim = m_lanes[index];
-    while (reason != Reason::kNone && !victim.queue.empty()) {
-      const AdmissionCall& newest = victim.queue.back();
+    while (reason != Reason::kNone && victim.Count() > 0) {
+      const AdmissionCall& newest = victim.late.empty() ? victim.queue.back() : victim.late.back();
       const double share = victim.priority.guaranteed_share;
       const bool frees_room =
-          UnusedReserve(share, m_limits.queue_count, victim.queue.size() - 1) == 0 ||
+          UnusedReserve(share, m_limits.queue_count, victim.Count() - 1) == 0 ||
           UnusedReserve(share, m_limits.queue_bytes, victim.queued_bytes - newest.bytes) == 0;
       if (!frees_room) break;
       admission.eviction_reason = reason;
@@ -160,7 +209,7 @@
   }
   // Evicting did not help, so it is undone, oldest first.
   for (auto victim = victims.rbegin(); victim != victims.rend(); ++victim) {
-    Enqueue(victim->second, victim->first);
+    Enqueue(victim->second, victim->first, false);
   }
   admission.eviction_reason = Reason::kNone;
   admission.refusal = reason;
@@ -184,16 +233,17 @@
     }
     if (!MakeRoom(lane, call.bytes, admission)) return admission;
   }
-  Enqueue(call, lane);
+  Enqueue(call, lane, !runs_at_once && !IsInTime(call, lane, now));
   return admission;
 }
 
-void AdmissionQueue::Enqueue(const AdmissionCall& call, std::size_t lane) {
+void AdmissionQueue::Enqueue(const AdmissionCall& call, std::size_t lane, bool late) {
   Lane& target = m_lanes[lane];
-  target.queue.push_back(call);
+  std::list<AdmissionCall>& queue = late ? target.late : target.queue;
+  queue.push_back(call);
   target.queued_bytes += call.bytes;
   m_queued_bytes += call.bytes;
-  m_queued[call.id] = Queued{lane, std::prev(target.queue.end())};
+  m_queued[call.id] = Queued{lane, late, std::prev(queue.end())};
   m_deadlines.emplace(call.deadline, call.id);
 }
 
@@ -204,8 +254,8 @@
   lane.queued_bytes -= position->bytes;
   m_queued_bytes -= position->bytes;
   m_deadlines.erase({position->deadline, id});
+  (found->second.late ? lane.late : lane.queue).erase(position);
   m_queued.erase(found);
-  lane.queue.erase(position);
 }
 
 double AdmissionQueue::ProjectedSlotTime(const Lane& lane) const {
@@ -218,13 +268,11 @@
 std::size_t AdmissionQueue::NextLane(const IsHeld& is_held) const {
   double total = 0.0;
   for (const Lane& lane : m_lanes) total += ProjectedSlotTime(lane);
-  std::size_t most_urgent = kNoLane;
   std::size_t most_underserved = kNoLane;
   double least_ratio = 1.0;
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     const Lane& lane = m_lanes[index];
     if (lane.queue.empty() || (is_held && is_held(lane.priority.id))) continue;
-    if (most_urgent == kNoLane) most_urgent = index;
     if (lane.priority.guaranteed_share <= 0.0) continue;
     const double share = total > 0.0 ? ProjectedSlotTime(lane) / total : 0.0;
     const double ratio = share / lane.priority.guaranteed_share;
@@ -232,18 +280,35 @@
     least_ratio = ratio;
     most_underserved = index;
   }
-  return most_underserved != kNoLane ? most_underserved : most_urgent;
+  return most_underserved != kNoLane ? most_underserved : NextLaneByUrgency(is_held);
+}
+
+// The most urgent group that has work; in it, calls that can be answered in time go first.
+std::size_t AdmissionQueue::NextLaneByUrgency(const IsHeld& is_held) const {
+  std::size_t first_late = kNoLane;
+  for (std::size_t index = 0; index < m_lanes.size(); ++index) {
+    const Lane& lane = m_lanes[index];
+    const bool is_next_group =
+        first_late != kNoLane && m_lanes[first_late].priority.group != lane.priority.group;
+    if (is_next_group) break;
+    if (lane.Count() == 0 || (is_held && is_held(lane.priority.id))) continue;
+    if (!lane.queue.empty()) return index;
+    if (first_late == kNoLane) first_late = index;
+  }
+  return first_late;
 }
 
 std::vector<OwnedCallId> AdmissionQueue::TakeDispatchable(TimePoint now,
                                                           const IsHeld& is_held) {
   CollectExpired(now);
   Accrue(now);
+  MoveLate(now);
   std::vector<OwnedCallId> taken;
   while (HasFreeSlot() && !m_queued.empty()) {
     const std::size_t index = NextLane(is_held);
     if (index == kNoLane) break;
-    const OwnedCallId id = m_lanes[index].queue.front().id;
+    const Lane& lane = m_lanes[index];
+    const OwnedCallId id = (lane.queue.empty() ? lane.late : lane.queue).front().id;
     Remove(id);
     ++m_lanes[index].running;
     m_running[id] = Running{now, index};
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -27,6 +27,8 @@
   OwnedCallId id;
   std::size_t priority_index = 0;  // 0 is the most urgent.
   TimePoint deadline{};
+  // Until when an answer is in time; no bound by default.
+  TimePoint target = TimePoint::max();
   std::size_t bytes = 0;  // Memory that the call holds while it is queued.
 };
 
@@ -105,11 +107,14 @@
   // The work of one priority.
   struct Lane {
     Priority priority;
-    std::list<AdmissionCall> queue;  // Oldest first.
+    std::list<AdmissionCall> queue;  // Those that can be answered in time, oldest first.
+    std::list<AdmissionCall> late;   // The others, oldest first.
     std::size_t queued_bytes = 0;
     std::size_t running = 0;
     double served = 0.0;       // Slot time in the decayed window, in microseconds.
     Duration service_time{0};  // Smoothed; 0 until a call has completed.
+
+    std::size_t Count() const { return queue.size() + late.size(); }
   };
 
   struct Running {
@@ -119,6 +124,7 @@
 
   struct Queued {
     std::size_t lane = 0;
+    bool late = false;
     std::list<AdmissionCall>::iterator position;
   };
 
@@ -132,12 +138,18 @@
   double ShareOfLessUrgent(std::size_t lane) const;
   double ExpectedShare(std::size_t lane) const;
   Duration ExpectedWait(std::size_t lane) const;
+  Duration ExpectedLateWait(std::size_t lane) const;
+  // Whether the call would be answered in time; late calls wait behind those of their group that
+  // would.
+  bool IsInTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const;
+  void MoveLate(TimePoint now);
   bool FitsTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const;
   Reason CheckRoom(std::size_t lane, std::size_t bytes) const;
   bool MakeRoom(std::size_t lane, std::size_t bytes, Admission& admission);
   double ProjectedSlotTime(const Lane& lane) const;
   std::size_t NextLane(const IsHeld& is_held) const;
-  void Enqueue(const AdmissionCall& call, std::size_t lane);
+  std::size_t NextLaneByUrgency(const IsHeld& is_held) const;
+  void Enqueue(const AdmissionCall& call, std::size_t lane, bool late);
   void Remove(OwnedCallId id);
   void CollectExpired(TimePoint now);
   void Accrue(TimePoint now);
--- a/src/libs/policy/serverpacer.cpp
+++ b/src/libs/policy/serverpacer.cpp
@@ -10,8 +10,9 @@
 constexpr std::chrono::milliseconds kFresh{25};
 // One round of dispatches in so many may fill the server, so that it shows whether it slows down.
 constexpr std::uint64_t kExploreEvery = 64;
-// A VM that works this much slower than usual is worth waiting for.
-constexpr double kSlow = 1.5;
+// A VM that works this much slower than usual is worth waiting for. One that has just started takes
+// about twice the usual time for some seconds, which is not.
+constexpr double kSlow = 2.5;
 // A neighbour's burst lasts about 300 ms in the served systems. A VM that stays slow for longer is
 // slow for another reason, which does not pass soon.
 constexpr std::chrono::milliseconds kBurst{350};
--- a/tests/auto/configuration/tst_fetchplan.cpp
+++ b/tests/auto/configuration/tst_fetchplan.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(FreshNodeAsksPeersFirst);
   CPPUNIT_TEST(FreshNodePrefersPeersToStaleStore);
   CPPUNIT_TEST(FleetRestartTakesStoreVersion);
+  CPPUNIT_TEST(CurrentStoreIsTakenAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -75,6 +76,17 @@
     CPPUNIT_ASSERT(second.PeerToAsk(random, At(milliseconds(600))) == other_region.id);
   }
 
+  // Guards against a fleet that refuses calls for 1.5 s after a restart, as each node waits for
+  // peers that start as well.
+  void CurrentStoreIsTakenAtOnce() {
+    RandomSource random(1);
+    FreshStart fresh(false, false, random, At(milliseconds(0)), true);
+    fresh.NoteCandidate(At(milliseconds(5)));
+    const PeersAsked nobody_answered{8, 0, false};
+    CPPUNIT_ASSERT(fresh.Next(nobody_answered, At(milliseconds(5))) ==
+                   FreshStart::Step::kApplyCandidate);
+  }
+
   // Guards against a watcher that looks away for 30 s after a read that asked for an answer at
   // once.
   void ImmediateReadDoesNotDelayTheWatch() {
