--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -22,13 +22,13 @@
 struct Priority {
   PriorityId id;
   std::size_t rank = 0;
-  // Priorities of one group are equally urgent to the operator; among them, calls that can still
-  // be answered in time go first. Follows the rank.
-  std::size_t group = 0;
   Duration target{};               // Aimed-at answer time.
   Duration queue_bound{};          // Longest expected wait that the owner still queues for.
   double guaranteed_share = 0.0;   // Part of slot time kept for this priority, 0 to 1.
   bool may_cross_regions = false;  // Whether its calls may use the paid link.
+  // Priorities of one group are equally urgent to the operator; among them, calls that can still
+  // be answered in time go first. Follows the rank.
+  std::size_t group = 0;
 };
 
 // Classifies requests of a service.
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -27,9 +27,9 @@
   OwnedCallId id;
   std::size_t priority_index = 0;  // 0 is the most urgent.
   TimePoint deadline{};
+  std::size_t bytes = 0;  // Memory that the call holds while it is queued.
   // Until when an answer is in time; no bound by default.
   TimePoint target = TimePoint::max();
-  std::size_t bytes = 0;  // Memory that the call holds while it is queued.
 };
 
 // How a dispatched call ended, as far as admission is concerned.
--- a/src/libs/policy/serverpacer.cpp
+++ b/src/libs/policy/serverpacer.cpp
@@ -8,7 +8,7 @@
 
 // The speed of a VM that is shared with others changes several times a second.
 constexpr std::chrono::milliseconds kFresh{25};
-// One round of dispatches in so many may fill the server, so that it shows whether it slows down.
+// After so many answers the server may be filled once, so that it shows whether it slows down.
 constexpr std::uint64_t kExploreEvery = 64;
 // A VM that works this much slower than usual is worth waiting for. One that has just started takes
 // about twice the usual time for some seconds, which is not.
@@ -39,7 +39,9 @@
 bool ServerPacer::IsFresh(TimePoint now) const { return m_told && now - *m_told <= kFresh; }
 
 std::size_t ServerPacer::MostInFlight(std::size_t slots) {
-  return ++m_rounds % kExploreEvery == 0 ? slots : m_estimate.BestInFlight(slots);
+  if (m_answers < kExploreEvery) return m_estimate.BestInFlight(slots);
+  m_answers = 0;
+  return slots;
 }
 
 bool ServerPacer::IsHeld(const PriorityId& priority, TimePoint now) const {
@@ -63,6 +65,7 @@
 
 void ServerPacer::NoteCompleted(const PriorityId& priority, Duration time,
                                 const ServerCondition& at_start) {
+  ++m_answers;
   m_estimate.NoteCompleted(priority, time, at_start);
 }
 
--- /dev/null
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -0,0 +1,181 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "platform/storereader.h"
+#include "support/standinstore.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using platform::StoreItems;
+using platform::StoreReader;
+using platform::TranslatedDocument;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::StandInStore;
+
+// Notes what a reader reports.
+class Events : public PlatformEvents {
+ public:
+  void OnPlatformChanged(std::uint64_t version, std::string_view text) override {
+    m_version = version;
+    m_texts.emplace_back(text);
+  }
+  void OnPlatformUnchanged() override { ++m_unchanged; }
+  void OnPlatformFailed(std::string_view detail) override { m_failure = detail; }
+
+  std::uint64_t Version() const { return m_version; }
+  const std::vector<std::string>& Texts() const { return m_texts; }
+  std::size_t Unchanged() const { return m_unchanged; }
+  const std::string& Failure() const { return m_failure; }
+
+ private:
+  std::uint64_t m_version = 0;
+  std::vector<std::string> m_texts;
+  std::size_t m_unchanged = 0;
+  std::string m_failure;
+};
+
+// The values in the order of their keys.
+std::optional<TranslatedDocument> JoinValues(const StoreItems& items) {
+  std::string text;
+  for (const auto& [key, item] : items) text += item.unreadable ? "?" : item.value;
+  return TranslatedDocument{0, text};
+}
+
+struct FailureRow {
+  std::string_view name;
+  StandInStore::Mode mode;
+  std::string_view failure;
+};
+
+const std::array kFailureRows{
+    FailureRow{"busy", StandInStore::Mode::kBusy, "status 503"},
+    FailureRow{"too many calls", StandInStore::Mode::kTooMany, "status 429"},
+    FailureRow{"lost answer", StandInStore::Mode::kAborting, "backend_closed"},
+    FailureRow{"silent connection", StandInStore::Mode::kSilent, "backend_timeout"},
+};
+
+// Guards against a read that never ends, after which the store would not be read again.
+void TestFailure(const FailureRow& row) {
+  StandInStore store;
+  store.Put("servers/a", "A");
+  store.SetMode(row.mode);
+  Events events;
+  StoreReader reader(store.Address(), "servers/", JoinValues, events);
+  reader.Start(StoreRead{0, seconds(30)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !events.Failure().empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string(row.failure), events.Failure());
+  store.SetMode(StandInStore::Mode::kServing);
+  reader.Start(StoreRead{0, seconds(30)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !events.Texts().empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string("A"), events.Texts().back());
+}
+
+const test::TableTest<FailureRow> kFailureTest("StoreReaderFailure", kFailureRows, TestFailure);
+
+}  // namespace
+
+class StoreReaderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreReaderTest);
+  CPPUNIT_TEST(ReadsAllPages);
+  CPPUNIT_TEST(WatchesChangesAndRemovals);
+  CPPUNIT_TEST(ReadsTheRangeAgainAfterAGapInTheHistory);
+  CPPUNIT_TEST(ChangeThatDoesNotMatterIsNoNewVersion);
+  CPPUNIT_TEST(EmptyStoreIsWaitedFor);
+  CPPUNIT_TEST(SpoiledValueSpoilsNoOther);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsAllPages() {
+    for (const char* key : {"servers/a", "servers/b", "servers/c", "servers/d", "servers/e"}) {
+      m_store.Put(key, std::string(1, key[8]));
+    }
+    m_store.Put("other/x", "x");
+    m_store.SetPageSize(2);
+    Start(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), WaitForText());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_store.Ranges());
+  }
+
+  void WatchesChangesAndRemovals() {
+    m_store.Put("servers/a", "A");
+    Start(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("A"), WaitForText());
+    const std::uint64_t first = m_events.Version();
+    Start(first);
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return m_store.Watches() > 0; }));
+    m_store.Put("servers/b", "B");
+    CPPUNIT_ASSERT_EQUAL(std::string("AB"), WaitForText());
+    CPPUNIT_ASSERT(m_events.Version() > first);
+    Start(m_events.Version());
+    m_store.Delete("servers/a");
+    CPPUNIT_ASSERT_EQUAL(std::string("B"), WaitForText());
+  }
+
+  // Guards against a reader that goes on with an old view when the store has forgotten what
+  // changed.
+  void ReadsTheRangeAgainAfterAGapInTheHistory() {
+    m_store.Put("servers/a", "A");
+    Start(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("A"), WaitForText());
+    m_store.Put("servers/b", "B");
+    m_store.DropHistory();
+    Start(m_events.Version());
+    CPPUNIT_ASSERT_EQUAL(std::string("AB"), WaitForText());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store.Ranges());
+  }
+
+  // Guards against a new inventory for the whole fleet with each beat of a server.
+  void ChangeThatDoesNotMatterIsNoNewVersion() {
+    m_store.Put("servers/a", "A");
+    Start(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("A"), WaitForText());
+    const std::uint64_t version = m_events.Version();
+    m_reader.Start(StoreRead{version, milliseconds(600)});
+    m_store.Put("servers/a", "A");
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return m_events.Unchanged() > 0; }));
+    CPPUNIT_ASSERT_EQUAL(version, m_events.Version());
+  }
+
+  void EmptyStoreIsWaitedFor() {
+    Start(0);
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return m_store.Watches() > 0; }));
+    m_store.Put("servers/a", "A");
+    CPPUNIT_ASSERT_EQUAL(std::string("A"), WaitForText());
+  }
+
+  void SpoiledValueSpoilsNoOther() {
+    m_store.Put("servers/a", "A");
+    m_store.PutEncoded("servers/b", "*no base64*");
+    m_store.Put("servers/c", "C");
+    Start(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("A?C"), WaitForText());
+  }
+
+ private:
+  void Start(std::uint64_t after) {
+    m_expected = m_events.Texts().size() + 1;
+    m_reader.Start(StoreRead{after, seconds(30)});
+  }
+
+  std::string WaitForText() {
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return m_events.Texts().size() >= m_expected; }));
+    return m_events.Texts().back();
+  }
+
+  StandInStore m_store;
+  Events m_events;
+  StoreReader m_reader{m_store.Address(), "servers/", JoinValues, m_events};
+  std::size_t m_expected = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreReaderTest);
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/support/standinstore.cpp
@@ -0,0 +1,154 @@
+#include "support/standinstore.h"
+
+#include <QByteArray>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+#include <algorithm>
+#include <utility>
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
+
+}  // namespace
+
+StandInStore::StandInStore()
+    : m_server([this](ConnectionId connection, const HttpRequest& request) {
+        Handle(connection, request);
+      }) {
+  m_server.Listen(Endpoint{"127.0.0.1", 0});
+  m_address = Endpoint{"127.0.0.1", m_server.serverPort()};
+}
+
+void StandInStore::Put(const std::string& key, const std::string& value) {
+  PutEncoded(key, QByteArray::fromStdString(value).toBase64().toStdString());
+}
+
+void StandInStore::PutEncoded(const std::string& key, const std::string& encoded) {
+  Item& item = m_items[key];
+  item.encoded = encoded;
+  item.revision = ++m_revision;
+  if (item.created == 0) item.created = m_revision;
+  m_changes.push_back({m_revision, key});
+  AnswerWaiting();
+}
+
+void StandInStore::Delete(const std::string& key) {
+  m_items.erase(key);
+  m_changes.push_back({++m_revision, key});
+  AnswerWaiting();
+}
+
+void StandInStore::DropHistory() {
+  m_history_from = ++m_revision;
+  m_changes.clear();
+  for (const Waiting& watch : std::exchange(m_waiting, {})) m_server.Abort(watch.connection);
+}
+
+void StandInStore::Handle(ConnectionId connection, const HttpRequest& request) {
+  switch (m_mode) {
+    case Mode::kBusy:
+      return m_server.Answer(connection, kUnavailable, "");
+    case Mode::kTooMany:
+      return m_server.Answer(connection, kTooManyRequests, "");
+    case Mode::kAborting:
+      return m_server.Abort(connection);
+    case Mode::kSilent:
+      return;
+    case Mode::kServing:
+      break;
+  }
+  const QUrl url(QString::fromStdString(request.target));
+  const QUrlQuery query(url);
+  const auto value = [&](const char* name) {
+    return query.queryItemValue(name, QUrl::FullyDecoded).toStdString();
+  };
+  if (url.path() == "/v1/kv-range") {
+    ++m_ranges;
+    return AnswerRange(connection, value("prefix"), value("after"));
+  }
+  ++m_watches;
+  const Waiting watch{connection, value("prefix"), std::stoull(value("after"))};
+  if (watch.after < m_history_from) return m_server.Answer(connection, kGone, "{}");
+  if (HasNews(watch)) return AnswerWatch(watch);
+  m_waiting.push_back(watch);
+  QTimer::singleShot(std::stoi(value("waitMs")), &m_server, [this, connection] {
+    const auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& entry) {
+      return entry.connection == connection;
+    });
+    if (found == m_waiting.end()) return;
+    const Waiting ended = *found;
+    m_waiting.erase(found);
+    AnswerWatch(ended);
+  });
+}
+
+std::string StandInStore::ItemText(const std::string& key, const Item& item) {
+  return "{\"key\":" + Quoted(key) + ",\"value\":" + Quoted(item.encoded) +
+         ",\"revision\":" + std::to_string(item.revision) +
+         ",\"created\":" + std::to_string(item.created) + ",\"lease\":0}";
+}
+
+void StandInStore::AnswerRange(ConnectionId connection, const std::string& prefix,
+                               const std::string& after) {
+  std::string items;
+  std::size_t count = 0;
+  bool has_more = false;
+  for (const auto& [key, item] : m_items) {
+    if (!key.starts_with(prefix) || key <= after) continue;
+    has_more = count == m_page_size;
+    if (has_more) break;
+    items += (items.empty() ? "" : ",") + ItemText(key, item);
+    ++count;
+  }
+  m_server.Answer(connection, kOk,
+                  "{\"items\":[" + items + "],\"hasMore\":" + (has_more ? "true" : "false") +
+                      ",\"currentRev\":" + std::to_string(m_revision) + "}");
+}
+
+bool StandInStore::HasNews(const Waiting& watch) const {
+  return std::any_of(m_changes.begin(), m_changes.end(), [&](const Change& change) {
+    return change.revision > watch.after && change.key.starts_with(watch.prefix);
+  });
+}
+
+std::string StandInStore::EventsSince(const Waiting& watch) const {
+  std::string events;
+  for (const Change& change : m_changes) {
+    if (change.revision <= watch.after || !change.key.starts_with(watch.prefix)) continue;
+    const auto item = m_items.find(change.key);
+    const bool is_deleted = item == m_items.end();
+    events += events.empty() ? "" : ",";
+    events += is_deleted
+                  ? "{\"key\":" + Quoted(change.key) +
+                        ",\"revision\":" + std::to_string(change.revision) + ",\"deleted\":true}"
+                  : ItemText(change.key, item->second);
+  }
+  return events;
+}
+
+void StandInStore::AnswerWatch(const Waiting& watch) {
+  m_server.Answer(watch.connection, kOk,
+                  "{\"events\":[" + EventsSince(watch) +
+                      "],\"currentRev\":" + std::to_string(m_revision) + "}");
+}
+
+void StandInStore::AnswerWaiting() {
+  for (const Waiting& watch : std::exchange(m_waiting, {})) {
+    if (HasNews(watch)) {
+      AnswerWatch(watch);
+    } else {
+      m_waiting.push_back(watch);
+    }
+  }
+}
+
+}  // namespace damaskhollow::test
