--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -56,7 +56,10 @@
   damaskhollow::StartLogging(*damaskhollow::LogLevelFromName(loaded.value().settings.log_level));
   damaskhollow::Node node(loaded.value().settings, damaskhollow::OwnSeams(loaded.value().settings));
   if (Result<void> result = node.Start(); !result) {
-    DAMASKHOLLOW_LOG(kNode, kError) << damaskhollow::Describe(result.error());
+    damaskhollow::EventLine(damaskhollow::LogPart::kNode, damaskhollow::LogLevel::kError,
+                            "start_failed")
+        .With("detail", Describe(result.error()));
+    damaskhollow::StopLogging();
     return kStartFailedStatus;
   }
   QSocketNotifier notifier(stop_signals, QSocketNotifier::Read);
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -153,9 +153,4 @@
   return *this;
 }
 
-NoteLine::~NoteLine() {
-  if (!IsLogged(m_level)) return;
-  WriteLine(m_level, StartOf(m_part, m_level, "note") + " text=" + Quoted(m_text.str()));
-}
-
 }  // namespace damaskhollow
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -3,8 +3,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <ostream>
-#include <sstream>
 #include <string>
 #include <string_view>
 
@@ -58,25 +56,6 @@
   std::string m_line;  // Empty if the level is not logged.
 };
 
-// One log line with a sentence in its field `text`, written when the object ends.
-class NoteLine {
- public:
-  NoteLine(LogPart part, LogLevel level) : m_part(part), m_level(level) {}
-  ~NoteLine();
-  NoteLine(const NoteLine&) = delete;
-  NoteLine& operator=(const NoteLine&) = delete;
-
-  std::ostream& Stream() { return m_text; }
-
- private:
-  const LogPart m_part;
-  const LogLevel m_level;
-  std::ostringstream m_text;
-};
-
 }  // namespace damaskhollow
 
-#define DAMASKHOLLOW_LOG(part, level) \
-  ::damaskhollow::NoteLine(::damaskhollow::LogPart::part, ::damaskhollow::LogLevel::level).Stream()
-
 #endif  // DAMASKHOLLOW_LOGGING_LOGGER_H_
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -44,6 +44,13 @@
     {Metric::kPausesSeen, "pauses_total", "counter", "Pauses of the process noticed."},
     {Metric::kQueuedCalls, "queued_calls", "gauge", "Calls queued at the owner."},
     {Metric::kInFlightCalls, "in_flight_calls", "gauge", "Calls running on the backend server."},
+    {Metric::kLogLinesDropped, "log_lines_dropped_total", "counter",
+     "Log lines dropped as nobody read them."},
+    {Metric::kFailureLinesDropped, "failure_lines_dropped_total", "counter",
+     "Log lines on failures left out to bound their rate."},
+    {Metric::kServers, "servers", "gauge", "Backend servers in the inventory in force."},
+    {Metric::kSlownessPercent, "slowness_percent", "gauge",
+     "Time that work takes on this VM now; 100 is as usual."},
 }};
 
 constexpr bool IsInEnumerationOrder() {
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -38,6 +38,10 @@
   kPausesSeen,
   kQueuedCalls,
   kInFlightCalls,
+  kLogLinesDropped,
+  kFailureLinesDropped,
+  kServers,
+  kSlownessPercent,
   kCount,
 };
 
--- a/src/libs/node/configurationkeeper.cpp
+++ b/src/libs/node/configurationkeeper.cpp
@@ -41,12 +41,16 @@
   const OfferResult result = m_guard.Offer(version, text, source);
   m_metrics.Set(Metric::kConfigurationRefused, m_guard.RefusedCount());
   if (result == OfferResult::kInvalid) {
-    DAMASKHOLLOW_LOG(kConfiguration, kWarning)
-        << "version " << version << " from " << source
-        << " is refused: " << Describe(m_guard.Refused().back().failures.front());
+    EventLine(LogPart::kConfiguration, LogLevel::kWarning, "configuration_refused")
+        .With("version", static_cast<std::int64_t>(version))
+        .With("source", source)
+        .With("detail", Describe(m_guard.Refused().back().failures.front()));
   }
   if (result != OfferResult::kAccepted) return result;
   m_source = std::string(source);
+  EventLine(LogPart::kConfiguration, LogLevel::kInfo, "configuration_accepted")
+      .With("version", static_cast<std::int64_t>(version))
+      .With("source", source);
   m_apply(m_guard.Current(), version);
   return result;
 }
@@ -79,7 +83,9 @@
   if (!info.exists()) return;
   if (info.lastModified() == m_file_time && info.size() == m_file_size) return;
   if (const Result<void> result = LoadFile(m_file); !result) {
-    DAMASKHOLLOW_LOG(kConfiguration, kWarning) << Describe(result.error());
+    EventLine(LogPart::kConfiguration, LogLevel::kWarning, "configuration_refused")
+        .With("source", m_file)
+        .With("detail", Describe(result.error()));
   }
 }
 
--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/node/controlservice.cpp
@@ -245,7 +245,8 @@
       std::any_of(live.begin(), live.end(), [&](const auto& node) { return node.id == m_self.id; });
   if (m_context.seams.has_live_inventory && !is_listed) place.role = ReaderRole::kWatcher;
   if (place.role != m_configuration_sync.Plan().Role()) {
-    DAMASKHOLLOW_LOG(kConfiguration, kInfo) << "this node is now a " << ReaderRoleName(place.role);
+    EventLine(LogPart::kConfiguration, LogLevel::kInfo, "reader_role")
+        .With("role", ReaderRoleName(place.role));
   }
   m_configuration_sync.Plan().SetPlace(place, now);
   m_vm_list_sync.Plan().SetPlace(place, now);
@@ -375,12 +376,12 @@
   const bool is_fresh = m_refresh_answered && !is_behind;
   if (!is_fresh && now < m_refresh_until) return;
   m_context.gate.Open();
-  DAMASKHOLLOW_LOG(kNode, kInfo) << (is_fresh ? "view refreshed from a peer"
-                                              : "view not refreshed in time; going on with it");
+  EventLine(LogPart::kNode, LogLevel::kInfo, "view_refreshed")
+      .With("outcome", is_fresh ? "from_peer" : "timeout");
 }
 
 void ControlService::StartRefresh(TimePoint now) {
-  DAMASKHOLLOW_LOG(kNode, kWarning) << "the process was paused; refreshing the view";
+  EventLine(LogPart::kNode, LogLevel::kWarning, "view_stale");
   m_refresh_until = now + kRefreshTime;
   m_refresh_answered = false;
   ++m_refresh_id;
@@ -470,6 +471,7 @@
   const auto handle = [this, peer, state] {
     const TimePoint now = MonotonicNow();
     m_links.NoteUp(peer);
+    EventLine(LogPart::kLink, LogLevel::kInfo, "peer_linked").With("server", peer.Value());
     m_membership.NoteLinkUp(peer);
     NotePeerStatement(StatementFrom(peer, state), peer);
     NotePeerVersions(peer, state.configuration_version(), std::nullopt, now);
@@ -483,6 +485,7 @@
 void ControlService::NoteLinkDown(const BackendServerId& peer) {
   const auto handle = [this, peer] {
     m_links.NoteDown(peer);
+    EventLine(LogPart::kLink, LogLevel::kInfo, "peer_lost").With("server", peer.Value());
     if (m_links.IsWanted(peer)) {
       m_membership.NoteLinkDown(peer);
     } else {
--- a/src/libs/node/crashreporter.cpp
+++ b/src/libs/node/crashreporter.cpp
@@ -50,8 +50,8 @@
   if (!is_crash) return m_guard.DismissAborted();
   const std::vector<std::string> digests = m_guard.ConfirmCrash();
   m_metrics.Add(Metric::kCrashesSeen);
-  DAMASKHOLLOW_LOG(kOwner, kWarning)
-      << "the backend server crashed with " << digests.size() << " different requests in flight";
+  EventLine(LogPart::kOwner, LogLevel::kWarning, "server_crashed")
+      .With("in_flight", static_cast<std::int64_t>(digests.size()));
   Report(digests, false, linked_peers);
 }
 
--- a/src/libs/node/documentsync.cpp
+++ b/src/libs/node/documentsync.cpp
@@ -88,7 +88,7 @@
 }
 
 void DocumentSync::OnPlatformChanged(std::uint64_t version, std::string_view text) {
-  m_store_failure.clear();
+  NoteStoreAnswered();
   if (m_store_is_far) m_metrics.Add(Metric::kControlPaidLinkBytes, text.size());
   const bool is_new = version > m_seen;
   m_seen = std::max(m_seen, version);
@@ -106,16 +106,27 @@
   m_plan.NoteStoreUnchanged(now);
 }
 
-void DocumentSync::OnPlatformUnchanged() {
+std::string_view DocumentSync::DocumentName() const {
+  return m_document == wire::DOCUMENT_CONFIGURATION ? "configuration" : "vm_list";
+}
+
+void DocumentSync::NoteStoreAnswered() {
+  if (m_store_failure.empty()) return;
   m_store_failure.clear();
+  EventLine(LogPart::kConfiguration, LogLevel::kInfo, "store_back")
+      .With("document", DocumentName());
+}
+
+void DocumentSync::OnPlatformUnchanged() {
+  NoteStoreAnswered();
   m_plan.NoteStoreUnchanged(MonotonicNow());
 }
 
 void DocumentSync::OnPlatformFailed(std::string_view detail) {
   if (m_store_failure.empty()) {
-    DAMASKHOLLOW_LOG(kConfiguration, kWarning)
-        << (m_document == wire::DOCUMENT_CONFIGURATION ? "configuration service" : "VM list")
-        << " cannot be read: " << detail;
+    EventLine(LogPart::kConfiguration, LogLevel::kWarning, "store_lost")
+        .With("document", DocumentName())
+        .With("detail", detail);
   }
   m_store_failure = detail;
   m_plan.NoteStoreFailed(m_random, MonotonicNow());
--- a/src/libs/node/documentsync.h
+++ b/src/libs/node/documentsync.h
@@ -67,6 +67,8 @@
   void OnPlatformUnchanged() override;
   void OnPlatformFailed(std::string_view detail) override;
 
+  std::string_view DocumentName() const;
+  void NoteStoreAnswered();
   void AskPeer(TimePoint now);
   void SendQuery();
   void EndTransfer(bool failed, TimePoint now);
--- a/src/libs/node/membership.cpp
+++ b/src/libs/node/membership.cpp
@@ -66,7 +66,10 @@
     m_router.SetEligible(node.id, MayGetWork(standing));
     const bool is_quiet = known == m_standings.end() && standing == Standing::kLive;
     if (!is_quiet) {
-      DAMASKHOLLOW_LOG(kFleet, kInfo) << node.id.Value() << " is " << StandingName(standing);
+      EventLine(LogPart::kFleet, LogLevel::kInfo, "standing")
+          .With("server", node.id.Value())
+          .With("state", StandingName(standing))
+          .With("detail", StandingReason(standing));
     }
   }
   m_standings = std::move(standings);
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -92,8 +92,15 @@
   if (Result<void> result = m_admin->Listen(m_settings.admin_listen); !result) return result;
   connect(&m_timer, &QTimer::timeout, this, &Node::Tick);
   m_timer.start(kTick);
-  DAMASKHOLLOW_LOG(kNode, kInfo) << "started as " << m_identity.server.Value() << "; callers at "
-                                 << ToString(m_settings.listen);
+  EventLine(LogPart::kNode, LogLevel::kInfo, "started")
+      .With("server", m_identity.server.Value())
+      .With("region", m_settings.region.Value())
+      .With("data_centre", m_settings.data_centre.Value())
+      .With("listen", ToString(m_settings.listen))
+      .With("peer_listen", ToString(m_settings.peer_listen))
+      .With("admin_listen", ToString(m_settings.admin_listen))
+      .With("workers", static_cast<std::int64_t>(m_settings.workers))
+      .With("strategy", m_settings.routing_strategy);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -110,12 +117,15 @@
   m_declaration.store(declaration);
   m_version.store(version);
   m_metrics.Set(Metric::kConfigurationVersion, version);
+  m_metrics.Set(Metric::kServers, declaration->backend_servers.size());
   m_router.SetDeclaration(declaration);
   m_owner.ApplyDeclaration(declaration, version);
   if (m_load_probe) m_load_probe->Configure(*declaration, m_identity.server);
   m_router.NoteState(m_identity.server, m_owner.State());
   m_router.SetReachable(m_identity.server, true);
-  DAMASKHOLLOW_LOG(kConfiguration, kInfo) << "version " << version << " is in force";
+  EventLine(LogPart::kConfiguration, LogLevel::kInfo, "in_force")
+      .With("version", static_cast<std::int64_t>(version))
+      .With("servers", static_cast<std::int64_t>(declaration->backend_servers.size()));
 }
 
 void Node::Tick() {
@@ -123,6 +133,9 @@
   m_control->Tick(now);  // First, as it closes the view gate after a pause.
   m_owner.Tick(now);
   CheckCrashes();
+  m_metrics.Set(Metric::kLogLinesDropped, DroppedLogLines());
+  m_metrics.Set(Metric::kFailureLinesDropped, m_request_log.DroppedFailureLines());
+  m_metrics.Set(Metric::kSlownessPercent, m_owner.State().slowness_percent());
   if (m_drained) CheckDrained();
 }
 
@@ -149,6 +162,7 @@
   if (m_drained) return;
   m_drained = std::move(done);
   m_drain_started = MonotonicNow();
+  EventLine(LogPart::kNode, LogLevel::kInfo, "stopping");
   m_owner.StartDrain();
 }
 
@@ -167,8 +181,8 @@
   const bool is_late = elapsed > std::chrono::milliseconds(m_settings.drain_announce_ms +
                                                            m_settings.drain_timeout_ms);
   if (!is_idle && !is_late) return;
-  DAMASKHOLLOW_LOG(kNode, kInfo) << (is_idle ? "drained"
-                                             : "drain timeout; calls in flight are cut");
+  EventLine(LogPart::kNode, LogLevel::kInfo, "stopped")
+      .With("outcome", is_idle ? "drained" : "timeout");
   std::exchange(m_drained, nullptr)();
 }
 
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/node/ownerservice.cpp
@@ -41,8 +41,8 @@
   const BackendServer* server = m_declaration->FindServer(m_identity.server);
   m_service = server == nullptr ? nullptr : m_declaration->FindService(server->service);
   if (server == nullptr) {
-    DAMASKHOLLOW_LOG(kOwner, kWarning)
-        << "this backend server is not in the inventory; refusing new calls";
+    EventLine(LogPart::kOwner, LogLevel::kWarning, "own_server_unlisted")
+        .With("version", static_cast<std::int64_t>(version));
     return;
   }
   if (m_instance != server->instance) m_pacer.Reset();
@@ -178,7 +178,8 @@
 }
 
 void OwnerService::HandleLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query) {
-  if (m_pacer.IsFresh(MonotonicNow()) || !m_probe || m_service == nullptr) return AnswerLoadQuery(route, query);
+  if (m_pacer.IsFresh(MonotonicNow()) || !m_probe || m_service == nullptr)
+    return AnswerLoadQuery(route, query);
   m_load_queries.emplace_back(route, query);
   StartProbe();
 }
@@ -454,9 +455,7 @@
   const std::lock_guard lock(m_lock);
   if (m_backend_leaving == leaving) return;
   m_backend_leaving = leaving;
-  DAMASKHOLLOW_LOG(kOwner, kInfo) << (leaving
-                                          ? "the backend server is leaving; new calls are refused"
-                                          : "the backend server takes new calls again");
+  EventLine(LogPart::kOwner, LogLevel::kInfo, leaving ? "own_server_leaving" : "own_server_back");
 }
 
 void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
@@ -490,7 +489,7 @@
   m_claims.End(id, ClaimEnd::kRan);
   m_crash_guard.NoteCompletedHere(call.request.digest());
   m_pacer.NoteCompleted(PriorityId(call.request.priority()), MonotonicNow() - call.dispatched_at,
-                           call.condition);
+                        call.condition);
   Finish(id, SlotResult::kCompleted);
 }
 
@@ -530,7 +529,7 @@
   }
   if (m_pause.NoteTick(now)) {
     m_metrics.Add(Metric::kPausesSeen);
-    DAMASKHOLLOW_LOG(kOwner, kWarning) << "the process was paused; refused what had expired";
+    EventLine(LogPart::kOwner, LogLevel::kWarning, "paused");
   }
   Continue(m_claims.Tick(now, WallNow()));
   ReleaseSuspects(now);
@@ -548,7 +547,7 @@
   const std::lock_guard lock(m_lock);
   if (m_draining) return;
   m_draining = true;
-  DAMASKHOLLOW_LOG(kOwner, kInfo) << "draining; new calls are refused";
+  EventLine(LogPart::kOwner, LogLevel::kInfo, "draining");
 }
 
 wire::OwnerState OwnerService::State() const {
--- a/src/libs/node/sharedcrashguard.cpp
+++ b/src/libs/node/sharedcrashguard.cpp
@@ -101,9 +101,9 @@
 
 void SharedCrashGuard::LogBanned(std::span<const std::string> digests) {
   for (const std::string& digest : digests) {
-    DAMASKHOLLOW_LOG(kOwner, kWarning)
-        << "request " << QByteArray::fromStdString(digest).toHex().toStdString()
-        << " is refused for 5 min; backend servers crashed while they ran it";
+    EventLine(LogPart::kOwner, LogLevel::kWarning, "request_banned")
+        .With("digest", QByteArray::fromStdString(digest).toHex().toStdString())
+        .With("reason", InfoOf(Reason::kCrashingRequest).name);
   }
 }
 
--- a/src/libs/node/vmlistkeeper.cpp
+++ b/src/libs/node/vmlistkeeper.cpp
@@ -19,8 +19,9 @@
   if (version < m_version) return OfferResult::kOlder;
   std::optional<VmList> list = ParseVmList(text);
   if (!list) {
-    DAMASKHOLLOW_LOG(kFleet, kWarning) << "VM list version " << version << " from " << name
-                                       << " is not valid; the last one is kept";
+    EventLine(LogPart::kFleet, LogLevel::kWarning, "vm_list_refused")
+        .With("version", static_cast<std::int64_t>(version))
+        .With("source", name);
     return OfferResult::kInvalid;
   }
   m_version = version;
@@ -31,8 +32,8 @@
   } else {
     m_entries = std::move(list->entries);
     if (m_membership.NoteList(m_entries) == FleetView::ListResult::kDoubted) {
-      DAMASKHOLLOW_LOG(kFleet, kWarning)
-          << "VM list version " << version << " is empty or shrank by more than half; kept aside";
+      EventLine(LogPart::kFleet, LogLevel::kWarning, "vm_list_doubted")
+          .With("version", static_cast<std::int64_t>(version));
     }
   }
   m_changed();
--- a/src/libs/wire/peertransport.cpp
+++ b/src/libs/wire/peertransport.cpp
@@ -149,8 +149,7 @@
   const bool was_up = link.CurrentState() == DialledLink::State::kUp;
   Connect(peer, link);
   if (!was_up) return;
-  DAMASKHOLLOW_LOG(kLink, kWarning)
-      << "link to " << peer.Value() << " is silent or broken; opening a new one";
+  EventLine(LogPart::kLink, LogLevel::kWarning, "link_replaced").With("server", peer.Value());
   m_handler.OnLinkDown(peer);
 }
 
@@ -198,7 +197,7 @@
                                           const zmq::message_t& bytes) {
   wire::Envelope message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    DAMASKHOLLOW_LOG(kLink, kWarning) << "dropped a malformed message from " << peer.Value();
+    EventLine(LogPart::kLink, LogLevel::kWarning, "malformed_message").With("server", peer.Value());
     return;
   }
   if (IsControl(message)) m_handler.OnControlBytes(peer, 0, bytes.size());
@@ -217,13 +216,14 @@
 void PeerTransport::Worker::HandleAccepted(const AcceptedMessage& accepted) {
   const ReplyRoute route{PeerOfRoutingId(accepted.routing_id), accepted.routing_id};
   if (!m_handler.IsAllowedPeer(route.peer, accepted.public_key)) {
-    DAMASKHOLLOW_LOG(kLink, kWarning)
-        << "dropped a message from a node that is not in the inventory";
+    EventLine(LogPart::kLink, LogLevel::kWarning, "unknown_peer")
+        .With("server", route.peer.Value());
     return;
   }
   wire::Envelope message;
   if (!message.ParseFromArray(accepted.body.data(), static_cast<int>(accepted.body.size()))) {
-    DAMASKHOLLOW_LOG(kLink, kWarning) << "dropped a malformed message from " << route.peer.Value();
+    EventLine(LogPart::kLink, LogLevel::kWarning, "malformed_message")
+        .With("server", route.peer.Value());
     return;
   }
   if (IsControl(message)) m_handler.OnControlBytes(route.peer, 0, accepted.body.size());
--- a/src/tools/damaskhollow/main.cpp
+++ b/src/tools/damaskhollow/main.cpp
@@ -10,6 +10,7 @@
 #include "damaskhollow/explaincommand.h"
 #include "damaskhollow/keygencommand.h"
 #include "damaskhollow/statuscommand.h"
+#include "damaskhollow/tracecommand.h"
 
 namespace {
 
@@ -22,9 +23,9 @@
 
 using CommandSource = const Command& (*)();
 
-constexpr std::array<CommandSource, 5> kCommands{
-    damaskhollow::CheckCommand, damaskhollow::DiffCommand, damaskhollow::StatusCommand,
-    damaskhollow::ExplainCommand, damaskhollow::KeygenCommand};
+constexpr std::array<CommandSource, 6> kCommands{
+    damaskhollow::CheckCommand,   damaskhollow::DiffCommand,  damaskhollow::StatusCommand,
+    damaskhollow::ExplainCommand, damaskhollow::TraceCommand, damaskhollow::KeygenCommand};
 
 void PrintUsage(std::ostream& out) {
   out << "damaskhollow: operator command of the damaskhollow load balancer.\n\n"
