Split the node library by role

src/libs/node held a third of the code and three roles. It is now calls (what the roles share), owner, ingress and control; node only composes them. Includes follow; nothing else changes.

--- a/src/libs/node/attemptmessages.cpp
+++ b/src/libs/calls/attemptmessages.cpp
@@ -1,8 +1,8 @@
-#include "node/attemptmessages.h"
+#include "calls/attemptmessages.h"
 
 #include <QCryptographicHash>
 
-#include "node/callheaders.h"
+#include "calls/callheaders.h"
 
 namespace damaskhollow {
 
--- a/src/libs/node/attemptmessages.h
+++ b/src/libs/calls/attemptmessages.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_ATTEMPTMESSAGES_H_
-#define DAMASKHOLLOW_NODE_ATTEMPTMESSAGES_H_
+#ifndef DAMASKHOLLOW_CALLS_ATTEMPTMESSAGES_H_
+#define DAMASKHOLLOW_CALLS_ATTEMPTMESSAGES_H_
 
 #include <cstdint>
 #include <string>
@@ -42,4 +42,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_ATTEMPTMESSAGES_H_
+#endif  // DAMASKHOLLOW_CALLS_ATTEMPTMESSAGES_H_
--- a/src/libs/node/callheaders.cpp
+++ b/src/libs/calls/callheaders.cpp
@@ -1,4 +1,4 @@
-#include "node/callheaders.h"
+#include "calls/callheaders.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
--- a/src/libs/node/callheaders.h
+++ b/src/libs/calls/callheaders.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_CALLHEADERS_H_
-#define DAMASKHOLLOW_NODE_CALLHEADERS_H_
+#ifndef DAMASKHOLLOW_CALLS_CALLHEADERS_H_
+#define DAMASKHOLLOW_CALLS_CALLHEADERS_H_
 
 #include <chrono>
 #include <string_view>
@@ -43,4 +43,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_CALLHEADERS_H_
+#endif  // DAMASKHOLLOW_CALLS_CALLHEADERS_H_
--- a/src/libs/node/calllog.cpp
+++ b/src/libs/calls/calllog.cpp
@@ -1,4 +1,4 @@
-#include "node/calllog.h"
+#include "calls/calllog.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/libs/node/calllog.h
+++ b/src/libs/calls/calllog.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_CALLLOG_H_
-#define DAMASKHOLLOW_NODE_CALLLOG_H_
+#ifndef DAMASKHOLLOW_CALLS_CALLLOG_H_
+#define DAMASKHOLLOW_CALLS_CALLLOG_H_
 
 #include <string>
 #include <string_view>
@@ -37,4 +37,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_CALLLOG_H_
+#endif  // DAMASKHOLLOW_CALLS_CALLLOG_H_
--- a/src/libs/node/messenger.h
+++ b/src/libs/calls/messenger.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_MESSENGER_H_
-#define DAMASKHOLLOW_NODE_MESSENGER_H_
+#ifndef DAMASKHOLLOW_CALLS_MESSENGER_H_
+#define DAMASKHOLLOW_CALLS_MESSENGER_H_
 
 #include "base/ids.h"
 #include "wire/messages.pb.h"
@@ -20,4 +20,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_MESSENGER_H_
+#endif  // DAMASKHOLLOW_CALLS_MESSENGER_H_
--- a/src/libs/node/sharedcrashguard.cpp
+++ b/src/libs/calls/sharedcrashguard.cpp
@@ -1,4 +1,4 @@
-#include "node/sharedcrashguard.h"
+#include "calls/sharedcrashguard.h"
 
 #include <QByteArray>
 #include <algorithm>
--- a/src/libs/node/sharedrouter.cpp
+++ b/src/libs/calls/sharedrouter.cpp
@@ -1,4 +1,4 @@
-#include "node/sharedrouter.h"
+#include "calls/sharedrouter.h"
 
 #include <utility>
 
--- a/src/libs/node/sharedrouter.h
+++ b/src/libs/calls/sharedrouter.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_SHAREDROUTER_H_
-#define DAMASKHOLLOW_NODE_SHAREDROUTER_H_
+#ifndef DAMASKHOLLOW_CALLS_SHAREDROUTER_H_
+#define DAMASKHOLLOW_CALLS_SHAREDROUTER_H_
 
 #include <cstddef>
 #include <map>
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "calls/viewgate.h"
 #include "declaration/declaration.h"
-#include "node/viewgate.h"
 #include "policy/ownerclock.h"
 #include "policy/router.h"
 #include "wire/messages.pb.h"
@@ -65,4 +65,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_SHAREDROUTER_H_
+#endif  // DAMASKHOLLOW_CALLS_SHAREDROUTER_H_
--- a/src/libs/node/viewgate.h
+++ b/src/libs/calls/viewgate.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_VIEWGATE_H_
-#define DAMASKHOLLOW_NODE_VIEWGATE_H_
+#ifndef DAMASKHOLLOW_CALLS_VIEWGATE_H_
+#define DAMASKHOLLOW_CALLS_VIEWGATE_H_
 
 #include <atomic>
 
@@ -42,4 +42,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_VIEWGATE_H_
+#endif  // DAMASKHOLLOW_CALLS_VIEWGATE_H_
--- a/src/libs/node/configurationkeeper.cpp
+++ b/src/libs/control/configurationkeeper.cpp
@@ -1,4 +1,4 @@
-#include "node/configurationkeeper.h"
+#include "control/configurationkeeper.h"
 
 #include <QFile>
 #include <QFileInfo>
--- a/src/libs/node/configurationkeeper.h
+++ b/src/libs/control/configurationkeeper.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_CONFIGURATIONKEEPER_H_
-#define DAMASKHOLLOW_NODE_CONFIGURATIONKEEPER_H_
+#ifndef DAMASKHOLLOW_CONTROL_CONFIGURATIONKEEPER_H_
+#define DAMASKHOLLOW_CONTROL_CONFIGURATIONKEEPER_H_
 
 #include <QDateTime>
 #include <QJsonObject>
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "configuration/versionguard.h"
-#include "node/documentsync.h"
+#include "control/documentsync.h"
 
 namespace damaskhollow {
 
@@ -56,4 +56,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_CONFIGURATIONKEEPER_H_
+#endif  // DAMASKHOLLOW_CONTROL_CONFIGURATIONKEEPER_H_
--- a/src/libs/node/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -1,4 +1,4 @@
-#include "node/controlservice.h"
+#include "control/controlservice.h"
 
 #include <QMetaObject>
 #include <algorithm>
--- a/src/libs/node/controlservice.h
+++ b/src/libs/control/controlservice.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_CONTROLSERVICE_H_
-#define DAMASKHOLLOW_NODE_CONTROLSERVICE_H_
+#ifndef DAMASKHOLLOW_CONTROL_CONTROLSERVICE_H_
+#define DAMASKHOLLOW_CONTROL_CONTROLSERVICE_H_
 
 #include <QJsonObject>
 #include <QObject>
@@ -14,21 +14,21 @@
 #include <unordered_map>
 #include <vector>
 
+#include "calls/sharedrouter.h"
+#include "calls/viewgate.h"
 #include "configuration/freshstart.h"
 #include "configuration/inventoryhold.h"
+#include "control/configurationkeeper.h"
+#include "control/documentsync.h"
+#include "control/healthprobe.h"
+#include "control/membership.h"
+#include "control/nodeseams.h"
+#include "control/peerlinks.h"
+#include "control/vmlistkeeper.h"
 #include "fleet/draintracker.h"
 #include "fleet/gossipbook.h"
 #include "fleet/linkplan.h"
-#include "node/configurationkeeper.h"
-#include "node/documentsync.h"
-#include "node/healthprobe.h"
-#include "node/membership.h"
-#include "node/nodeseams.h"
-#include "node/ownerservice.h"
-#include "node/peerlinks.h"
-#include "node/sharedrouter.h"
-#include "node/viewgate.h"
-#include "node/vmlistkeeper.h"
+#include "owner/ownerservice.h"
 #include "settings/nodesettings.h"
 
 namespace damaskhollow {
@@ -163,4 +163,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_CONTROLSERVICE_H_
+#endif  // DAMASKHOLLOW_CONTROL_CONTROLSERVICE_H_
--- a/src/libs/node/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -1,4 +1,4 @@
-#include "node/documentsync.h"
+#include "control/documentsync.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libs/node/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_DOCUMENTSYNC_H_
-#define DAMASKHOLLOW_NODE_DOCUMENTSYNC_H_
+#ifndef DAMASKHOLLOW_CONTROL_DOCUMENTSYNC_H_
+#define DAMASKHOLLOW_CONTROL_DOCUMENTSYNC_H_
 
 #include <cstdint>
 #include <functional>
@@ -88,4 +88,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_DOCUMENTSYNC_H_
+#endif  // DAMASKHOLLOW_CONTROL_DOCUMENTSYNC_H_
--- a/src/libs/node/healthprobe.cpp
+++ b/src/libs/control/healthprobe.cpp
@@ -1,4 +1,4 @@
-#include "node/healthprobe.h"
+#include "control/healthprobe.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libs/node/healthprobe.h
+++ b/src/libs/control/healthprobe.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_HEALTHPROBE_H_
-#define DAMASKHOLLOW_NODE_HEALTHPROBE_H_
+#ifndef DAMASKHOLLOW_CONTROL_HEALTHPROBE_H_
+#define DAMASKHOLLOW_CONTROL_HEALTHPROBE_H_
 
 #include <functional>
 #include <memory>
@@ -54,4 +54,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_HEALTHPROBE_H_
+#endif  // DAMASKHOLLOW_CONTROL_HEALTHPROBE_H_
--- a/src/libs/node/membership.cpp
+++ b/src/libs/control/membership.cpp
@@ -1,4 +1,4 @@
-#include "node/membership.h"
+#include "control/membership.h"
 
 #include <QJsonObject>
 #include <algorithm>
--- a/src/libs/node/membership.h
+++ b/src/libs/control/membership.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_MEMBERSHIP_H_
-#define DAMASKHOLLOW_NODE_MEMBERSHIP_H_
+#ifndef DAMASKHOLLOW_CONTROL_MEMBERSHIP_H_
+#define DAMASKHOLLOW_CONTROL_MEMBERSHIP_H_
 
 #include <QJsonArray>
 #include <map>
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "calls/sharedrouter.h"
 #include "fleet/fleetview.h"
-#include "node/sharedrouter.h"
 
 namespace damaskhollow {
 
@@ -64,4 +64,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_MEMBERSHIP_H_
+#endif  // DAMASKHOLLOW_CONTROL_MEMBERSHIP_H_
--- a/src/libs/node/nodeseams.cpp
+++ b/src/libs/control/nodeseams.cpp
@@ -1,4 +1,4 @@
-#include "node/nodeseams.h"
+#include "control/nodeseams.h"
 
 #include <memory>
 
--- a/src/libs/node/nodeseams.h
+++ b/src/libs/control/nodeseams.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_NODESEAMS_H_
-#define DAMASKHOLLOW_NODE_NODESEAMS_H_
+#ifndef DAMASKHOLLOW_CONTROL_NODESEAMS_H_
+#define DAMASKHOLLOW_CONTROL_NODESEAMS_H_
 
 #include <string>
 
@@ -14,8 +14,8 @@
 struct NodeSeams {
   MakeDocumentReader read_configuration;  // Empty: the configuration service is not read.
   MakeDocumentReader read_vm_list;        // Empty: every inventory entry is taken as live.
-  bool store_is_current = false;          // Whether reads are never older than what was acknowledged.
-  bool has_live_inventory = false;        // Whether the VM list is the inventory.
+  bool store_is_current = false;    // Whether reads are never older than what was acknowledged.
+  bool has_live_inventory = false;  // Whether the VM list is the inventory.
   CallConvention convention;
   ServiceId own_service;  // That calls of this VM come from; empty if nobody asks.
   std::string ready_path = "/readyz";
@@ -26,4 +26,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_NODESEAMS_H_
+#endif  // DAMASKHOLLOW_CONTROL_NODESEAMS_H_
--- a/src/libs/node/peerlinks.cpp
+++ b/src/libs/control/peerlinks.cpp
@@ -1,4 +1,4 @@
-#include "node/peerlinks.h"
+#include "control/peerlinks.h"
 
 #include <utility>
 
--- a/src/libs/node/peerlinks.h
+++ b/src/libs/control/peerlinks.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_PEERLINKS_H_
-#define DAMASKHOLLOW_NODE_PEERLINKS_H_
+#ifndef DAMASKHOLLOW_CONTROL_PEERLINKS_H_
+#define DAMASKHOLLOW_CONTROL_PEERLINKS_H_
 
 #include <cstddef>
 #include <functional>
@@ -11,7 +11,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
-#include "node/messenger.h"
+#include "calls/messenger.h"
 
 namespace damaskhollow {
 
@@ -80,4 +80,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_PEERLINKS_H_
+#endif  // DAMASKHOLLOW_CONTROL_PEERLINKS_H_
--- a/src/libs/node/vmlistkeeper.cpp
+++ b/src/libs/control/vmlistkeeper.cpp
@@ -1,4 +1,4 @@
-#include "node/vmlistkeeper.h"
+#include "control/vmlistkeeper.h"
 
 #include <optional>
 #include <utility>
--- a/src/libs/node/vmlistkeeper.h
+++ b/src/libs/control/vmlistkeeper.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_VMLISTKEEPER_H_
-#define DAMASKHOLLOW_NODE_VMLISTKEEPER_H_
+#ifndef DAMASKHOLLOW_CONTROL_VMLISTKEEPER_H_
+#define DAMASKHOLLOW_CONTROL_VMLISTKEEPER_H_
 
 #include <functional>
 #include <string>
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "configuration/vmlist.h"
-#include "node/documentsync.h"
-#include "node/membership.h"
+#include "control/documentsync.h"
+#include "control/membership.h"
 
 namespace damaskhollow {
 
@@ -45,4 +45,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_VMLISTKEEPER_H_
+#endif  // DAMASKHOLLOW_CONTROL_VMLISTKEEPER_H_
--- a/src/libs/node/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -1,9 +1,9 @@
-#include "node/ingressservice.h"
+#include "ingress/ingressservice.h"
 
 #include <QHostAddress>
 #include <utility>
 
-#include "node/callheaders.h"
+#include "calls/callheaders.h"
 
 namespace damaskhollow {
 
--- a/src/libs/node/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_INGRESSSERVICE_H_
-#define DAMASKHOLLOW_NODE_INGRESSSERVICE_H_
+#ifndef DAMASKHOLLOW_INGRESS_INGRESSSERVICE_H_
+#define DAMASKHOLLOW_INGRESS_INGRESSSERVICE_H_
 
 #include <QTcpServer>
 #include <atomic>
@@ -12,7 +12,7 @@
 
 #include "base/endpoint.h"
 #include "base/result.h"
-#include "node/ingressshard.h"
+#include "ingress/ingressshard.h"
 #include "runtime/eventthread.h"
 
 namespace damaskhollow {
@@ -67,4 +67,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_INGRESSSERVICE_H_
+#endif  // DAMASKHOLLOW_INGRESS_INGRESSSERVICE_H_
--- a/src/libs/node/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -1,10 +1,10 @@
-#include "node/ingressshard.h"
+#include "ingress/ingressshard.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "calls/callheaders.h"
 #include "logging/logger.h"
-#include "node/callheaders.h"
 #include "policy/attemptverdict.h"
 
 namespace damaskhollow {
--- a/src/libs/node/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_INGRESSSHARD_H_
-#define DAMASKHOLLOW_NODE_INGRESSSHARD_H_
+#ifndef DAMASKHOLLOW_INGRESS_INGRESSSHARD_H_
+#define DAMASKHOLLOW_INGRESS_INGRESSSHARD_H_
 
 #include <QTimer>
 #include <atomic>
@@ -11,15 +11,15 @@
 #include <unordered_map>
 #include <vector>
 
+#include "calls/attemptmessages.h"
+#include "calls/calllog.h"
+#include "calls/messenger.h"
+#include "calls/nodeidentity.h"
+#include "calls/sharedcrashguard.h"
+#include "calls/sharedrouter.h"
 #include "http/bodybudget.h"
 #include "http/callerconnection.h"
 #include "metrics/metricsregistry.h"
-#include "node/attemptmessages.h"
-#include "node/calllog.h"
-#include "node/messenger.h"
-#include "node/ownerservice.h"
-#include "node/sharedcrashguard.h"
-#include "node/sharedrouter.h"
 #include "policy/callclassifier.h"
 #include "policy/requesthome.h"
 #include "policy/retrypolicy.h"
@@ -197,4 +197,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_INGRESSSHARD_H_
+#endif  // DAMASKHOLLOW_INGRESS_INGRESSSHARD_H_
--- a/src/libs/node/backendpool.cpp
+++ b/src/libs/owner/backendpool.cpp
@@ -1,4 +1,4 @@
-#include "node/backendpool.h"
+#include "owner/backendpool.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/libs/node/backendpool.h
+++ b/src/libs/owner/backendpool.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_BACKENDPOOL_H_
-#define DAMASKHOLLOW_NODE_BACKENDPOOL_H_
+#ifndef DAMASKHOLLOW_OWNER_BACKENDPOOL_H_
+#define DAMASKHOLLOW_OWNER_BACKENDPOOL_H_
 
 #include <cstddef>
 #include <memory>
@@ -70,4 +70,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_BACKENDPOOL_H_
+#endif  // DAMASKHOLLOW_OWNER_BACKENDPOOL_H_
--- a/src/libs/node/claimservice.cpp
+++ b/src/libs/owner/claimservice.cpp
@@ -1,4 +1,4 @@
-#include "node/claimservice.h"
+#include "owner/claimservice.h"
 
 #include <utility>
 
--- a/src/libs/node/claimservice.h
+++ b/src/libs/owner/claimservice.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_CLAIMSERVICE_H_
-#define DAMASKHOLLOW_NODE_CLAIMSERVICE_H_
+#ifndef DAMASKHOLLOW_OWNER_CLAIMSERVICE_H_
+#define DAMASKHOLLOW_OWNER_CLAIMSERVICE_H_
 
 #include <cstdint>
 #include <map>
@@ -9,8 +9,8 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "calls/messenger.h"
 #include "declaration/declaration.h"
-#include "node/messenger.h"
 #include "policy/admissionqueue.h"
 #include "policy/requestregistry.h"
 
@@ -97,4 +97,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_CLAIMSERVICE_H_
+#endif  // DAMASKHOLLOW_OWNER_CLAIMSERVICE_H_
--- a/src/libs/node/crashreporter.cpp
+++ b/src/libs/owner/crashreporter.cpp
@@ -1,4 +1,4 @@
-#include "node/crashreporter.h"
+#include "owner/crashreporter.h"
 
 #include <utility>
 
--- a/src/libs/node/crashreporter.h
+++ b/src/libs/owner/crashreporter.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_CRASHREPORTER_H_
-#define DAMASKHOLLOW_NODE_CRASHREPORTER_H_
+#ifndef DAMASKHOLLOW_OWNER_CRASHREPORTER_H_
+#define DAMASKHOLLOW_OWNER_CRASHREPORTER_H_
 
 #include <QTcpSocket>
 #include <cstdint>
@@ -11,9 +11,9 @@
 
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "calls/messenger.h"
+#include "calls/sharedcrashguard.h"
 #include "metrics/metricsregistry.h"
-#include "node/messenger.h"
-#include "node/sharedcrashguard.h"
 
 namespace damaskhollow {
 
@@ -55,4 +55,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_CRASHREPORTER_H_
+#endif  // DAMASKHOLLOW_OWNER_CRASHREPORTER_H_
--- a/src/libs/node/keptanswers.cpp
+++ b/src/libs/owner/keptanswers.cpp
@@ -1,4 +1,4 @@
-#include "node/keptanswers.h"
+#include "owner/keptanswers.h"
 
 #include <utility>
 
--- a/src/libs/node/keptanswers.h
+++ b/src/libs/owner/keptanswers.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_KEPTANSWERS_H_
-#define DAMASKHOLLOW_NODE_KEPTANSWERS_H_
+#ifndef DAMASKHOLLOW_OWNER_KEPTANSWERS_H_
+#define DAMASKHOLLOW_OWNER_KEPTANSWERS_H_
 
 #include <cstddef>
 #include <deque>
@@ -61,4 +61,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_KEPTANSWERS_H_
+#endif  // DAMASKHOLLOW_OWNER_KEPTANSWERS_H_
--- a/src/libs/node/loadprobe.cpp
+++ b/src/libs/owner/loadprobe.cpp
@@ -1,4 +1,4 @@
-#include "node/loadprobe.h"
+#include "owner/loadprobe.h"
 
 #include <QMetaObject>
 
--- a/src/libs/node/loadprobe.h
+++ b/src/libs/owner/loadprobe.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_LOADPROBE_H_
-#define DAMASKHOLLOW_NODE_LOADPROBE_H_
+#ifndef DAMASKHOLLOW_OWNER_LOADPROBE_H_
+#define DAMASKHOLLOW_OWNER_LOADPROBE_H_
 
 #include <QObject>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include "http/backendconnection.h"
 #include "http/callconvention.h"
 #include "metrics/metricsregistry.h"
-#include "node/ownerservice.h"
+#include "owner/ownerservice.h"
 
 namespace damaskhollow {
 
@@ -48,4 +48,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_LOADPROBE_H_
+#endif  // DAMASKHOLLOW_OWNER_LOADPROBE_H_
--- a/src/libs/node/ownedcalls.cpp
+++ b/src/libs/owner/ownedcalls.cpp
@@ -1,4 +1,4 @@
-#include "node/ownedcalls.h"
+#include "owner/ownedcalls.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libs/node/ownedcalls.h
+++ b/src/libs/owner/ownedcalls.h
@@ -1,10 +1,10 @@
-#ifndef DAMASKHOLLOW_NODE_OWNEDCALLS_H_
-#define DAMASKHOLLOW_NODE_OWNEDCALLS_H_
+#ifndef DAMASKHOLLOW_OWNER_OWNEDCALLS_H_
+#define DAMASKHOLLOW_OWNER_OWNEDCALLS_H_
 
 #include <cstdint>
 #include <map>
 
-#include "node/keptanswers.h"
+#include "owner/keptanswers.h"
 #include "policy/admissionqueue.h"
 #include "policy/runestimate.h"
 #include "policy/sendguard.h"
@@ -90,4 +90,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_OWNEDCALLS_H_
+#endif  // DAMASKHOLLOW_OWNER_OWNEDCALLS_H_
--- a/src/libs/node/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -1,11 +1,11 @@
-#include "node/ownerservice.h"
+#include "owner/ownerservice.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/endpoint.h"
+#include "calls/callheaders.h"
 #include "logging/logger.h"
-#include "node/callheaders.h"
 
 namespace damaskhollow {
 
--- a/src/libs/node/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKHOLLOW_NODE_OWNERSERVICE_H_
-#define DAMASKHOLLOW_NODE_OWNERSERVICE_H_
+#ifndef DAMASKHOLLOW_OWNER_OWNERSERVICE_H_
+#define DAMASKHOLLOW_OWNER_OWNERSERVICE_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,17 +11,18 @@
 #include <utility>
 #include <vector>
 
+#include "calls/calllog.h"
+#include "calls/messenger.h"
+#include "calls/nodeidentity.h"
+#include "calls/sharedcrashguard.h"
+#include "calls/viewgate.h"
 #include "declaration/declaration.h"
 #include "http/callconvention.h"
 #include "metrics/metricsregistry.h"
-#include "node/backendpool.h"
-#include "node/calllog.h"
-#include "node/claimservice.h"
-#include "node/keptanswers.h"
-#include "node/messenger.h"
-#include "node/ownedcalls.h"
-#include "node/sharedcrashguard.h"
-#include "node/viewgate.h"
+#include "owner/backendpool.h"
+#include "owner/claimservice.h"
+#include "owner/keptanswers.h"
+#include "owner/ownedcalls.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
 #include "policy/serverpacer.h"
@@ -29,13 +30,6 @@
 
 namespace damaskhollow {
 
-// Identifies this process to its peers.
-struct NodeIdentity {
-  BackendServerId server;
-  Incarnation incarnation;
-  WallTime started{};
-};
-
 // The owner role: the only way to the backend server beside this node. Its state is one shard under
 // one lock. All members may be called from any thread.
 class OwnerService : public BackendAnswers {
@@ -170,4 +164,4 @@
 
 }  // namespace damaskhollow
 
-#endif  // DAMASKHOLLOW_NODE_OWNERSERVICE_H_
+#endif  // DAMASKHOLLOW_OWNER_OWNERSERVICE_H_
--- a/tests/auto/node/tst_callconvention.cpp
+++ b/tests/auto/calls/tst_callconvention.cpp
@@ -3,7 +3,7 @@
 #include <array>
 #include <string>
 
-#include "node/callheaders.h"
+#include "calls/callheaders.h"
 #include "platform/wire.h"
 #include "support/tabletest.h"
 
--- a/tests/auto/node/tst_keptanswers.cpp
+++ b/tests/auto/owner/tst_keptanswers.cpp
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "node/keptanswers.h"
+#include "owner/keptanswers.h"
 
 namespace damaskhollow {
 
--- a/tests/auto/node/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "node/ownerservice.h"
+#include "owner/ownerservice.h"
 #include "support/tabletest.h"
 
 namespace damaskhollow {
