Soak the real programs under random faults

Three seeds draw kills, pauses, drains, silent links, region cuts and outages of the configuration service in turn while calls go on; the ledger checks each caller's answer against what ran.

--- /dev/null
+++ b/tests/integration/tst_soak.cpp
@@ -0,0 +1,111 @@
+#include <cppunit/TestAssert.h>
+#include <signal.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/randomsource.h"
+#include "support/callledger.h"
+#include "support/fleet.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kServers = 4;
+// Callers connect to the first two nodes, which live through a soak.
+constexpr std::size_t kIngresses = 2;
+constexpr int kRounds = 6;
+constexpr milliseconds kShortestRound{200};
+constexpr int kRoundSpreadMs = 900;
+
+// A fault at one of the other nodes, and what ends it.
+struct Fault {
+  std::string_view name;
+  void (*begin)(Fleet&, std::size_t node);
+  void (*end)(Fleet&, std::size_t node);
+};
+
+const std::array kFaults{
+    Fault{"kill", [](Fleet& fleet, std::size_t node) { fleet.Node(node).Kill(); },
+          [](Fleet& fleet, std::size_t node) { fleet.RestartNode(node); }},
+    Fault{"pause", [](Fleet& fleet, std::size_t node) { fleet.Node(node).Signal(SIGSTOP); },
+          [](Fleet& fleet, std::size_t node) { fleet.Node(node).Signal(SIGCONT); }},
+    Fault{"drain", [](Fleet& fleet, std::size_t node) { fleet.Node(node).Signal(SIGTERM); },
+          [](Fleet& fleet, std::size_t node) {
+            CPPUNIT_ASSERT(fleet.Node(node).WaitForExit(kWaitLimit));
+            fleet.RestartNode(node);
+          }},
+    Fault{"silent links",
+          [](Fleet& fleet, std::size_t node) {
+            for (std::size_t peer = 0; peer < kServers; ++peer) {
+              if (peer != node) fleet.SetPeerLinks(node, peer, "silence=1");
+            }
+          },
+          [](Fleet&, std::size_t) {}},  // They stay silent; new ones work.
+    Fault{"region cut", [](Fleet& fleet, std::size_t) { fleet.SetRegionLinks("blackhole=1"); },
+          [](Fleet& fleet, std::size_t) { fleet.SetRegionLinks("blackhole=0"); }},
+    Fault{"configuration service down",
+          [](Fleet& fleet, std::size_t) {
+            CPPUNIT_ASSERT(fleet.ControlPlatform("POST", "/control/down?on=1"));
+          },
+          [](Fleet& fleet, std::size_t) {
+            CPPUNIT_ASSERT(fleet.ControlPlatform("POST", "/control/down?on=0"));
+          }},
+};
+
+struct SoakRow {
+  std::string_view name;
+  std::uint64_t seed;
+};
+
+constexpr std::array kRows{SoakRow{"seed 11", 11}, SoakRow{"seed 12", 12}, SoakRow{"seed 13", 13}};
+
+// Faults in an order and for times that the seed draws, while calls go on. Guards against promises
+// that hold in each fault but not in the next one's wake: nothing runs twice, no caller is told
+// something untrue, and the fleet serves again afterwards.
+void KeepsItsPromises(const SoakRow& row) {
+  FleetOptions options;
+  options.servers = SmallFleet(kServers, 4);
+  for (std::size_t index = kIngresses; index < kServers; ++index) {
+    options.servers[index].region = "east";
+    options.servers[index].data_centre = "e1";
+  }
+  options.proxy_peers = true;
+  options.with_platform = true;
+  options.node_arguments = {"--drain-announce-ms=300"};
+  Fleet fleet(options);
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  RandomSource random(row.seed);
+  CallLedger ledger(fleet, {0, 1}, 80.0, row.seed);
+  std::string story;
+  for (int round = 0; round < kRounds; ++round) {
+    const Fault& fault = kFaults[random.Below(kFaults.size())];
+    const std::size_t node = kIngresses + random.Below(kServers - kIngresses);
+    const milliseconds time =
+        kShortestRound + milliseconds(random.Below(static_cast<std::size_t>(kRoundSpreadMs)));
+    story += std::string(fault.name) + " at node " + std::to_string(node) + " for " +
+             std::to_string(time.count()) + " ms; ";
+    fault.begin(fleet, node);
+    RunFor(time);
+    fault.end(fleet, node);
+    RunFor(time / 2);
+  }
+  CPPUNIT_ASSERT_MESSAGE(story + fleet.NodeOutput(), ledger.Finish());
+  ledger.CheckAll();
+  CPPUNIT_ASSERT_MESSAGE(story + ledger.Summary(), ledger.Answered() > ledger.Sent() / 2);
+  CPPUNIT_ASSERT_MESSAGE(story + fleet.NodeOutput(), fleet.WaitUntilAllServe());
+}
+
+const TableTest<SoakRow> registration("Soak", kRows, &KeepsItsPromises);
+
+}  // namespace
+
+}  // namespace damaskhollow::test
