--- a/src/libs/calls/callheaders.cpp
+++ b/src/libs/calls/callheaders.cpp
@@ -4,6 +4,7 @@
 #include <QJsonObject>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -44,9 +45,9 @@
 
 // Seconds with a fraction, as callers read them.
 std::string ToSeconds(std::chrono::milliseconds time) {
-  constexpr long kMillisecondsPerSecond = 1000;
-  const long whole = time.count() / kMillisecondsPerSecond;
-  const long rest = time.count() % kMillisecondsPerSecond;
+  constexpr std::int64_t kMillisecondsPerSecond = 1000;
+  const std::int64_t whole = time.count() / kMillisecondsPerSecond;
+  const std::int64_t rest = time.count() % kMillisecondsPerSecond;
   if (rest == 0) return std::to_string(whole);
   std::string fraction = std::to_string(kMillisecondsPerSecond + rest).substr(1);
   fraction.erase(fraction.find_last_not_of('0') + 1);
--- a/src/libs/configuration/fetchplan.cpp
+++ b/src/libs/configuration/fetchplan.cpp
@@ -110,7 +110,8 @@
   }
   if (m_place.role == ReaderRole::kFollower || now < m_next_read) return std::nullopt;
   const bool is_watcher = m_place.role == ReaderRole::kWatcher;
-  return StoreRead{m_seen, is_watcher ? kStoreReadInterval : std::chrono::milliseconds(0)};
+  return StoreRead{m_seen, is_watcher ? kStoreReadInterval : std::chrono::milliseconds(0),
+                   m_place.pause};
 }
 
 void FetchPlan::NoteStoreReadStarted(TimePoint now, std::chrono::milliseconds wait) {
--- a/src/libs/configuration/fetchplan.h
+++ b/src/libs/configuration/fetchplan.h
@@ -21,8 +21,9 @@
 
 // How the service is to be read.
 struct StoreRead {
-  std::uint64_t after = 0;           // Only a higher version is wanted.
-  std::chrono::milliseconds wait{};  // How long the service may hold the read.
+  std::uint64_t after = 0;            // Only a higher version is wanted.
+  std::chrono::milliseconds wait{};   // How long the service may hold the read.
+  std::chrono::milliseconds pause{};  // Between a change and the read, at least.
 };
 
 // Decides when a node reads the service and when it asks which peer, for one document of the
--- a/src/libs/configuration/readerelection.h
+++ b/src/libs/configuration/readerelection.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKHOLLOW_CONFIGURATION_READERELECTION_H_
 #define DAMASKHOLLOW_CONFIGURATION_READERELECTION_H_
 
+#include <chrono>
 #include <cstddef>
 #include <span>
 #include <string_view>
@@ -28,6 +29,7 @@
 // The place of one node in the reading order.
 struct ReaderPlace {
   ReaderRole role = ReaderRole::kFollower;
+  std::chrono::milliseconds pause{};            // Between a change and the next watch, at least.
   std::vector<BackendServerId> region_readers;  // Of the node's region, first fetcher first.
 };
 
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -17,6 +17,8 @@
 // On links that are not of the overlay, so that each end knows how to reach the other.
 constexpr std::chrono::seconds kWideGossipPeriod{20};
 constexpr std::chrono::milliseconds kRefreshTime{500};
+// All nodes of a fleet that starts are unlisted for some seconds, in which all entries come.
+constexpr std::chrono::milliseconds kUnlistedPause{1000};
 constexpr std::size_t kRefreshPeers = 3;
 // Each takes about 45 bytes.
 constexpr std::size_t kStatementsPerGossip = 50;
@@ -243,7 +245,10 @@
   // peers may not know it, so it watches for itself.
   const bool is_listed =
       std::any_of(live.begin(), live.end(), [&](const auto& node) { return node.id == m_self.id; });
-  if (m_context.seams.has_live_inventory && !is_listed) place.role = ReaderRole::kWatcher;
+  if (m_context.seams.has_live_inventory && !is_listed) {
+    place.role = ReaderRole::kWatcher;
+    place.pause = kUnlistedPause;
+  }
   if (place.role != m_configuration_sync.Plan().Role()) {
     EventLine(LogPart::kConfiguration, LogLevel::kInfo, "reader_role")
         .With("role", ReaderRoleName(place.role));
@@ -381,7 +386,7 @@
 }
 
 void ControlService::StartRefresh(TimePoint now) {
-  EventLine(LogPart::kNode, LogLevel::kWarning, "view_stale");
+  LogEvent(LogPart::kNode, LogLevel::kWarning, "view_stale");
   m_refresh_until = now + kRefreshTime;
   m_refresh_answered = false;
   ++m_refresh_id;
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -153,4 +153,8 @@
   return *this;
 }
 
+void LogEvent(LogPart part, LogLevel level, std::string_view event) {
+  const EventLine line(part, level, event);
+}
+
 }  // namespace damaskhollow
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -56,6 +56,9 @@
   std::string m_line;  // Empty if the level is not logged.
 };
 
+// Writes a log line without fields of its own.
+void LogEvent(LogPart part, LogLevel level, std::string_view event);
+
 }  // namespace damaskhollow
 
 #endif  // DAMASKHOLLOW_LOGGING_LOGGER_H_
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -162,7 +162,7 @@
   if (m_drained) return;
   m_drained = std::move(done);
   m_drain_started = MonotonicNow();
-  EventLine(LogPart::kNode, LogLevel::kInfo, "stopping");
+  LogEvent(LogPart::kNode, LogLevel::kInfo, "stopping");
   m_owner.StartDrain();
 }
 
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -455,7 +455,7 @@
   const std::lock_guard lock(m_lock);
   if (m_backend_leaving == leaving) return;
   m_backend_leaving = leaving;
-  EventLine(LogPart::kOwner, LogLevel::kInfo, leaving ? "own_server_leaving" : "own_server_back");
+  LogEvent(LogPart::kOwner, LogLevel::kInfo, leaving ? "own_server_leaving" : "own_server_back");
 }
 
 void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
@@ -529,7 +529,7 @@
   }
   if (m_pause.NoteTick(now)) {
     m_metrics.Add(Metric::kPausesSeen);
-    EventLine(LogPart::kOwner, LogLevel::kWarning, "paused");
+    LogEvent(LogPart::kOwner, LogLevel::kWarning, "paused");
   }
   Continue(m_claims.Tick(now, WallNow()));
   ReleaseSuspects(now);
@@ -547,7 +547,7 @@
   const std::lock_guard lock(m_lock);
   if (m_draining) return;
   m_draining = true;
-  EventLine(LogPart::kOwner, LogLevel::kInfo, "draining");
+  LogEvent(LogPart::kOwner, LogLevel::kInfo, "draining");
 }
 
 wire::OwnerState OwnerService::State() const {
