--- a/src/libs/configuration/readerelection.h
+++ b/src/libs/configuration/readerelection.h
@@ -29,8 +29,8 @@
 // The place of one node in the reading order.
 struct ReaderPlace {
   ReaderRole role = ReaderRole::kFollower;
-  std::chrono::milliseconds pause{};            // Between a change and the next watch, at least.
   std::vector<BackendServerId> region_readers;  // Of the node's region, first fetcher first.
+  std::chrono::milliseconds pause{};            // Between a change and the next watch, at least.
 };
 
 // The live nodes of a data centre in the order in which they become readers. Each node comes to the
