--- a/src/libs/configuration/freshstart.cpp
+++ b/src/libs/configuration/freshstart.cpp
@@ -18,8 +18,7 @@
 
 FreshStart::FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now,
                        bool store_is_current)
-    : m_store_is_current(store_is_current),
-      m_read_store_at(now + Spread(kSeedReadSpread, random)) {
+    : m_store_is_current(store_is_current), m_read_store_at(now + Spread(kSeedReadSpread, random)) {
   if (has_seeds && is_seed) m_read_store_at += kPeerWait;
   if (has_seeds && !is_seed) m_read_store_at += kPeerWait + Spread(kReadSpread, random);
 }
--- a/src/libs/configuration/freshstart.h
+++ b/src/libs/configuration/freshstart.h
@@ -29,8 +29,8 @@
   };
 
   // `store_is_current` says that the service never answers with less than it has acknowledged; its
-  // answer is then taken at once. `is_seed` says that other nodes ask this one; it then reads the service at once, so that one
-  // copy serves all that wait for it.
+  // answer is then taken at once. `is_seed` says that other nodes ask this one; it then reads the
+  // service at once, so that one copy serves all that wait for it.
   FreshStart(bool has_seeds, bool is_seed, RandomSource& random, TimePoint now,
              bool store_is_current = false);
 
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -298,8 +298,7 @@
   return first_late;
 }
 
-std::vector<OwnedCallId> AdmissionQueue::TakeDispatchable(TimePoint now,
-                                                          const IsHeld& is_held) {
+std::vector<OwnedCallId> AdmissionQueue::TakeDispatchable(TimePoint now, const IsHeld& is_held) {
   CollectExpired(now);
   Accrue(now);
   MoveLate(now);
--- a/src/libs/policy/runestimate.cpp
+++ b/src/libs/policy/runestimate.cpp
@@ -17,8 +17,8 @@
 constexpr double kLeastSlowness = 0.1;
 
 std::size_t CalmSlots(std::size_t slots) {
-  return std::max<std::size_t>(
-      static_cast<std::size_t>(kNearlyFull * static_cast<double>(slots)), 1);
+  return std::max<std::size_t>(static_cast<std::size_t>(kNearlyFull * static_cast<double>(slots)),
+                               1);
 }
 
 bool IsNearlyFull(const ServerCondition& condition) {
--- a/src/libs/policy/serverpacer.cpp
+++ b/src/libs/policy/serverpacer.cpp
@@ -51,8 +51,8 @@
   return slow > static_cast<double>((usual + kMeanRest).count());
 }
 
-Duration ServerPacer::Expected(const PriorityId& priority, std::size_t in_flight,
-                               std::size_t slots, TimePoint now) const {
+Duration ServerPacer::Expected(const PriorityId& priority, std::size_t in_flight, std::size_t slots,
+                               TimePoint now) const {
   ServerCondition condition = Condition(in_flight, slots);
   if (!IsHeld(priority, now)) return m_estimate.Expected(priority, condition);
   condition.slowness = 1.0;
--- a/src/libs/policy/serverpacer.h
+++ b/src/libs/policy/serverpacer.h
@@ -47,7 +47,7 @@
   double m_slowness = 1.0;
   std::optional<TimePoint> m_told;
   std::optional<TimePoint> m_slow_since;  // Without a break.
-  std::uint64_t m_answers = 0;  // Since the server was last filled.
+  std::uint64_t m_answers = 0;            // Since the server was last filled.
 };
 
 }  // namespace damaskhollow
