--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -82,10 +82,8 @@
   if (is_plain) return std::string(value);
   std::string quoted = "\"";
   for (const char letter : value) {
-    if (letter == '"')
-      quoted += '\'';
-    else
-      quoted += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+    const bool is_control = static_cast<unsigned char>(letter) < ' ';
+    quoted += letter == '"' ? '\'' : (is_control ? ' ' : letter);
   }
   return quoted + '"';
 }
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -178,8 +178,8 @@
 }
 
 void OwnerService::HandleLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query) {
-  if (m_pacer.IsFresh(MonotonicNow()) || !m_probe || m_service == nullptr)
-    return AnswerLoadQuery(route, query);
+  const bool may_probe = m_probe && m_service != nullptr;
+  if (!may_probe || m_pacer.IsFresh(MonotonicNow())) return AnswerLoadQuery(route, query);
   m_load_queries.emplace_back(route, query);
   StartProbe();
 }
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -215,8 +215,7 @@
   if (!best || found == m_subsets.end()) return Choose(request, now);
   const bool is_late = least > request.target_left;
   if (is_late && request.may_cross_regions && m_paid_link.HasRoom(now)) {
-    RoutingRequest anywhere = request;
-    const RoutingChoice other = Choose(anywhere, now);
+    RoutingChoice other = Choose(request, now);
     if (other.crosses_regions && other.expected_delay < least) return other;
   }
   return RoutingChoice{Reason::kNone, m_scores[*best].Id(), false, least, Duration(0)};
--- a/tests/auto/calls/tst_callconvention.cpp
+++ b/tests/auto/calls/tst_callconvention.cpp
@@ -21,7 +21,7 @@
   int status;
 };
 
-const std::array kStatusRows{
+const std::array status_rows{
     StatusRow{"queue full, not run", Reason::kQueueFullTime, Outcome::kNotRun, 503},
     StatusRow{"expired in the queue, not run", Reason::kQueueExpired, Outcome::kNotRun, 503},
     StatusRow{"deadline before a send, not run", Reason::kDeadlineExceeded, Outcome::kNotRun, 503},
@@ -46,7 +46,7 @@
                        std::string(FindHeader(answer.head.headers, "Retry-After")));
 }
 
-const test::TableTest<StatusRow> kStatusTest("PromisedStatus", kStatusRows, TestStatus);
+const test::TableTest<StatusRow> status_test("PromisedStatus", status_rows, TestStatus);
 
 }  // namespace
 
--- a/tests/auto/configuration/tst_inventoryhold.cpp
+++ b/tests/auto/configuration/tst_inventoryhold.cpp
@@ -40,7 +40,7 @@
   milliseconds held_until;  // 100 ms: nothing is held.
 };
 
-const std::array kHoldRows{
+const std::array hold_rows{
     HoldRow{"left without notice", "abcdefgh", "abcdefg", milliseconds(1100)},
     HoldRow{"announced its leaving", "abcdefgH", "abcdefg", milliseconds(100)},
     HoldRow{"lapsed with others", "abcdefgh", "abcdef", milliseconds(2100)},
@@ -62,7 +62,7 @@
   CPPUNIT_ASSERT(!hold.NextEnd());
 }
 
-const test::TableTest<HoldRow> kHoldTest("InventoryHold", kHoldRows, TestHold);
+const test::TableTest<HoldRow> hold_test("InventoryHold", hold_rows, TestHold);
 
 }  // namespace
 
--- a/tests/auto/http/tst_backendconnection.cpp
+++ b/tests/auto/http/tst_backendconnection.cpp
@@ -97,21 +97,21 @@
   std::string_view body;
 };
 
-const std::string kOwnAnswer = std::string(kOwn) + "Content-Length: 3\r\n\r\nabc";
-const std::string kOtherAnswer =
+const std::string own_answer = std::string(kOwn) + "Content-Length: 3\r\n\r\nabc";
+const std::string other_answer =
     "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSeal: s\r\nContent-Length: 5\r\n\r\nxxxxx";
 
 // Answers as a faulty server gives them. None of them may pass for another's, and none that is
 // whole is thrown away.
-const std::array kAnswerRows{
-    AnswerRow{"own answer", kOwnAnswer, ScriptedServer::End::kKeepOpen, std::nullopt, "abc"},
-    AnswerRow{"late answer of another request first", kOtherAnswer + kOwnAnswer,
+const std::array answer_rows{
+    AnswerRow{"own answer", own_answer, ScriptedServer::End::kKeepOpen, std::nullopt, "abc"},
+    AnswerRow{"late answer of another request first", other_answer + own_answer,
               ScriptedServer::End::kKeepOpen, std::nullopt, "abc"},
-    AnswerRow{"two late answers first", kOtherAnswer + kOtherAnswer + kOwnAnswer,
+    AnswerRow{"two late answers first", other_answer + other_answer + own_answer,
               ScriptedServer::End::kKeepOpen, std::nullopt, "abc"},
-    AnswerRow{"second answer behind the own", kOwnAnswer + kOtherAnswer,
+    AnswerRow{"second answer behind the own", own_answer + other_answer,
               ScriptedServer::End::kKeepOpen, std::nullopt, "abc"},
-    AnswerRow{"answer of another request only", kOtherAnswer, ScriptedServer::End::kClose,
+    AnswerRow{"answer of another request only", other_answer, ScriptedServer::End::kClose,
               Reason::kBackendClosed, ""},
     AnswerRow{"success without mark",
               "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
@@ -148,7 +148,7 @@
   CPPUNIT_ASSERT_EQUAL(std::string(row.body), collector.Body());
 }
 
-const test::TableTest<AnswerRow> kAnswerTest("BackendAnswer", kAnswerRows, TestAnswer);
+const test::TableTest<AnswerRow> answer_test("BackendAnswer", answer_rows, TestAnswer);
 
 }  // namespace
 
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -53,7 +53,7 @@
   Reason refusal;
 };
 
-const std::array kAddressRows{
+const std::array address_rows{
     AddressRow{"address passed to another service", "warehouse", "portal", Reason::kWrongServer},
     AddressRow{"service that the rules do not name", "unknown", "portal", Reason::kWrongServer},
 };
@@ -86,7 +86,7 @@
                        messenger.Messages().front().refused().reason());
 }
 
-const test::TableTest<AddressRow> kAddressTest("OwnerServiceAddress", kAddressRows, TestAddress);
+const test::TableTest<AddressRow> address_test("OwnerServiceAddress", address_rows, TestAddress);
 
 }  // namespace
 
--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -46,7 +46,7 @@
   std::string_view field;  // That the failure names; empty: the entry is good.
 };
 
-const std::array kEntryRows{
+const std::array entry_rows{
     EntryRow{"good", "", "", ""},
     EntryRow{"draining", "ready", "draining", ""},
     EntryRow{"unknown field", "\"seq\"", "\"more\":[1],\"seq\"", ""},
@@ -82,7 +82,7 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{9}, server.slots);
 }
 
-const test::TableTest<EntryRow> kEntryTest("InstanceEntry", kEntryRows, TestEntry);
+const test::TableTest<EntryRow> entry_test("InstanceEntry", entry_rows, TestEntry);
 
 constexpr char kRules[] =
     R"({"configVersion":7,"routes":[{"name":"r-1","hostname":"h.example","prefix":"/a/",)"
@@ -100,7 +100,7 @@
   std::string_view field;  // That the failure names; empty: the rules are good.
 };
 
-const std::array kRulesRows{
+const std::array rules_rows{
     RulesRow{"good", "", "", ""},
     RulesRow{"unknown fields", "\"services\"", "\"baseVersion\":5,\"services\"", ""},
     RulesRow{"cut short", "\"idleTimeout\":\"15000ms\"}}", "", "value"},
@@ -133,7 +133,7 @@
                        parsed.declaration.FindRoute("h.example", "/b/1")->parts.size());
 }
 
-const test::TableTest<RulesRow> kRulesTest("TranslatedRules", kRulesRows, TestRules);
+const test::TableTest<RulesRow> rules_test("TranslatedRules", rules_rows, TestRules);
 
 struct LoadRow {
   std::string_view name;
@@ -142,7 +142,7 @@
   double slowness;
 };
 
-const std::array kLoadRows{
+const std::array load_rows{
     LoadRow{"three figures", "3,0,8", true, 1.0},
     LoadRow{"speed of the machine", "3,2,9,400", true, 4.0},
     LoadRow{"two figures", "3,0", false, 0.0},
@@ -157,7 +157,7 @@
   if (load) CPPUNIT_ASSERT_DOUBLES_EQUAL(row.slowness, load->slowness, 1e-9);
 }
 
-const test::TableTest<LoadRow> kLoadTest("DecodedLoad", kLoadRows, TestDecodedLoad);
+const test::TableTest<LoadRow> load_test("DecodedLoad", load_rows, TestDecodedLoad);
 
 constexpr char kSettings[] =
     R"({"product":{"DAMASKHOLLOW_SERVER_ID":"10.1.0.9"},"store":"10.200.1.7:8142",)"
@@ -171,7 +171,7 @@
   std::string_view field;  // Empty: the settings are good.
 };
 
-const std::array kSettingsRows{
+const std::array settings_rows{
     SettingsRow{"good, with an unknown field", "", "", ""},
     SettingsRow{"no JSON", "{", "", "settings"},
     SettingsRow{"no store", "\"store\":\"10.200.1.7:8142\",", "", "store"},
@@ -189,7 +189,7 @@
   if (!settings) CPPUNIT_ASSERT_EQUAL(std::string(row.field), settings.error().subject);
 }
 
-const test::TableTest<SettingsRow> kSettingsTest("PlatformSettings", kSettingsRows, TestSettings);
+const test::TableTest<SettingsRow> settings_test("PlatformSettings", settings_rows, TestSettings);
 
 }  // namespace
 
--- a/tests/auto/platform/tst_storereader.cpp
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -55,7 +55,7 @@
   std::string_view failure;
 };
 
-const std::array kFailureRows{
+const std::array failure_rows{
     FailureRow{"busy", StandInStore::Mode::kBusy, "status 503"},
     FailureRow{"too many calls", StandInStore::Mode::kTooMany, "status 429"},
     FailureRow{"lost answer", StandInStore::Mode::kAborting, "backend_closed"},
@@ -78,7 +78,7 @@
   CPPUNIT_ASSERT_EQUAL(std::string("A"), events.Texts().back());
 }
 
-const test::TableTest<FailureRow> kFailureTest("StoreReaderFailure", kFailureRows, TestFailure);
+const test::TableTest<FailureRow> failure_test("StoreReaderFailure", failure_rows, TestFailure);
 
 }  // namespace
 
--- a/tests/auto/policy/tst_routes.cpp
+++ b/tests/auto/policy/tst_routes.cpp
@@ -47,7 +47,7 @@
   int deadline_ms;
 };
 
-const std::array kRouteRows{
+const std::array route_rows{
     RouteRow{"prefix", "portal.example", "/pages/1", "", Reason::kNone, "pages", 1200},
     RouteRow{"longest prefix", "portal.example", "/pages/drafts/1?x=/pages/", "", Reason::kNone,
              "drafts", 1500},
@@ -77,7 +77,7 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.call_class.attempts);
 }
 
-const test::TableTest<RouteRow> kRouteTest("RouteTable", kRouteRows, TestRoute);
+const test::TableTest<RouteRow> route_test("RouteTable", route_rows, TestRoute);
 
 struct SplitRow {
   std::string_view name;
@@ -86,7 +86,7 @@
   std::vector<std::size_t> expected;
 };
 
-const std::array kSplitRows{
+const std::array split_rows{
     SplitRow{"ninety to ten", {90.0, 10.0}, 20, {18, 2}},
     SplitRow{"thirds", {1.0, 1.0, 1.0}, 9, {3, 3, 3}},
     SplitRow{"part without weight", {1.0, 0.0}, 10, {10, 0}},
@@ -106,7 +106,7 @@
   }
 }
 
-const test::TableTest<SplitRow> kSplitTest("SplitPicker", kSplitRows, TestSplit);
+const test::TableTest<SplitRow> split_test("SplitPicker", split_rows, TestSplit);
 
 }  // namespace
 
--- a/tests/auto/policy/tst_serverpacer.cpp
+++ b/tests/auto/policy/tst_serverpacer.cpp
@@ -14,7 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using test::LoadModel;
-using test::LoadResult;
 using test::OwnerPolicy;
 using test::ServerModel;
 
@@ -35,7 +34,7 @@
 
 // The gains asked for are a fifth of what the models allow: 9 / 7 / 1.7 of the slots, and starts
 // that take four times as long in a quarter of the time.
-const std::array kLoadRows{
+const std::array load_rows{
     // Pattern: more work than a server can do that slows down when it is nearly full.
     LoadRow{"flood on a server with a knee", ServerModel{9, 1.7, 1.0, 0.0}, 48.0,
             OwnerPolicy{false, false, true}, OwnerPolicy{true, false, true}, 1.05},
@@ -63,7 +62,7 @@
       with >= without * row.least_gain);
 }
 
-const test::TableTest<LoadRow> kLoadTest("ServerPacerLoad", kLoadRows, TestLoad);
+const test::TableTest<LoadRow> load_test("ServerPacerLoad", load_rows, TestLoad);
 
 }  // namespace
 
--- a/tests/auto/tools/tst_loglines.cpp
+++ b/tests/auto/tools/tst_loglines.cpp
@@ -81,7 +81,7 @@
       if (line.isEmpty()) continue;
       const std::string text = line.toStdString();
       for (const std::string& field : FieldsOf(text)) {
-        CPPUNIT_ASSERT_MESSAGE(field + " in " + text, documented.contains(field));
+        CPPUNIT_ASSERT_MESSAGE(text, documented.contains(field));
       }
       const std::size_t event = text.find("event=") + 6;
       events.insert(text.substr(event, text.find(' ', event) - event));
--- a/tests/integration/tst_soak.cpp
+++ b/tests/integration/tst_soak.cpp
@@ -33,7 +33,7 @@
   void (*end)(Fleet&, std::size_t node);
 };
 
-const std::array kFaults{
+const std::array faults{
     Fault{"kill", [](Fleet& fleet, std::size_t node) { fleet.Node(node).Kill(); },
           [](Fleet& fleet, std::size_t node) { fleet.RestartNode(node); }},
     Fault{"pause", [](Fleet& fleet, std::size_t node) { fleet.Node(node).Signal(SIGSTOP); },
@@ -87,7 +87,7 @@
   CallLedger ledger(fleet, {0, 1}, 80.0, row.seed);
   std::string story;
   for (int round = 0; round < kRounds; ++round) {
-    const Fault& fault = kFaults[random.Below(kFaults.size())];
+    const Fault& fault = faults[random.Below(faults.size())];
     const std::size_t node = kIngresses + random.Below(kServers - kIngresses);
     const milliseconds time =
         kShortestRound + milliseconds(random.Below(static_cast<std::size_t>(kRoundSpreadMs)));
