Count paid-link bytes for choices that are taken; test asking and the fleet's retries

Router::ChooseAmong spent the paid link's bytes for a far server even when it then stayed near: RouterTest::FarServerThatIsNotTaken CostsNoBytes failed first and passes now. The ingress looked a route up twice; the classification hands it on. New rows: RetryRefusal, FleetRetryBudget (9 and 87 nodes, herd restarts, savings spent at once), RouterTest for asking. No bound or check is changed.

--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -105,10 +105,7 @@
     return AnswerReason(connection, Reason::kIngressOverloaded);
   }
   call.call_class = std::move(classification.call_class);
-  if (call.call_class.service.IsEmpty()) {
-    const std::string_view target = call.request.target;
-    const auto* route = declaration->FindRoute(FindHeader(call.request.headers, "Host"),
-                                               target.substr(0, target.find('?')));
+  if (const auto* route = classification.route) {
     call.call_class.service = m_splits.Pick(route->id, route->parts);
   }
   m_log.Step("received", call.log_id)
--- a/src/libs/policy/callclassifier.cpp
+++ b/src/libs/policy/callclassifier.cpp
@@ -65,8 +65,8 @@
   if (route == nullptr) return Refuse(Reason::kNoRule);
   Classification classification;
   CallClass& call_class = classification.call_class;
+  classification.route = route;
   call_class.route = route->id;
-  if (route->parts.size() == 1) call_class.service = route->parts.front().service;
   SetPriority(declaration, *declaration.FindPriority(route->priority), call_class);
   call_class.idempotent = route->idempotent;
   call_class.attempts = route->attempts;
--- a/src/libs/policy/callclassifier.h
+++ b/src/libs/policy/callclassifier.h
@@ -31,7 +31,7 @@
 
 // How a call is to be treated.
 struct CallClass {
-  ServiceId service;  // Empty while the part of a route is not chosen.
+  ServiceId service;  // Empty until a part of the route is chosen.
   RouteId route;      // Empty if the call was classified by a rule of its service.
   PriorityId priority;
   std::size_t priority_index = 0;  // Position in Declaration::priorities, most urgent first.
@@ -48,6 +48,7 @@
 struct Classification {
   Reason refusal = Reason::kNone;
   CallClass call_class;
+  const Route* route = nullptr;  // In the declaration; null if a rule of a service decided.
 };
 
 // Classifies a call by the declaration's rules. A caller may lower its priority and shorten its
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -153,6 +153,16 @@
 void Router::NotePaidLinkBytes(std::size_t bytes, TimePoint now) { m_paid_link.Spend(bytes, now); }
 
 RoutingChoice Router::Choose(const RoutingRequest& request, TimePoint now) {
+  RoutingChoice choice = Find(request, now);
+  SpendFor(request, choice, now);
+  return choice;
+}
+
+void Router::SpendFor(const RoutingRequest& request, const RoutingChoice& choice, TimePoint now) {
+  if (choice.crosses_regions) m_paid_link.Spend(request.bytes + kCallOverheadBytes, now);
+}
+
+RoutingChoice Router::Find(const RoutingRequest& request, TimePoint now) {
   const auto found = m_subsets.find(request.service);
   if (found == m_subsets.end()) return RoutingChoice{Reason::kNoServer, {}, false};
   const bool has_room = request.may_cross_regions && m_paid_link.HasRoom(now);
@@ -164,7 +174,6 @@
   }
   const ServerScore& score = m_scores[*picked];
   const bool crosses = score.Tier() == ServerTier::kOtherRegion;
-  if (crosses) m_paid_link.Spend(request.bytes + kCallOverheadBytes, now);
   return RoutingChoice{
       Reason::kNone, score.Id(), crosses,
       score.ExpectedDelay(request.priority_index, found->second.typical_service_time, now),
@@ -215,8 +224,11 @@
   if (!best || found == m_subsets.end()) return Choose(request, now);
   const bool is_late = least > request.target_left;
   if (is_late && request.may_cross_regions && m_paid_link.HasRoom(now)) {
-    RoutingChoice other = Choose(request, now);
-    if (other.crosses_regions && other.expected_delay < least) return other;
+    RoutingChoice other = Find(request, now);
+    if (other.crosses_regions && other.expected_delay < least) {
+      SpendFor(request, other, now);
+      return other;
+    }
   }
   return RoutingChoice{Reason::kNone, m_scores[*best].Id(), false, least, Duration(0)};
 }
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -78,6 +78,10 @@
   std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
 
  private:
+  // As Choose, without counting the bytes of a choice that crosses the paid link.
+  RoutingChoice Find(const RoutingRequest& request, TimePoint now);
+  void SpendFor(const RoutingRequest& request, const RoutingChoice& choice, TimePoint now);
+
   // One per inventory entry, so that a server that enters a subset is known.
   struct Presence {
     bool eligible = true;
--- a/tests/auto/policy/tst_retrypolicy.cpp
+++ b/tests/auto/policy/tst_retrypolicy.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/randomsource.h"
 #include "policy/retrypolicy.h"
+#include "support/tabletest.h"
 
 namespace damaskhollow {
 
@@ -60,6 +62,107 @@
     DecisionCase{"third attempt", Reason::kDraining, true, true, 3, Reason::kDraining},
 };
 
+// A refused attempt where refusals of owners use no budget, and the decision on it.
+struct RefusalCase {
+  std::string_view name;
+  Reason reason;
+  bool reached_server;
+  std::size_t attempts;
+  std::size_t refusals;
+  double retry_share;  // 0: no budget at all.
+  Reason decision;
+};
+
+constexpr std::array kRefusalCases{
+    RefusalCase{"owner refused, no budget", Reason::kQueueFullTime, false, 0, 1, 0.0,
+                Reason::kNone},
+    RefusalCase{"server shed, no budget", Reason::kBackendShed, true, 1, 0, 0.0,
+                Reason::kRetryBudget},
+    RefusalCase{"server shed, budget", Reason::kBackendShed, true, 1, 0, 0.5, Reason::kNone},
+    RefusalCase{"server shed, last attempt of the route", Reason::kBackendShed, true, 2, 0, 0.5,
+                Reason::kBackendShed},
+    RefusalCase{"owners refused as often as they may", Reason::kQueueFullTime, false, 0,
+                kMaxRefusals, 0.5, Reason::kQueueFullTime},
+};
+
+void TestRefusal(const RefusalCase& row) {
+  Budgets budgets = MakeBudgets(row.retry_share, 0.0);
+  budgets.refusals_are_free = true;
+  RetryPolicy policy;
+  policy.NoteFirstAttempt(TestService(), budgets, kStart);
+  FailedAttempt failed = MakeFailed(row.reason, true, true, row.attempts);
+  failed.reached_server = row.reached_server;
+  failed.refusals = row.refusals;
+  failed.most_attempts = 2;
+  CPPUNIT_ASSERT(row.decision == policy.DecideRetry(failed, budgets, kStart));
+}
+
+const test::TableTest<RefusalCase> refusal_test("RetryRefusal", kRefusalCases, TestRefusal);
+
+// A fleet whose nodes all want to repeat each call, at times with restarts, which fill budgets
+// anew.
+struct FleetCase {
+  std::string_view name;
+  std::size_t nodes;
+  double per_second;  // Calls to one service, by all nodes.
+  double extra;       // Repeats beside the share, as the platform's bound has it.
+  double restarted;   // Part of the nodes that restart at the same moment, twice.
+};
+
+constexpr std::array kFleetCases{
+    FleetCase{"nine nodes, ordinary load", 9, 75.0, 58.0, 0.0},
+    FleetCase{"nine nodes, hardly any load", 9, 1.0, 58.0, 0.0},
+    FleetCase{"nine nodes, herd restart", 9, 75.0, 58.0, 0.55},
+    FleetCase{"nine nodes, hardly any load, herd restart", 9, 1.0, 58.0, 0.55},
+    FleetCase{"87 nodes, ordinary load", 87, 840.0, 214.0, 0.0},
+    FleetCase{"87 nodes, hardly any load", 87, 5.0, 214.0, 0.0},
+    FleetCase{"87 nodes, hardly any load, herd restart", 87, 5.0, 214.0, 0.55},
+};
+
+// In each window of 10 s the repeats stay within a fifth of that window's calls and the extra; the
+// platform's bound counts the calls of the fuller of neighbouring windows and is wider.
+void TestFleet(const FleetCase& row) {
+  constexpr int kSteps = 400;  // Of 100 ms.
+  constexpr int kWindow = 100;
+  constexpr int kSavingSteps = 180;
+  Budgets budgets = MakeBudgets(0.1, 0.0);
+  budgets.retry_floor = row.extra / 2.0 / static_cast<double>(row.nodes);
+  std::vector<RetryBudget> nodes(row.nodes);
+  RandomSource random(7);
+  std::vector<double> calls(kSteps);
+  std::vector<double> repeats(kSteps);
+  double due = 0.0;
+  for (int step = 0; step < kSteps; ++step) {
+    const TimePoint now = kStart + std::chrono::milliseconds(100 * step);
+    if (step == 200 || step == 240) {
+      const auto restarted = static_cast<double>(row.nodes) * row.restarted;
+      for (std::size_t node = 0; node < static_cast<std::size_t>(restarted); ++node) {
+        nodes[node] = RetryBudget();
+      }
+    }
+    for (due += row.per_second / 10.0; due >= 1.0; due -= 1.0) {
+      nodes[random.Below(nodes.size())].NoteFirstAttempt(budgets, now);
+      calls[static_cast<std::size_t>(step)] += 1.0;
+    }
+    if (step < kSavingSteps) continue;  // Nothing fails, and budgets are saved up.
+    for (RetryBudget& node : nodes) {
+      while (node.TakeRetry(budgets, now)) repeats[static_cast<std::size_t>(step)] += 1.0;
+    }
+  }
+  for (int end = kWindow; end <= kSteps; ++end) {
+    const auto sum = [&](const std::vector<double>& counts) {
+      return std::accumulate(counts.begin() + (end - kWindow), counts.begin() + end, 0.0);
+    };
+    const double bound = 0.2 * sum(calls) + row.extra;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(sum(repeats)) + " repeats, bound " +
+                               std::to_string(bound) + ", window ends at step " +
+                               std::to_string(end),
+                           sum(repeats) <= bound);
+  }
+}
+
+const test::TableTest<FleetCase> fleet_test("FleetRetryBudget", kFleetCases, TestFleet);
+
 // A chain in which the servers of service k call service k + 1 through an ingress of their own.
 class Chain {
  public:
--- a/tests/auto/policy/tst_router.cpp
+++ b/tests/auto/policy/tst_router.cpp
@@ -76,6 +76,10 @@
   CPPUNIT_TEST(AvoidsServersWithoutBackend);
   CPPUNIT_TEST(KeepsUrgentCallsNearDuringFlood);
   CPPUNIT_TEST(ReplacesServersOfASubset);
+  CPPUNIT_TEST(AsksOnlyNearServersThatAreOpen);
+  CPPUNIT_TEST(TakesTheLeastOffer);
+  CPPUNIT_TEST(LeavesTheRegionOnlyForCallsThatWouldBeLate);
+  CPPUNIT_TEST(FarServerThatIsNotTakenCostsNoBytes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -190,6 +194,54 @@
                    Reason::kPaidLinkBudget);
   }
 
+  void AsksOnlyNearServersThatAreOpen() {
+    Router router = AskingRouter();
+    std::vector<BackendServerId> asked = router.ServersToAsk(AskedCall(), 3, kAskedAt);
+    std::sort(asked.begin(), asked.end());
+    CPPUNIT_ASSERT(asked == (std::vector{BackendServerId("n0"), BackendServerId("n1")}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, router.ServersToAsk(AskedCall(), 1, kAskedAt).size());
+    router.SetReachable(BackendServerId("n0"), false, kAskedAt);
+    asked = router.ServersToAsk(AskedCall(), 3, kAskedAt);
+    CPPUNIT_ASSERT(asked == std::vector{BackendServerId("n1")});
+  }
+
+  void TakesTheLeastOffer() {
+    Router router = AskingRouter();
+    const std::array offers{LoadOffer{BackendServerId("n0"), Duration(300000)},
+                            LoadOffer{BackendServerId("n1"), Duration(100000)}};
+    const RoutingChoice choice = router.ChooseAmong(AskedCall(), offers, kAskedAt);
+    CPPUNIT_ASSERT(choice.server == BackendServerId("n1"));
+    CPPUNIT_ASSERT(!choice.crosses_regions);
+  }
+
+  void LeavesTheRegionOnlyForCallsThatWouldBeLate() {
+    Router router = AskingRouter();
+    RoutingRequest call = AskedCall();
+    const std::array slow{LoadOffer{BackendServerId("n0"), Duration(900000)}};
+    call.target_left = Duration(1000000);
+    CPPUNIT_ASSERT(!router.ChooseAmong(call, slow, kAskedAt).crosses_regions);
+    call.target_left = Duration(500000);
+    call.excluded = m_near;
+    CPPUNIT_ASSERT(router.ChooseAmong(call, slow, kAskedAt).crosses_regions);
+    call.may_cross_regions = false;
+    CPPUNIT_ASSERT(!router.ChooseAmong(call, slow, kAskedAt).crosses_regions);
+  }
+
+  // Guards against a budget of the paid link that calls use up which stay in the region.
+  void FarServerThatIsNotTakenCostsNoBytes() {
+    Router router = AskingRouter();
+    RoutingRequest call = AskedCall();
+    call.excluded = m_near;
+    call.target_left = Duration(0);
+    call.bytes = 5000;
+    // Late, but still sooner than across the link.
+    const std::array offers{LoadOffer{BackendServerId("n0"), Duration(20000)}};
+    for (int index = 0; index < 10; ++index) {
+      CPPUNIT_ASSERT(!router.ChooseAmong(call, offers, kAskedAt).crosses_regions);
+    }
+    CPPUNIT_ASSERT(router.Choose(call, kAskedAt).crosses_regions);
+  }
+
   // Guards against links that are all replaced when one server joins.
   void KeepsSubsetStable() {
     constexpr std::size_t kFleet = 200;
@@ -376,6 +428,29 @@
       }
     }
   }
+
+ private:
+  static constexpr TimePoint kAskedAt{std::chrono::seconds(100)};
+
+  // A router with two near servers and a far one, all open, and room for one call on the paid link.
+  static Router AskingRouter() {
+    Router router("adaptive", Place{BackendServerId("self"), RegionId("west"), DataCentreId("w")},
+                  1);
+    router.SetDeclaration(SimulatedDeclaration(2, 1, 1000), kAskedAt);
+    for (const char* server : {"n0", "n1", "f0"}) {
+      router.NoteLoad(BackendServerId(server), IdleLoad(1), kAskedAt);
+      router.SetReachable(BackendServerId(server), true, kAskedAt);
+    }
+    return router;
+  }
+
+  static RoutingRequest AskedCall() {
+    RoutingRequest call{ServiceId("s"), true, true, 100, {}};
+    call.target_left = std::chrono::milliseconds(500);
+    return call;
+  }
+
+  const std::array<BackendServerId, 2> m_near{BackendServerId("n0"), BackendServerId("n1")};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouterTest);
