Let connections without a whole request head yield to new ones, the oldest first

Cause: at the limit of caller connections the ingress closed only connections without a single byte of a request that were a second old. A caller that sends a byte a second kept its place until the header time-out, and everyone else got 503 ingress_overloaded. Ruled out: a lower header time-out, which would cut honest callers on slow links.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -47,7 +47,7 @@
   m_parser->body_limit(boost::none);  // Checked here, as the limit depends on the head.
   m_request = HttpRequest();
   m_state = State::kReadingHead;
-  m_idle_since = MonotonicNow();
+  m_awaited_since = MonotonicNow();
   m_timer.start(m_input.empty() ? m_limits.idle_timeout_ms : m_limits.header_timeout_ms);
 }
 
@@ -226,12 +226,17 @@
 
 void CallerConnection::CloseWhenIdle() {
   m_closing = true;
-  CloseIfIdle(Duration(0));
+  const bool is_idle = m_state == State::kReadingHead && m_input.empty();
+  if (is_idle) m_socket.disconnectFromHost();
 }
 
-void CallerConnection::CloseIfIdle(Duration at_least) {
-  const bool is_idle = m_state == State::kReadingHead && m_input.empty();
-  if (is_idle && MonotonicNow() - m_idle_since >= at_least) m_socket.disconnectFromHost();
+void CallerConnection::CloseUnlessRead() {
+  if (m_state == State::kReadingHead) m_socket.abort();
+}
+
+std::optional<TimePoint> CallerConnection::AwaitedSince() const {
+  if (m_state != State::kReadingHead) return std::nullopt;
+  return m_awaited_since;
 }
 
 void CallerConnection::NoteGone() {
--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -75,8 +75,11 @@
   // Closes the connection after the present answer, at once if there is none.
   void CloseWhenIdle();
 
-  // Closes the connection if no byte of a request has arrived for `at_least`.
-  void CloseIfIdle(Duration at_least);
+  // Closes the connection if the head of a request is awaited; a part of one is dropped, unread.
+  void CloseUnlessRead();
+
+  // Since when the head of a request has been awaited; empty once it has arrived whole.
+  std::optional<TimePoint> AwaitedSince() const;
 
   bool IsAnswering() const { return m_state == State::kAnswering; }
 
@@ -113,7 +116,7 @@
   std::size_t m_head_pending =
       0;  // Bytes of answer heads and framing not yet handed to the network.
   std::size_t m_discarded = 0;
-  TimePoint m_idle_since{};
+  TimePoint m_awaited_since{};
   bool m_keep_alive = true;
   bool m_is_http_10 = false;
   bool m_chunked_answer = false;
--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -12,7 +12,8 @@
 constexpr int kListenBacklog = 512;
 // A flood of other work may fill the connection limit; a quarter more is kept for the most urgent.
 constexpr std::size_t kUrgentReserveDivisor = 4;
-constexpr std::chrono::milliseconds kIdleCloseInterval{100};
+// The part of the limit that is freed at once, so that the search for the oldest connections pays.
+constexpr std::size_t kRoomDivisor = 16;
 // When a caller that found no connection free may come again.
 constexpr std::chrono::milliseconds kOverloadedReturn{1000};
 
@@ -63,7 +64,7 @@
 void IngressService::incomingConnection(qintptr descriptor) {
   const std::size_t connections = m_context.caller_connections.load();
   const std::size_t limit = m_context.max_caller_connections;
-  if (connections >= limit) CloseIdleConnections();
+  if (connections >= limit) MakeRoom();
   if (connections >= limit + limit / kUrgentReserveDivisor) {
     m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
     const ReasonAnswer answer = AnswerFor(Reason::kIngressOverloaded, Outcome::kNotRun,
@@ -80,12 +81,10 @@
   slot.thread->Post([shard = slot.shard.get(), descriptor] { shard->AddCaller(descriptor); });
 }
 
-void IngressService::CloseIdleConnections() {
-  const TimePoint now = MonotonicNow();
-  if (now - m_idle_closed_at < kIdleCloseInterval) return;
-  m_idle_closed_at = now;
+void IngressService::MakeRoom() {
+  const std::size_t count = m_context.max_caller_connections / kRoomDivisor / m_slots.size() + 1;
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get()] { shard->CloseIdleConnections(); });
+    slot.thread->Post([shard = slot.shard.get(), count] { shard->MakeRoom(count); });
   }
 }
 
--- a/src/libs/ingress/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -48,8 +48,8 @@
  protected:
   void incomingConnection(qintptr descriptor) override;
 
-  // Makes room when the connection limit is reached, at most every 100 ms.
-  void CloseIdleConnections();
+  // Has the shards close connections that wait for a request, as the limit is reached.
+  void MakeRoom();
 
  private:
   struct Slot {
@@ -62,7 +62,6 @@
   IngressContext m_context;
   std::vector<Slot> m_slots;
   std::size_t m_next_slot = 0;
-  TimePoint m_idle_closed_at{};
 };
 
 }  // namespace damaskhollow
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -18,8 +18,6 @@
 // At the deadline the owner answers, or is asked by Cancel; its word needs this long to arrive,
 // also between regions.
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
-// A connection that was just opened has not sent its request yet and must not count as idle.
-constexpr std::chrono::milliseconds kCrowdedIdle{1000};
 // Owners asked for their load before a choice. Two more than two random ones are hardly better; the
 // third covers one that does not answer.
 constexpr std::size_t kServersAsked = 3;
@@ -608,12 +606,18 @@
          m_context.caller_connections.load() > m_context.max_caller_connections;
 }
 
-void IngressShard::CloseIdleConnections() {
-  std::vector<ConnectionId> connections;
-  for (const auto& entry : m_connections) {
-    if (!entry.second->IsAnswering()) connections.push_back(entry.first);
+void IngressShard::MakeRoom(std::size_t count) {
+  if (m_context.caller_connections.load() < m_context.max_caller_connections) return;
+  std::vector<std::pair<TimePoint, ConnectionId>> unread;
+  for (const auto& [id, connection] : m_connections) {
+    if (const auto since = connection->AwaitedSince()) unread.emplace_back(*since, id);
+  }
+  const auto end = unread.begin() + static_cast<std::ptrdiff_t>(std::min(count, unread.size()));
+  std::partial_sort(unread.begin(), end, unread.end());
+  for (auto entry = unread.begin(); entry != end; ++entry) {
+    m_context.metrics.Add(Metric::kUnreadConnectionsClosed);
+    m_connections.at(entry->second)->CloseUnlessRead();
   }
-  for (const ConnectionId id : connections) m_connections.at(id)->CloseIfIdle(kCrowdedIdle);
 }
 
 void IngressShard::CloseConnections() {
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -68,8 +68,9 @@
   // Closes idle connections, and the others after their present answer.
   void CloseConnections();
 
-  // Closes the connections that carry no call.
-  void CloseIdleConnections();
+  // Closes up to `count` connections that have not sent the whole head of a request, those that
+  // have been awaited for longest first, if the node holds as many connections as it may.
+  void MakeRoom(std::size_t count);
 
   std::size_t BodyLimit(const HttpRequest& head) const override;
   void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -23,6 +23,8 @@
      "Calls sent to this node's backend server."},
     {Metric::kRetries, "retries_total", "counter", "Calls tried again."},
     {Metric::kHedges, "hedges_total", "counter", "Idempotent calls sent to a second server."},
+    {Metric::kUnreadConnectionsClosed, "unread_connections_closed_total", "counter",
+     "Connections without a whole request head that gave way to new ones."},
     {Metric::kControlBytesSent, "control_bytes_sent_total", "counter",
      "Control bytes sent to peers."},
     {Metric::kControlBytesReceived, "control_bytes_received_total", "counter",
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -24,6 +24,7 @@
   kCallsDispatched,
   kRetries,
   kHedges,
+  kUnreadConnectionsClosed,
   kControlBytesSent,
   kControlBytesReceived,
   kControlPaidLinkBytes,
