Fuzz the answers of faulty backend servers with fixed seeds

The fuzz puts late answers of other requests before the own one, cuts, spoils or prolongs it, in each framing and split at random.

--- /dev/null
+++ b/tests/auto/http/tst_answerfuzz.cpp
@@ -0,0 +1,162 @@
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/randomsource.h"
+#include "support/scriptedserver.h"
+#include "support/tabletest.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using test::CollectedAnswer;
+using test::ScriptedServer;
+
+constexpr std::size_t kMostBodyBytes = 3000;
+constexpr std::size_t kMostPieces = 5;
+constexpr std::size_t kMostLateAnswers = 2;
+constexpr int kRoundsPerSeed = 60;
+
+enum class Framing { kLength, kChunks, kNone };
+constexpr std::array kFramings{Framing::kLength, Framing::kChunks, Framing::kNone};
+
+// What is wrong with the bytes that a server sends.
+enum class Damage { kNone, kCutShort, kSpoiledHead, kBytesBehind };
+
+std::string RandomBody(RandomSource& random) {
+  std::string body(random.Below(kMostBodyBytes + 1), ' ');
+  for (char& byte : body) byte = static_cast<char>(random.Below(256));
+  return body;
+}
+
+std::string Chunked(RandomSource& random, std::string_view body) {
+  std::string text;
+  while (!body.empty()) {
+    const std::size_t size = 1 + random.Below(body.size());
+    std::array<char, 16> digits{};
+    std::snprintf(digits.data(), digits.size(), "%zx\r\n", size);
+    text += digits.data() + std::string(body.substr(0, size)) + "\r\n";
+    body.remove_prefix(size);
+  }
+  return text + "0\r\n\r\n";
+}
+
+std::string Head(std::string_view id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) + "\r\nSeal: s\r\n";
+}
+
+std::string Answer(RandomSource& random, std::string_view id, Framing framing,
+                   std::string_view body) {
+  switch (framing) {
+    case Framing::kLength:
+      return Head(id) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+             std::string(body);
+    case Framing::kChunks:
+      return Head(id) + "Transfer-Encoding: chunked\r\n\r\n" + Chunked(random, body);
+    case Framing::kNone:
+      return Head(id) + "\r\n" + std::string(body);
+  }
+  return {};
+}
+
+std::vector<std::string> Split(RandomSource& random, std::string_view bytes) {
+  std::vector<std::string> pieces;
+  while (!bytes.empty() && pieces.size() + 1 < kMostPieces) {
+    const std::size_t size = 1 + random.Below(bytes.size());
+    pieces.emplace_back(bytes.substr(0, size));
+    bytes.remove_prefix(size);
+  }
+  if (!bytes.empty()) pieces.emplace_back(bytes);
+  return pieces;
+}
+
+struct FuzzRow {
+  std::string_view name;
+  Damage damage;
+  std::uint64_t seed;
+};
+
+constexpr std::array kRows{
+    FuzzRow{"whole, 1", Damage::kNone, 1},
+    FuzzRow{"whole, 2", Damage::kNone, 2},
+    FuzzRow{"cut short, 3", Damage::kCutShort, 3},
+    FuzzRow{"cut short, 4", Damage::kCutShort, 4},
+    FuzzRow{"spoiled head, 5", Damage::kSpoiledHead, 5},
+    FuzzRow{"spoiled head, 6", Damage::kSpoiledHead, 6},
+    FuzzRow{"bytes behind, 7", Damage::kBytesBehind, 7},
+};
+
+// One faulty server's bytes and what may become of them.
+struct Script {
+  std::string bytes;
+  std::string own_body;
+  ScriptedServer::End end = ScriptedServer::End::kClose;
+};
+
+Script MakeScript(RandomSource& random, Damage damage) {
+  Script script;
+  for (std::size_t late = random.Below(kMostLateAnswers + 1); late > 0; --late) {
+    const Framing framing = random.Below(2) == 0 ? Framing::kLength : Framing::kChunks;
+    script.bytes += Answer(random, "other", framing, RandomBody(random));
+  }
+  Framing framing = kFramings[random.Below(kFramings.size())];
+  // What follows an answer without length belongs to its body.
+  if (damage == Damage::kBytesBehind && framing == Framing::kNone) framing = Framing::kLength;
+  script.own_body = RandomBody(random);
+  std::string own = Answer(random, "mine", framing, script.own_body);
+  if (damage == Damage::kCutShort) {
+    own.resize(random.Below(own.size()));
+    // An orderly close ends an answer without length, wherever it comes.
+    if (framing == Framing::kNone) script.end = ScriptedServer::End::kReset;
+  } else if (damage == Damage::kSpoiledHead) {
+    own[random.Below(Head("mine").size())] = static_cast<char>(random.Below(256));
+  } else if (damage == Damage::kBytesBehind) {
+    own += Answer(random, "other", Framing::kLength, RandomBody(random));
+  }
+  script.bytes += own;
+  return script;
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+void CheckAnswer(const Script& script, Damage damage, const CollectedAnswer& answer) {
+  // Nothing but the own answer's bytes is ever handed on.
+  const bool is_own = script.own_body.compare(0, answer.body.size(), answer.body) == 0;
+  CPPUNIT_ASSERT(is_own || (damage == Damage::kSpoiledHead && !IsSuccess(answer.status)));
+  const bool is_whole = answer.complete && answer.body == script.own_body;
+  switch (damage) {
+    case Damage::kNone:
+    case Damage::kBytesBehind:
+      CPPUNIT_ASSERT(is_whole && IsSuccess(answer.status));
+      return;
+    case Damage::kCutShort:
+      CPPUNIT_ASSERT(!answer.complete && answer.failure);
+      return;
+    case Damage::kSpoiledHead:
+      CPPUNIT_ASSERT(!answer.complete || !IsSuccess(answer.status) || is_whole);
+      return;
+  }
+}
+
+// Guards against a parser that passes on bytes of another answer, takes a part for the whole, or
+// loses a whole answer, however the bytes are split on their way.
+void TestFuzzedAnswers(const FuzzRow& row) {
+  RandomSource random(row.seed);
+  for (int round = 0; round < kRoundsPerSeed; ++round) {
+    const Script script = MakeScript(random, row.damage);
+    const ScriptedServer server(Split(random, script.bytes), script.end);
+    CheckAnswer(script, row.damage, test::FetchFrom(server));
+  }
+}
+
+const test::TableTest<FuzzRow> registration("AnswerFuzz", kRows, TestFuzzedAnswers);
+
+}  // namespace
+
+}  // namespace damaskhollow
--- /dev/null
+++ b/tests/support/scriptedserver.cpp
@@ -0,0 +1,89 @@
+#include "support/scriptedserver.h"
+
+#include <cppunit/TestAssert.h>
+#include <sys/socket.h>
+
+#include <QTimer>
+#include <chrono>
+#include <utility>
+
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The bytes are read before the end, as a reset may overtake them.
+constexpr milliseconds kEndDelay{50};
+constexpr milliseconds kRequestTimeout{5000};
+constexpr std::size_t kCreditBytes = 65536;
+
+// Collects what became of one request.
+class Collector : public BackendEvents {
+ public:
+  void OnBackendPart(ConnectionId, AnswerPart part, bool) override {
+    if (part.head) m_answer.status = part.head->status;
+    m_answer.body += part.data;
+    m_answer.complete = part.last;
+  }
+  void OnBackendFailed(ConnectionId, Reason reason, bool) override { m_answer.failure = reason; }
+  void OnBackendIdleClosed(ConnectionId) override {}
+
+  const CollectedAnswer& Answer() const { return m_answer; }
+
+ private:
+  CollectedAnswer m_answer;
+};
+
+}  // namespace
+
+ScriptedServer::ScriptedServer(std::vector<std::string> pieces, End end)
+    : m_pieces(std::move(pieces)), m_end(end) {
+  listen(QHostAddress::LocalHost);
+}
+
+void ScriptedServer::incomingConnection(qintptr descriptor) {
+  auto* socket = new QTcpSocket(this);
+  socket->setSocketDescriptor(descriptor);
+  connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+    if (socket->readAll().contains("\r\n\r\n")) WritePiece(*socket, 0);
+  });
+}
+
+void ScriptedServer::WritePiece(QTcpSocket& socket, std::size_t index) {
+  if (index == m_pieces.size()) return EndConnection(socket);
+  const std::string& piece = m_pieces[index];
+  socket.write(piece.data(), static_cast<qint64>(piece.size()));
+  socket.flush();
+  QTimer::singleShot(0, &socket, [this, &socket, index] { WritePiece(socket, index + 1); });
+}
+
+void ScriptedServer::EndConnection(QTcpSocket& socket) const {
+  if (m_end == End::kKeepOpen) return;
+  QTimer::singleShot(kEndDelay, &socket, [this, &socket] {
+    if (m_end == End::kReset) {
+      const linger at_once{1, 0};
+      ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &at_once,
+                   sizeof(at_once));
+    }
+    socket.abort();
+  });
+}
+
+CollectedAnswer FetchFrom(const ScriptedServer& server) {
+  Collector collector;
+  BackendConnection connection(ConnectionId{1}, server.Address(), collector);
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  request.headers = {{"Host", "h"}, {"Request-Id", "mine"}};
+  connection.Send(request, kCreditBytes, kRequestTimeout,
+                  AnswerCheck{"Request-Id", "mine", "Seal"});
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return collector.Answer().complete || collector.Answer().failure; }));
+  return collector.Answer();
+}
+
+}  // namespace damaskhollow::test
--- /dev/null
+++ b/tests/support/scriptedserver.h
@@ -0,0 +1,50 @@
+#ifndef DAMASKHOLLOW_TESTS_SUPPORT_SCRIPTEDSERVER_H_
+#define DAMASKHOLLOW_TESTS_SUPPORT_SCRIPTEDSERVER_H_
+
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "http/backendconnection.h"
+
+namespace damaskhollow::test {
+
+// A server that answers each request with the same bytes, written in the pieces given.
+class ScriptedServer : public QTcpServer {
+ public:
+  enum class End { kKeepOpen, kClose, kReset };
+
+  ScriptedServer(std::vector<std::string> pieces, End end);
+
+  Endpoint Address() const { return Endpoint{"127.0.0.1", serverPort()}; }
+
+ protected:
+  void incomingConnection(qintptr descriptor) override;
+
+ private:
+  void WritePiece(QTcpSocket& socket, std::size_t index);
+  void EndConnection(QTcpSocket& socket) const;
+
+  const std::vector<std::string> m_pieces;
+  const End m_end;
+};
+
+// What a backend connection made of the server's bytes.
+struct CollectedAnswer {
+  bool complete = false;
+  int status = 0;  // 0: no head was accepted.
+  std::string body;
+  std::optional<Reason> failure;
+};
+
+// Sends one request with the id "mine", whose answer must repeat it in Request-Id and bear the
+// field Seal, and runs the event loop until the request has ended.
+CollectedAnswer FetchFrom(const ScriptedServer& server);
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_SUPPORT_SCRIPTEDSERVER_H_
