Refuse calls that wait when the VM's address passes to another service

The check stood at the arrival only. Ruled out: an ingress with an old inventory (its call names the service, which is checked at the arrival) and the instance's own check (the id named was the new instance's).

--- a/src/libs/owner/ownedcalls.cpp
+++ b/src/libs/owner/ownedcalls.cpp
@@ -45,6 +45,14 @@
   return found == m_calls.end() ? nullptr : &found->second;
 }
 
+std::vector<OwnedCallId> OwnedCalls::Waiting() const {
+  std::vector<OwnedCallId> waiting;
+  for (const auto& [id, call] : m_calls) {
+    if (call.state != OwnedCallState::kRunning) waiting.push_back(id);
+  }
+  return waiting;
+}
+
 void OwnedCalls::RemoveRefused(OwnedCallId id, TimePoint now) {
   const OwnedCall& call = m_calls.at(id);
   NoteRefused(call.key, call.request, now);
--- a/src/libs/owner/ownedcalls.h
+++ b/src/libs/owner/ownedcalls.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 #include "owner/keptanswers.h"
 #include "policy/admissionqueue.h"
@@ -63,6 +64,9 @@
   OwnedCall* Find(OwnedCallId id);
   OwnedCall& At(OwnedCallId id) { return m_calls.at(id); }
 
+  // The calls that have not been dispatched.
+  std::vector<OwnedCallId> Waiting() const;
+
   // Removes a call that ended: refused, cancelled before it ran, or after it was dispatched.
   void RemoveRefused(OwnedCallId id, TimePoint now);
   void RemoveCancelled(OwnedCallId id, TimePoint now);
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -45,6 +45,7 @@
         .With("version", static_cast<std::int64_t>(version));
     return;
   }
+  RefuseMisplaced();
   if (m_instance != server->instance) m_pacer.Reset();
   m_instance = server->instance;
   m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
@@ -398,6 +399,15 @@
   m_messenger.Reply(route, std::move(message));
 }
 
+void OwnerService::RefuseMisplaced() {
+  if (m_service == nullptr) return;
+  for (const OwnedCallId id : m_calls.Waiting()) {
+    if (m_calls.At(id).request.service() == m_service->id.Value()) continue;
+    m_admission.Cancel(id);
+    RefuseUnrun(id, Reason::kWrongServer);
+  }
+}
+
 void OwnerService::RefuseUnrun(OwnedCallId id, Reason reason) {
   const OwnedCall& call = m_calls.At(id);
   m_suspects.Leave(id);
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -123,6 +123,9 @@
               std::string_view log_id, bool request_id_not_run = false);
   // Refuses a call that is not running, and forgets it.
   void RefuseUnrun(OwnedCallId id, Reason reason);
+  // Refuses the calls that wait for another service than the server's, which has got the VM's
+  // address since they arrived.
+  void RefuseMisplaced();
   // `replayed_head` stands for the part's own head if it is not null.
   void SendPart(OwnedCallId id, OwnedCall& call, AnswerPart part,
                 const wire::ResponseHead* replayed_head);
