Link only to the servers that calls are routed to where callers send no request ids

Cause: a node linked to all servers of each service it calls and to all of its own service, as any of them may be the home of a request id. On the users' platform no request has such an id, so 86 links a node carried nothing: each is checked ten times a second and pinged every 5 s, half of them across regions. Ruled out: calls as the cause of the processor time (8 to 10 calls/s a node on the small and on the grown deployment; 0.015 of a core on the first, 0.034 on the second).

--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -283,30 +283,13 @@
   std::erase(m_control_peers, m_self.id);
 }
 
-LinkNeeds ControlService::NeedsOf(const Declaration& declaration, TimePoint now) const {
-  LinkNeeds needs;
-  needs.control = m_control_peers;
-  const BackendServer* own = declaration.FindServer(m_self.id);
-  for (const BackendServer& server : declaration.backend_servers) {
-    if (server.id == m_self.id) continue;
-    needs.inventory.push_back(server.id);
-    if (own != nullptr && server.service == own->service) needs.own_service.push_back(server.id);
-  }
-  for (const ServiceId& service : m_link_plan.UsedServices(now)) {
-    // The servers that routing uses come first. Any other may be the home of a request id, so they
-    // follow as far as the limit allows.
-    std::vector<BackendServerId>& subset = needs.subsets[service];
-    subset = m_context.router.SubsetOf(service);
-    std::erase(subset, m_self.id);
-    for (const BackendServer* server : declaration.ServersOf(service)) {
-      if (server->id != m_self.id) subset.push_back(server->id);
-    }
-  }
-  return needs;
-}
-
 void ControlService::UpdateLinks(const Declaration& declaration, TimePoint now) {
-  const std::set<BackendServerId> wanted = m_link_plan.Wanted(NeedsOf(declaration, now), now);
+  LinkNeeds needs = LinkNeedsOf(
+      declaration, m_self.id, m_link_plan.UsedServices(now),
+      [this](const ServiceId& service) { return m_context.router.SubsetOf(service); },
+      !m_context.seams.convention.request_id.empty());
+  needs.control = m_control_peers;
+  const std::set<BackendServerId> wanted = m_link_plan.Wanted(needs, now);
   std::vector<PeerLinks::Target> targets;
   for (const BackendServer& server : declaration.backend_servers) {
     if (wanted.contains(server.id)) targets.push_back(TargetOf(server));
--- a/src/libs/control/controlservice.h
+++ b/src/libs/control/controlservice.h
@@ -104,7 +104,6 @@
 
   void DialSeeds();
   void UpdateLinks(const Declaration& declaration, TimePoint now);
-  LinkNeeds NeedsOf(const Declaration& declaration, TimePoint now) const;
   PeerLinks::Target TargetOf(const BackendServer& server) const;
   void UpdateOverlay(std::span<const FleetNode> nodes);
   void UpdatePlace(TimePoint now);
--- a/src/libs/fleet/linkplan.cpp
+++ b/src/libs/fleet/linkplan.cpp
@@ -17,6 +17,29 @@
 
 }  // namespace
 
+LinkNeeds LinkNeedsOf(const Declaration& declaration, const BackendServerId& self,
+                      std::span<const ServiceId> used, const SubsetFunction& subset_of,
+                      bool has_request_ids) {
+  LinkNeeds needs;
+  const BackendServer* own = declaration.FindServer(self);
+  for (const BackendServer& server : declaration.backend_servers) {
+    if (server.id == self) continue;
+    needs.inventory.push_back(server.id);
+    const bool is_asked = has_request_ids && own != nullptr && server.service == own->service;
+    if (is_asked) needs.own_service.push_back(server.id);
+  }
+  for (const ServiceId& service : used) {
+    std::vector<BackendServerId>& subset = needs.subsets[service];
+    subset = subset_of(service);
+    std::erase(subset, self);
+    if (!has_request_ids) continue;
+    for (const BackendServer* server : declaration.ServersOf(service)) {
+      if (server->id != self) subset.push_back(server->id);
+    }
+  }
+  return needs;
+}
+
 void LinkPlan::NoteUse(const ServiceId& service, TimePoint now) { m_last_use[service] = now; }
 
 std::vector<ServiceId> LinkPlan::UsedServices(TimePoint now) const {
--- a/src/libs/fleet/linkplan.h
+++ b/src/libs/fleet/linkplan.h
@@ -2,6 +2,7 @@
 #define DAMASKHOLLOW_FLEET_LINKPLAN_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -9,6 +10,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "declaration/declaration.h"
 
 namespace damaskhollow {
 
@@ -23,10 +25,20 @@
 struct LinkNeeds {
   std::vector<BackendServerId> inventory;    // Without this node.
   std::vector<BackendServerId> control;      // Overlay neighbours and other readers.
-  std::vector<BackendServerId> own_service;  // Asked about request ids.
+  std::vector<BackendServerId> own_service;  // Asked about request ids; empty without them.
   std::map<ServiceId, std::vector<BackendServerId>> subsets;  // Of the services in use.
 };
 
+// Names the servers of a service that calls are routed to.
+using SubsetFunction = std::function<std::vector<BackendServerId>(const ServiceId& service)>;
+
+// The needs of node `self`, which calls the services `used`, without its control links. Where
+// callers send request ids, any server of a service may be the home of one, so all of them follow
+// those that calls are routed to.
+LinkNeeds LinkNeedsOf(const Declaration& declaration, const BackendServerId& self,
+                      std::span<const ServiceId> used, const SubsetFunction& subset_of,
+                      bool has_request_ids);
+
 // Decides which links a node dials. Links follow what the node uses: a service's subset is opened
 // on the first call to it and closed when there was none for 60 s.
 class LinkPlan {
--- a/tests/auto/fleet/tst_linkplan.cpp
+++ b/tests/auto/fleet/tst_linkplan.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(SmallFleetOpensAll);
   CPPUNIT_TEST(SubsetsOpenOnUseAndCloseWhenIdle);
   CPPUNIT_TEST(LinksAreBounded);
+  CPPUNIT_TEST(LinksFollowRoutingWithoutRequestIds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -66,6 +67,28 @@
     CPPUNIT_ASSERT(!wanted.contains(BackendServerId("service-0-0")));
     CPPUNIT_ASSERT(wanted.contains(BackendServerId("control-0")));
   }
+
+  // Guards against links to all servers of a service, which cost pings across regions and processor
+  // time, where no call can need them.
+  void LinksFollowRoutingWithoutRequestIds() {
+    Declaration declaration;
+    for (const BackendServerId& id : Servers("server-", 60)) {
+      BackendServer server;
+      server.id = id;
+      server.service = ServiceId("lookup");
+      declaration.backend_servers.push_back(server);
+    }
+    const std::vector<ServiceId> used{ServiceId("lookup")};
+    const auto needs_of = [&](bool has_request_ids) {
+      return LinkNeedsOf(
+          declaration, BackendServerId("server-0"), used,
+          [](const ServiceId&) { return Servers("server-", 12); }, has_request_ids);
+    };
+    LinkPlan plan;
+    plan.NoteUse(used.front(), At(seconds(0)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{11}, plan.Wanted(needs_of(false), At(seconds(1))).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{59}, plan.Wanted(needs_of(true), At(seconds(1))).size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LinkPlanTest);
