Let the watchers behind a region's first one rest after a change

Cause: two readers in each data centre watch the list at the full pace; while servers come and go, each change ends eight watches, and each is a priced call. Ruled out: fewer readers, as a reader may be turned away by the store while others are served.

--- a/src/libs/configuration/readerelection.cpp
+++ b/src/libs/configuration/readerelection.cpp
@@ -68,6 +68,7 @@
   const bool is_near = store_region.IsEmpty() || store_region == self.region;
   const bool is_first = found == place.region_readers.begin();
   place.role = is_near || is_first ? ReaderRole::kWatcher : ReaderRole::kStandby;
+  if (!is_first) place.pause = kSuccessorPause;
   return place;
 }
 
--- a/src/libs/configuration/readerelection.h
+++ b/src/libs/configuration/readerelection.h
@@ -16,6 +16,11 @@
 // silent connection delays no change.
 inline constexpr std::size_t kReadersPerDataCentre = 2;
 
+// How long the watchers behind a region's first one rest after a change, so that a series of
+// changes is read once in each region and not by all of them. Within it a change still reaches
+// everyone in time if the first watcher is lost (bounds of the platform: 2.5 s).
+inline constexpr std::chrono::milliseconds kSuccessorPause{750};
+
 // What a node does towards the configuration service.
 enum class ReaderRole {
   kFollower,  // Reads from peers only.
--- a/tests/auto/configuration/tst_readerelection.cpp
+++ b/tests/auto/configuration/tst_readerelection.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(ElectsTwoReadersPerDataCentre);
   CPPUNIT_TEST(LossOfReaderMovesOnlySuccessors);
   CPPUNIT_TEST(AllWatchWhenStoreRegionIsUnknown);
+  CPPUNIT_TEST(SuccessorsRestAfterChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -50,6 +51,17 @@
     });
     CPPUNIT_ASSERT_EQUAL(10L, static_cast<long>(watchers));
   }
+
+  // Guards against a series of changes (a release, many servers that warm up) that each of a
+  // region's readers reads at the full pace.
+  void SuccessorsRestAfterChange() {
+    const std::vector<FleetNode> fleet = test::MakeFleet(200);
+    const auto at_full_pace = std::count_if(fleet.begin(), fleet.end(), [&](const FleetNode& node) {
+      const ReaderPlace place = PlaceOf(fleet, node, RegionId());
+      return place.role == ReaderRole::kWatcher && place.pause.count() == 0;
+    });
+    CPPUNIT_ASSERT_EQUAL(2L, static_cast<long>(at_full_pace));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReaderElectionTest);
