Keep the limit of a server that turns calls away with slots free

The server's own load on the same answer shows the slots free. A 421 says nothing about room either. Ruled out: retries that are spent (a refusal costs budget as before).

--- a/src/libs/owner/ownedcalls.h
+++ b/src/libs/owner/ownedcalls.h
@@ -30,9 +30,10 @@
   OwnedCallState state = OwnedCallState::kQueued;
   TimePoint arrived{};
   TimePoint dispatched_at{};
-  ServerCondition condition;    // Of the backend server at the dispatch.
-  bool discard_answer = false;  // The ingress no longer waits for it.
-  bool shed = false;
+  ServerCondition condition;     // Of the backend server at the dispatch.
+  bool discard_answer = false;   // The ingress no longer waits for it.
+  bool shed = false;             // The server answered that it did not run it.
+  bool server_was_full = false;  // And that it had no room for it.
   std::uint32_t next_sequence = 0;
   AnswerTail tail;
 
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -16,6 +16,8 @@
 // Covers the detection of a silent link and the handshake of a new one between regions.
 constexpr std::chrono::seconds kKeptAnswerAge{3};
 constexpr std::chrono::seconds kTombstoneSweep{1};
+// HTTP 421: the request was meant for another server.
+constexpr int kMisdirectedStatus = 421;
 
 }  // namespace
 
@@ -423,6 +425,7 @@
   if (call == nullptr) return;
   if (part.head) {
     call->shed = SaysNotRun(*part.head);
+    call->server_was_full = call->shed && SaysFull(*part.head);
     NoteDrainHeader(*part.head);
     NoteLoad(*part.head);
     m_log.Step("server_answered", call->log_id)
@@ -440,11 +443,20 @@
   return m_service != nullptr && m_service->shed_status == head.status;
 }
 
-void OwnerService::NoteLoad(const HttpResponseHead& head) {
-  if (m_convention.decode_load == nullptr) return;
+std::optional<ServerLoad> OwnerService::LoadIn(const HttpResponseHead& head) const {
+  if (m_convention.decode_load == nullptr) return std::nullopt;
   const std::string_view text = FindHeader(head.headers, m_convention.load);
-  if (text.empty()) return;
-  if (const auto load = m_convention.decode_load(text)) NoteServerLoad(*load, MonotonicNow());
+  return text.empty() ? std::nullopt : m_convention.decode_load(text);
+}
+
+bool OwnerService::SaysFull(const HttpResponseHead& head) const {
+  if (head.status == kMisdirectedStatus) return false;
+  const std::optional<ServerLoad> load = LoadIn(head);
+  return !load || load->running + load->waiting >= load->slots;
+}
+
+void OwnerService::NoteLoad(const HttpResponseHead& head) {
+  if (const std::optional<ServerLoad> load = LoadIn(head)) NoteServerLoad(*load, MonotonicNow());
 }
 
 void OwnerService::NoteDrainHeader(const HttpResponseHead& head) {
@@ -492,7 +504,7 @@
     const std::string log_id = call.log_id;
     const bool request_id_not_run = m_claims.IsAccepted(id);
     m_claims.End(id, ClaimEnd::kNotRun);
-    Finish(id, SlotResult::kShed);
+    Finish(id, call.server_was_full ? SlotResult::kShed : SlotResult::kFailed);
     return Refuse(route, call_id, Reason::kBackendShed, log_id, request_id_not_run);
   }
   if (!call.discard_answer) m_kept.Keep(call.key, std::move(call.tail), MonotonicNow());
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -95,6 +95,9 @@
   void NoteDrainHeader(const HttpResponseHead& head);
   void NoteLoad(const HttpResponseHead& head);
   bool SaysNotRun(const HttpResponseHead& head) const;
+  std::optional<ServerLoad> LoadIn(const HttpResponseHead& head) const;
+  // Whether a call was turned away for lack of room; so taken where the answer tells no load.
+  bool SaysFull(const HttpResponseHead& head) const;
   bool IsViewFresh(TimePoint now) const { return m_gate == nullptr || m_gate->IsOpen(now); }
   void HandleCallRequest(const ReplyRoute& route, wire::CallRequest request);
   void HandleCancel(const ReplyRoute& route, const wire::Cancel& cancel);
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -2,11 +2,15 @@
 
 #include <array>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "owner/ownerservice.h"
+#include "support/scriptedserver.h"
 #include "support/tabletest.h"
+#include "support/wait.h"
 
 namespace damaskhollow {
 
@@ -15,19 +19,25 @@
 // Keeps what the owner answers.
 class RecordingMessenger : public Messenger {
  public:
-  void Send(const BackendServerId&, wire::Envelope message) override {
-    m_messages.push_back(std::move(message));
+  void Send(const BackendServerId&, wire::Envelope message) override { Keep(std::move(message)); }
+  void Reply(const ReplyRoute&, wire::Envelope message) override { Keep(std::move(message)); }
+  std::vector<wire::Envelope> Messages() const {
+    const std::lock_guard lock(m_lock);
+    return m_messages;
   }
-  void Reply(const ReplyRoute&, wire::Envelope message) override {
+
+ private:
+  void Keep(wire::Envelope message) {
+    const std::lock_guard lock(m_lock);
     m_messages.push_back(std::move(message));
   }
-  const std::vector<wire::Envelope>& Messages() const { return m_messages; }
 
- private:
+  mutable std::mutex m_lock;
   std::vector<wire::Envelope> m_messages;
 };
 
-std::shared_ptr<const Declaration> DeclarationOf(const std::string& service) {
+std::shared_ptr<const Declaration> DeclarationOf(const std::string& service,
+                                                 const std::string& address = "127.0.0.1:9") {
   auto declaration = std::make_shared<Declaration>();
   Priority priority;
   priority.id = PriorityId("normal");
@@ -40,21 +50,30 @@
   BackendServer server;
   server.id = BackendServerId("10.0.0.1");
   server.service = ServiceId(service);
-  server.address = "127.0.0.1:9";
+  server.address = address;
   server.slots = 9;
   declaration->backend_servers = {server};
   return declaration;
 }
 
-// An owner of the VM 10.0.0.1 without connections to its backend server.
+// An owner of the VM 10.0.0.1.
 class OwnerFixture {
  public:
-  OwnerFixture()
-      : m_owner({BackendServerId("10.0.0.1"), Incarnation{7}, WallNow()}, m_metrics, m_messenger,
+  // Without workers, no call may be dispatched.
+  explicit OwnerFixture(std::size_t workers = 0, CallConvention convention = {})
+      : m_convention(std::move(convention)),
+        m_workers(MakeWorkers(workers)),
+        m_owner({BackendServerId("10.0.0.1"), Incarnation{7}, WallNow()}, m_metrics, m_messenger,
                 m_crash_guard, m_convention, m_log),
-        m_pool(m_no_workers, m_owner) {
+        m_pool(m_workers, m_owner) {
     m_owner.SetBackendPool(&m_pool);
   }
+  ~OwnerFixture() {
+    m_pool.Stop();
+    for (const std::unique_ptr<EventThread>& worker : m_workers) worker->Stop();
+  }
+  OwnerFixture(const OwnerFixture&) = delete;
+  OwnerFixture& operator=(const OwnerFixture&) = delete;
 
   OwnerService& Owner() { return m_owner; }
 
@@ -66,6 +85,8 @@
     request.set_owner_incarnation(7);
     request.set_expires_at_us(ToClockMicroseconds(MonotonicNow() + std::chrono::seconds(5)));
     request.set_service(std::string(service));
+    request.set_method("GET");
+    request.set_target("/");
     m_owner.HandleMessage(ReplyRoute{BackendServerId("10.0.0.2"), "10.0.0.2#1#1"},
                           std::move(message));
   }
@@ -80,12 +101,20 @@
   }
 
  private:
+  static std::vector<std::unique_ptr<EventThread>> MakeWorkers(std::size_t count) {
+    std::vector<std::unique_ptr<EventThread>> workers;
+    for (std::size_t index = 0; index < count; ++index) {
+      workers.push_back(std::make_unique<EventThread>("worker-" + std::to_string(index)));
+    }
+    return workers;
+  }
+
   MetricsRegistry m_metrics;
   RecordingMessenger m_messenger;
   SharedCrashGuard m_crash_guard{false};
   RequestLog m_log;
   const CallConvention m_convention;
-  std::vector<std::unique_ptr<EventThread>> m_no_workers;
+  const std::vector<std::unique_ptr<EventThread>> m_workers;
   OwnerService m_owner;
   BackendPool m_pool;
 };
@@ -139,6 +168,44 @@
 const test::TableTest<PassedRow> passed_test("OwnerServiceAddressPassed", passed_rows,
                                              TestAddressPassedWhileCallWaits);
 
+struct TurnedAwayRow {
+  std::string_view name;
+  std::string_view answer;  // Of the backend server, without the end of its head.
+  std::uint32_t limit;      // Of calls in flight afterwards; 7 of 9 slots before.
+};
+
+constexpr std::array turned_away_rows{
+    TurnedAwayRow{"full", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLoad: full\r\n", 6},
+    TurnedAwayRow{"with slots free", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLoad: calm\r\n", 7},
+    TurnedAwayRow{"that tells no load", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n", 6},
+    TurnedAwayRow{"that is another one", "HTTP/1.1 421 Misdirected\r\nNot-Run: 1\r\n", 7},
+};
+
+std::optional<ServerLoad> DecodeTestLoad(std::string_view text) {
+  return ServerLoad{text == "full" ? std::size_t{9} : std::size_t{2}, 0, 9, 1.0};
+}
+
+// Guards against an owner that keeps its server idle because it turns calls away for another reason
+// than lack of room.
+// Pattern: servers that turn away half of their calls while their health check is good.
+void TestLimitAfterTurnedAway(const TurnedAwayRow& row) {
+  const test::ScriptedServer server({std::string(row.answer) + "Content-Length: 0\r\n\r\n"},
+                                    test::ScriptedServer::End::kKeepOpen);
+  CallConvention convention;
+  convention.not_run = "Not-Run";
+  convention.load = "Load";
+  convention.decode_load = DecodeTestLoad;
+  OwnerFixture fixture(1, convention);
+  fixture.Owner().ApplyDeclaration(DeclarationOf("portal", ToString(server.Address())), 1);
+  fixture.Call("portal");
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.Refusals().empty(); }));
+  CPPUNIT_ASSERT(fixture.Refusals() == std::vector<Reason>{Reason::kBackendShed});
+  CPPUNIT_ASSERT_EQUAL(row.limit, fixture.Owner().State().limit());
+}
+
+const test::TableTest<TurnedAwayRow> turned_away_test("OwnerServiceTurnedAway", turned_away_rows,
+                                                      TestLimitAfterTurnedAway);
+
 }  // namespace
 
 }  // namespace damaskhollow
