--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -14,11 +14,19 @@
 
 namespace http = boost::beast::http;
 
+constexpr std::string_view kChunkEnd = "\r\n";
 constexpr qint64 kReadBufferBytes = 64LL * 1024LL;
 constexpr int kLingerMs = 2000;
 // A caller that sends on after it was refused is cut off beyond this, so that it cannot use the
 // network without end.
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024UL * 1024UL;
+// An answer with others behind it is given as a whole up to this size, so that one that breaks off
+// does not take the connection and with it the others.
+constexpr std::size_t kMostHeldBytes = 64UL * 1024UL;
+
+bool IsSafeMethod(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
 
 }  // namespace
 
@@ -47,7 +55,13 @@
   m_parser->body_limit(boost::none);  // Checked here, as the limit depends on the head.
   m_request = HttpRequest();
   m_state = State::kReadingHead;
+  m_request_is_http_10 = m_request_closes = m_continue_due = false;
   m_awaited_since = MonotonicNow();
+  m_timer.stop();
+  if (m_exchanges.empty()) AwaitHead();
+}
+
+void CallerConnection::AwaitHead() {
   m_timer.start(m_input.empty() ? m_limits.idle_timeout_ms : m_limits.header_timeout_ms);
 }
 
@@ -57,11 +71,28 @@
     if (m_discarded > kMaxDiscardedBytes) m_socket.abort();
     return;
   }
-  if (m_state == State::kAnswering || m_state == State::kClosed) return;
+  const bool is_reading = m_state == State::kReadingHead || m_state == State::kReadingBody;
+  if (!is_reading || !MayReadAhead()) return;
   const QByteArray data = m_socket.readAll();
-  if (m_state == State::kReadingHead && m_input.empty()) m_timer.start(m_limits.header_timeout_ms);
+  const bool is_start = m_state == State::kReadingHead && m_input.empty();
+  if (is_start && !data.isEmpty()) m_timer.start(m_limits.header_timeout_ms);
   m_input.append(data.constData(), static_cast<std::size_t>(data.size()));
   Parse();
+  const bool has_part = m_state == State::kReadingHead && !m_input.empty();
+  if (has_part && !m_timer.isActive()) m_timer.start(m_limits.header_timeout_ms);
+}
+
+bool CallerConnection::MayReadAhead() const {
+  if (m_exchanges.empty()) return true;
+  if (m_exchanges.size() >= m_limits.requests_at_once) return false;
+  if (m_exchanges.back().is_http_10) return false;  // Its answer may end with the connection.
+  // Behind an answer that is on its way, the next request waits: should that answer break off, the
+  // connection closes.
+  return IsSafeMethod(m_exchanges.back().method) && !m_exchanges.front().sent;
+}
+
+bool CallerConnection::MayHandOn(std::string_view method) const {
+  return m_exchanges.empty() || (IsSafeMethod(method) && MayReadAhead());
 }
 
 void CallerConnection::Parse() {
@@ -86,13 +117,13 @@
   for (const auto& field : message) {
     m_request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  m_is_http_10 = message.version() < 11;
-  m_keep_alive = message.keep_alive() && !m_closing;
+  m_request_is_http_10 = message.version() < 11;
+  m_request_closes = !message.keep_alive();
   m_body_limit = m_events.BodyLimit(m_request);
   if (m_request.target.empty() || m_request.target.front() != '/') {
     return Reject(Reason::kMalformedRequest);
   }
-  if (!m_is_http_10 && !HasHeader(m_request.headers, "Host")) {
+  if (!m_request_is_http_10 && !HasHeader(m_request.headers, "Host")) {
     return Reject(Reason::kMalformedRequest);
   }
   const auto length = m_parser->content_length();
@@ -103,11 +134,13 @@
   m_timer.start(m_limits.body_timeout_ms);
   m_parser->eager(true);
   const bool expects_continue = boost::beast::iequals(message[http::field::expect], "100-continue");
-  if (expects_continue && m_input.empty() && !m_parser->is_done()) {
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    m_head_pending += kContinue.size();
-    m_socket.write(kContinue.data(), static_cast<qint64>(kContinue.size()));
-  }
+  m_continue_due = expects_continue && m_input.empty() && !m_parser->is_done();
+  if (m_exchanges.empty()) SendContinue();
+}
+
+void CallerConnection::SendContinue() {
+  if (!std::exchange(m_continue_due, false)) return;
+  Write(m_next_number, "HTTP/1.1 100 Continue\r\n\r\n", false);
 }
 
 void CallerConnection::ParseBody() {
@@ -132,10 +165,33 @@
 
 void CallerConnection::AcceptRequest() {
   m_timer.stop();
+  if (!MayHandOn(m_request.method)) {
+    m_state = State::kHolding;
+    return;
+  }
+  m_continue_due = false;
   m_request.body = std::move(m_parser->get().body());
-  m_parser.reset();
-  m_state = State::kAnswering;
-  m_events.OnRequest(m_id, std::move(m_request), std::exchange(m_reserved, 0));
+  HttpRequest request = std::move(m_request);
+  Exchange& exchange = AddExchange();
+  exchange.method = request.method;
+  const ExchangeId id{m_id, exchange.number};
+  const std::size_t reserved = std::exchange(m_reserved, 0);
+  if (exchange.closes || m_closing) {
+    m_parser.reset();
+    m_state = State::kStopped;
+  } else {
+    StartNextRequest();
+  }
+  m_events.OnRequest(id, std::move(request), reserved);
+  ReadOnLater();
+}
+
+CallerConnection::Exchange& CallerConnection::AddExchange() {
+  Exchange& exchange = m_exchanges.emplace_back();
+  exchange.number = m_next_number++;
+  exchange.is_http_10 = m_request_is_http_10;
+  exchange.closes = m_request_closes;
+  return exchange;
 }
 
 void CallerConnection::Reject(Reason reason) {
@@ -144,50 +200,124 @@
   m_parser.reset();
   m_input.clear();
   m_input.shrink_to_fit();
-  m_keep_alive = false;
-  m_state = State::kAnswering;
-  m_events.OnBadRequest(m_id, reason);
-}
-
-void CallerConnection::StartAnswer(const HttpResponseHead& head) {
-  if (m_state != State::kAnswering) return;
-  if (m_closing) m_keep_alive = false;
-  const bool no_body = HasNoBody(m_request.method, head.status);
-  m_answer_has_body = !no_body;
-  m_chunked_answer = !no_body && !head.content_length && !m_is_http_10;
-  if (!no_body && !head.content_length && m_is_http_10) m_keep_alive = false;
-  const AnswerFraming framing{m_chunked_answer, m_keep_alive};
-  const std::string bytes = SerializeResponseHead(head, framing);
-  m_head_pending += bytes.size();
-  m_socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  Exchange& exchange = AddExchange();
+  exchange.method = m_request.method;
+  exchange.closes = true;
+  m_state = State::kStopped;
+  m_events.OnBadRequest({m_id, exchange.number}, reason);
 }
 
-void CallerConnection::SendBody(std::string_view data) {
-  if (m_state != State::kAnswering || data.empty() || !m_answer_has_body) return;
-  if (!m_chunked_answer) {
-    m_socket.write(data.data(), static_cast<qint64>(data.size()));
-    return;
+CallerConnection::Exchange* CallerConnection::FindExchange(std::uint64_t number) {
+  const auto found = std::find_if(m_exchanges.begin(), m_exchanges.end(),
+                                  [number](const auto& entry) { return entry.number == number; });
+  return found == m_exchanges.end() || found->finished ? nullptr : &*found;
+}
+
+void CallerConnection::StartAnswer(std::uint64_t number, const HttpResponseHead& head) {
+  Exchange* exchange = FindExchange(number);
+  if (exchange == nullptr) return;
+  // While the connection closes, nothing is read behind the last exchange.
+  const bool is_last = number == m_exchanges.back().number;
+  if (m_closing && is_last) exchange->closes = true;
+  const bool no_body = HasNoBody(exchange->method, head.status);
+  exchange->started = true;
+  exchange->has_body = !no_body;
+  exchange->chunked = !no_body && !head.content_length && !exchange->is_http_10;
+  if (!no_body && !head.content_length && exchange->is_http_10) exchange->closes = true;
+  const AnswerFraming framing{exchange->chunked, !exchange->closes};
+  Give(*exchange, SerializeResponseHead(head, framing), false);
+}
+
+void CallerConnection::SendBody(std::uint64_t number, std::string_view data) {
+  Exchange* exchange = FindExchange(number);
+  if (exchange == nullptr || data.empty() || !exchange->has_body) return;
+  if (!exchange->chunked) return Give(*exchange, data, true);
+  // The body's bytes are counted apart from their framing, as each of them is a credit.
+  const boost::asio::const_buffer buffer(data.data(), data.size());
+  const std::string chunk = boost::beast::buffers_to_string(http::make_chunk(buffer));
+  const std::size_t start = chunk.size() - data.size() - kChunkEnd.size();
+  Give(*exchange, std::string_view(chunk).substr(0, start), false);
+  Give(*exchange, data, true);
+  Give(*exchange, kChunkEnd, false);
+}
+
+void CallerConnection::FinishAnswer(std::uint64_t number) {
+  Exchange* exchange = FindExchange(number);
+  if (exchange == nullptr) return;
+  if (exchange->chunked) {
+    Give(*exchange, boost::beast::buffers_to_string(http::make_chunk_last()), false);
   }
-  const std::string chunk = boost::beast::buffers_to_string(
-      http::make_chunk(boost::asio::const_buffer(data.data(), data.size())));
-  m_head_pending += chunk.size() - data.size();
-  m_socket.write(chunk.data(), static_cast<qint64>(chunk.size()));
+  exchange->finished = true;
+  Advance();
 }
 
-void CallerConnection::FinishAnswer() {
-  if (m_state != State::kAnswering) return;
-  if (m_chunked_answer) {
-    const std::string end = boost::beast::buffers_to_string(http::make_chunk_last());
-    m_head_pending += end.size();
-    m_socket.write(end.data(), static_cast<qint64>(end.size()));
+bool CallerConnection::Retract(std::uint64_t number) {
+  Exchange* exchange = FindExchange(number);
+  if (exchange == nullptr || exchange->sent) return false;
+  exchange->held.clear();
+  exchange->held_body = 0;
+  exchange->started = exchange->chunked = exchange->has_body = false;
+  return true;
+}
+
+void CallerConnection::Give(Exchange& exchange, std::string_view bytes, bool is_body) {
+  const bool is_first = exchange.number == m_exchanges.front().number;
+  const bool is_held = !is_first || (!exchange.sent && m_exchanges.size() > 1 &&
+                                     exchange.held.size() + bytes.size() <= kMostHeldBytes);
+  if (!is_held) {
+    WriteHeld(exchange);
+    exchange.sent = true;
+    return Write(exchange.number, bytes, is_body);
   }
-  m_chunked_answer = false;
-  if (!m_keep_alive || m_closing) return Linger();
-  StartNextRequest();
-  // Handled from the event loop: a caller that pipelines thousands of requests must not nest as
-  // many calls.
+  exchange.held += bytes;
+  if (is_body) exchange.held_body += bytes.size();
+}
+
+void CallerConnection::WriteHeld(Exchange& exchange) {
+  if (exchange.held.empty()) return;
+  exchange.sent = true;
+  const std::string held = std::exchange(exchange.held, std::string());
+  m_socket.write(held.data(), static_cast<qint64>(held.size()));
+  const std::size_t body = std::exchange(exchange.held_body, 0);
+  m_unsent.push_back({exchange.number, held.size() - body, false});
+  m_unsent.push_back({exchange.number, body, true});
+}
+
+void CallerConnection::Write(std::uint64_t number, std::string_view bytes, bool is_body) {
+  m_unsent.push_back({number, bytes.size(), is_body});
+  m_socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+}
+
+// Hands on what is due of the first answers and ends those that are whole.
+void CallerConnection::Advance() {
+  while (!m_exchanges.empty() && m_exchanges.front().finished) {
+    WriteHeld(m_exchanges.front());
+    const bool closes = m_exchanges.front().closes;
+    m_exchanges.pop_front();
+    const bool is_last = m_closing && m_exchanges.empty() && m_state != State::kHolding;
+    if (closes || is_last) return Linger();
+  }
+  if (m_exchanges.empty()) {
+    SendContinue();
+    if (m_state == State::kReadingHead) {
+      m_awaited_since = MonotonicNow();
+      AwaitHead();
+    }
+  } else if (m_exchanges.size() == 1 || m_exchanges.front().held.size() > kMostHeldBytes) {
+    WriteHeld(m_exchanges.front());
+  }
+  ReadOnLater();
+}
+
+// From the event loop: a caller that pipelines thousands of requests must not nest as many calls.
+void CallerConnection::ReadOnLater() {
   QMetaObject::invokeMethod(
-      this, [this] { ReadMore(); }, Qt::QueuedConnection);
+      this,
+      [this] {
+        if (m_state == State::kHolding && MayHandOn(m_request.method)) return AcceptRequest();
+        ReadMore();
+      },
+      Qt::QueuedConnection);
 }
 
 void CallerConnection::Linger() {
@@ -202,13 +332,20 @@
 }
 
 void CallerConnection::NoteBytesWritten(qint64 bytes) {
-  const std::size_t framing = std::min(m_head_pending, static_cast<std::size_t>(bytes));
-  m_head_pending -= framing;
-  const std::size_t body = static_cast<std::size_t>(bytes) - framing;
   if (m_state == State::kLingering && m_socket.bytesToWrite() == 0) {
     ::shutdown(static_cast<int>(m_socket.socketDescriptor()), SHUT_WR);
   }
-  if (m_state == State::kAnswering && body > 0) m_events.OnBodySent(m_id, body);
+  auto left = static_cast<std::size_t>(bytes);
+  while (left > 0 && !m_unsent.empty()) {
+    Segment& segment = m_unsent.front();
+    const std::size_t count = std::min(left, segment.bytes);
+    const std::uint64_t number = segment.number;
+    const bool is_credit = segment.is_body && count > 0 && FindExchange(number) != nullptr;
+    left -= count;
+    segment.bytes -= count;
+    if (segment.bytes == 0) m_unsent.pop_front();
+    if (is_credit) m_events.OnBodySent({m_id, number}, count);
+  }
 }
 
 void CallerConnection::NoteTimeout() {
@@ -216,6 +353,8 @@
     m_socket.abort();
     return;
   }
+  // What is not read now is not late.
+  if (!MayReadAhead()) return m_timer.start(m_limits.header_timeout_ms);
   Reject(Reason::kRequestTimeout);
 }
 
@@ -226,16 +365,22 @@
 
 void CallerConnection::CloseWhenIdle() {
   m_closing = true;
-  const bool is_idle = m_state == State::kReadingHead && m_input.empty();
-  if (is_idle) m_socket.disconnectFromHost();
+  if (m_state != State::kReadingHead) return;
+  if (!m_exchanges.empty()) {
+    // What is read behind them has not been handed on, so the caller sends it again.
+    m_timer.stop();
+    m_state = State::kStopped;
+    return;
+  }
+  if (m_input.empty()) m_socket.disconnectFromHost();
 }
 
 void CallerConnection::CloseUnlessRead() {
-  if (m_state == State::kReadingHead) m_socket.abort();
+  if (AwaitedSince()) m_socket.abort();
 }
 
 std::optional<TimePoint> CallerConnection::AwaitedSince() const {
-  if (m_state != State::kReadingHead) return std::nullopt;
+  if (m_state != State::kReadingHead || !m_exchanges.empty()) return std::nullopt;
   return m_awaited_since;
 }
 
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kServersAsked = 3;
 // Round trip inside a region and a probe of the backend server there.
 constexpr std::chrono::milliseconds kAskTime{15};
+// Of one caller's connection. More than browsers have sent at once, and few enough that the answers
+// held for their turn stay small.
+constexpr std::size_t kRequestsAtOnce = 8;
 constexpr std::size_t kDefaultBodyLimit = 1024UL * 1024UL;
 constexpr std::uint32_t kFirstErrorStatus = 500;
 static_assert(static_cast<int>(CallProgress::kNeverSeen) == wire::CALL_STATE_NEVER_SEEN &&
@@ -72,7 +75,8 @@
 void IngressShard::AddCaller(qintptr descriptor) {
   const ConnectionId id{m_next_connection++};
   const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
-  const CallerLimits limits = declaration ? LimitsOf(declaration->caller_bounds) : CallerLimits{};
+  CallerLimits limits = declaration ? LimitsOf(declaration->caller_bounds) : CallerLimits{};
+  limits.requests_at_once = kRequestsAtOnce;
   m_connections.emplace(
       id, std::make_unique<CallerConnection>(id, descriptor, limits, m_context.body_budget, *this));
 }
@@ -83,24 +87,24 @@
   return MaxBodyBytes(*declaration, DescribeCall(head, m_context.convention), kDefaultBodyLimit);
 }
 
-void IngressShard::OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) {
+void IngressShard::OnRequest(ExchangeId exchange, HttpRequest request, std::size_t body_bytes) {
   m_context.metrics.Add(Metric::kCallsAccepted);
-  PendingCall& call = m_calls[connection];
+  PendingCall& call = m_calls[exchange];
   call.request = std::move(request);
   call.body_bytes = body_bytes;
   call.started = MonotonicNow();
   call.log_id = LogIdOf(call.request, m_context.convention);
   m_log.NoteRequest(call.started);
   const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
-  if (!declaration) return AnswerReason(connection, Reason::kNoConfiguration);
+  if (!declaration) return AnswerReason(exchange, Reason::kNoConfiguration);
   Classification classification =
       ClassifyCall(*declaration, DescribeCall(call.request, m_context.convention));
   if (classification.refusal != Reason::kNone) {
-    return AnswerReason(connection, classification.refusal);
+    return AnswerReason(exchange, classification.refusal);
   }
   if (IsCrowdedOut(classification.call_class)) {
-    m_connections.at(connection)->CloseWhenIdle();
-    return AnswerReason(connection, Reason::kIngressOverloaded);
+    m_connections.at(exchange.connection)->CloseWhenIdle();
+    return AnswerReason(exchange, Reason::kIngressOverloaded);
   }
   call.call_class = std::move(classification.call_class);
   if (const auto* route = classification.route) {
@@ -116,12 +120,12 @@
   call.deadline = call.started + call.call_class.deadline;
   call.digest = DigestOf(call.call_class.service, call.request);
   if (const Reason reason = m_context.crash_guard.Check(call.digest); reason != Reason::kNone) {
-    return AnswerReason(connection, reason);
+    return AnswerReason(exchange, reason);
   }
   m_budgets = declaration->budgets;
   m_retries.NoteFirstAttempt(call.call_class.service, m_budgets, call.started);
   if (!m_timer.isActive()) m_timer.start(kTick);
-  Route(connection, call);
+  Route(exchange, call);
 }
 
 RoutingChoice IngressShard::Choose(const PendingCall& call, bool may_cross_regions) {
@@ -144,7 +148,7 @@
   return request;
 }
 
-bool IngressShard::AskForLoad(ConnectionId connection, PendingCall& call) {
+bool IngressShard::AskForLoad(ExchangeId exchange, PendingCall& call) {
   const bool may_ask = m_context.convention.decode_load != nullptr &&
                        call.call_class.request_id.empty() && call.attempts.empty();
   if (!may_ask) return false;
@@ -154,11 +158,11 @@
   call.question = m_next_attempt++ * m_count + m_index;
   call.unanswered = servers.size();
   call.offers.clear();
-  m_questions[call.question] = connection;
+  m_questions[call.question] = exchange;
   const std::uint64_t question = call.question;
-  QTimer::singleShot(kAskTime, &m_timer, [this, connection, question] {
-    PendingCall* waiting = FindCall(connection);
-    if (waiting != nullptr && waiting->question == question) EndQuestion(connection, *waiting);
+  QTimer::singleShot(kAskTime, &m_timer, [this, exchange, question] {
+    PendingCall* waiting = FindCall(exchange);
+    if (waiting != nullptr && waiting->question == question) EndQuestion(exchange, *waiting);
   });
   for (const BackendServerId& server : servers) {
     wire::Envelope message;
@@ -173,34 +177,34 @@
   m_context.router.NoteState(owner, answer.state());
   const auto found = m_questions.find(answer.call_id());
   if (found == m_questions.end()) return;
-  const ConnectionId connection = found->second;
-  PendingCall& call = m_calls.at(connection);
+  const ExchangeId exchange = found->second;
+  PendingCall& call = m_calls.at(exchange);
   call.offers.push_back({owner, Duration(static_cast<Duration::rep>(answer.expected_us()))});
-  if (--call.unanswered == 0) EndQuestion(connection, call);
+  if (--call.unanswered == 0) EndQuestion(exchange, call);
 }
 
-void IngressShard::EndQuestion(ConnectionId connection, PendingCall& call) {
+void IngressShard::EndQuestion(ExchangeId exchange, PendingCall& call) {
   m_questions.erase(std::exchange(call.question, 0));
   const TimePoint now = MonotonicNow();
-  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
+  if (call.deadline <= now) return AnswerReason(exchange, Reason::kDeadlineExceeded);
   const RoutingChoice choice =
       m_context.router.ChooseAmong(RequestOf(call, call.call_class.may_cross_regions), call.offers);
-  RouteTo(connection, call, choice, now);
+  RouteTo(exchange, call, choice, now);
 }
 
-void IngressShard::Route(ConnectionId connection, PendingCall& call) {
+void IngressShard::Route(ExchangeId exchange, PendingCall& call) {
   const TimePoint now = MonotonicNow();
-  if (call.deadline <= now) return AnswerReason(connection, Reason::kDeadlineExceeded);
-  if (call.question != 0 || AskForLoad(connection, call)) return;
-  RouteTo(connection, call, Choose(call, call.call_class.may_cross_regions), now);
+  if (call.deadline <= now) return AnswerReason(exchange, Reason::kDeadlineExceeded);
+  if (call.question != 0 || AskForLoad(exchange, call)) return;
+  RouteTo(exchange, call, Choose(call, call.call_class.may_cross_regions), now);
 }
 
-void IngressShard::RouteTo(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
+void IngressShard::RouteTo(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice,
                            TimePoint now) {
   if (choice.refusal == Reason::kNone) {
     if (const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now)) {
       call.waiting = false;
-      return SendAttempt(connection, call, choice, *expiry);
+      return SendAttempt(exchange, call, choice, *expiry);
     }
   }
   if (!call.attempts.empty()) return;  // One in doubt may still be answered.
@@ -212,16 +216,16 @@
   // A call that was refused elsewhere is answered with that reason rather than with the lack of
   // another server. After the loss of a link it waits, as a fresh link may be up soon.
   const bool was_refused = call.last_reason != Reason::kNone && !IsLinkFault(call.last_reason);
-  if (was_refused) return AnswerReason(connection, call.last_reason);
-  if (now >= call.waiting_until) AnswerReason(connection, reason);
+  if (was_refused) return AnswerReason(exchange, call.last_reason);
+  if (now >= call.waiting_until) AnswerReason(exchange, reason);
 }
 
-void IngressShard::SendAttempt(ConnectionId connection, PendingCall& call,
-                               const RoutingChoice& choice, const ExpiryStamp& expiry) {
+void IngressShard::SendAttempt(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice,
+                               const ExpiryStamp& expiry) {
   const CallId id{m_next_attempt++ * m_count + m_index};
   const BackendServerId& server = choice.server;
   Attempt& attempt = m_attempts[id];
-  attempt.connection = connection;
+  attempt.exchange = exchange;
   attempt.server = server;
   attempt.expiry = expiry;
   attempt.sent = MonotonicNow();
@@ -283,12 +287,13 @@
 }
 
 bool IngressShard::StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head) {
-  PendingCall& call = m_calls.at(attempt.connection);
+  PendingCall& call = m_calls.at(attempt.exchange);
   if (call.relayed.value != 0) return false;  // Another attempt of this call answers.
   call.relayed = id;
   CancelOthers(call, id);
-  m_connections.at(attempt.connection)
-      ->StartAnswer(AnsweredHead(head, m_context.convention, attempt.server.Value()));
+  m_connections.at(attempt.exchange.connection)
+      ->StartAnswer(attempt.exchange.number,
+                    AnsweredHead(head, m_context.convention, attempt.server.Value()));
   return true;
 }
 
@@ -296,7 +301,7 @@
   const CallId id{chunk.call_id()};
   Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr || chunk.sequence() < attempt->next_sequence) return;
-  const ConnectionId connection = attempt->connection;
+  const ExchangeId exchange = attempt->exchange;
   if (chunk.sequence() > attempt->next_sequence) {
     // While the link is in doubt, the owner is asked for what is missing.
     if (!attempt->in_doubt) HandleUnknown(id, Reason::kAnswerTruncated);
@@ -306,16 +311,16 @@
   if (chunk.has_head()) {
     attempt->status = chunk.head().status();
     attempt->is_error = chunk.head().status() >= kFirstErrorStatus;
-    m_retries.NoteAnswerTime(m_calls.at(connection).call_class.service,
+    m_retries.NoteAnswerTime(m_calls.at(exchange).call_class.service,
                              MonotonicNow() - attempt->sent);
   }
   ++attempt->next_sequence;
   if (attempt->crosses_regions) NotePaidLinkBytes(chunk.ByteSizeLong());
   const AttemptResult result = attempt->is_error ? AttemptResult::kError : AttemptResult::kAnswered;
-  CallerConnection& caller = *m_connections.at(connection);
-  caller.SendBody(chunk.data());
+  CallerConnection& caller = *m_connections.at(exchange.connection);
+  caller.SendBody(exchange.number, chunk.data());
   if (!chunk.last()) return;
-  PendingCall& call = m_calls.at(connection);
+  PendingCall& call = m_calls.at(exchange);
   m_context.metrics.Add(Metric::kCallsAnswered);
   m_context.crash_guard.NoteAnswered(call.digest);
   m_context.metrics.RecordLatency(call.call_class.priority, MonotonicNow() - call.started);
@@ -325,8 +330,8 @@
       .With("total_us", (MonotonicNow() - call.started).count());
   EndAttempt(id, result);
   CancelAttempts(call);
-  EndCall(connection);
-  caller.FinishAnswer();
+  EndCall(exchange);
+  caller.FinishAnswer(exchange.number);
 }
 
 void IngressShard::NotePaidLinkBytes(std::size_t bytes) {
@@ -343,8 +348,8 @@
 void IngressShard::HandleNotRun(CallId id, Reason reason) {
   const Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
-  const ConnectionId connection = attempt->connection;
-  PendingCall& call = m_calls.at(connection);
+  const ExchangeId exchange = attempt->exchange;
+  PendingCall& call = m_calls.at(exchange);
   if (call.relayed == id) return HandleUnknown(id, reason);  // A part of its answer has been sent.
   AllowReturn(call, attempt->server, reason);
   ++(ReachedServer(reason) ? call.arrivals : call.refusals);
@@ -358,29 +363,30 @@
   // An owner without its backend server refuses at once; that must not attract calls.
   EndAttempt(id, reason == Reason::kBackendUnreachable ? AttemptResult::kNoBackend
                                                        : AttemptResult::kRefused);
-  RetryOrAnswer(connection, call, reason, true);
+  RetryOrAnswer(exchange, call, reason, true);
 }
 
 void IngressShard::HandleUnknown(CallId id, Reason reason) {
   const Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
-  const ConnectionId connection = attempt->connection;
-  PendingCall& call = m_calls.at(connection);
+  const ExchangeId exchange = attempt->exchange;
+  PendingCall& call = m_calls.at(exchange);
   AllowReturn(call, attempt->server, reason);
   ++call.arrivals;
   m_log.Failure("attempt_failed", call.log_id, reason)
       .With("server", attempt->server.Value())
       .With("after_us", (MonotonicNow() - attempt->sent).count());
   EndAttempt(id, AttemptResult::kFailed);
-  if (call.relayed == id) {
+  CallerConnection& caller = *m_connections.at(exchange.connection);
+  if (call.relayed == id && !caller.Retract(exchange.number)) {
     m_context.metrics.CountRefusal(Reason::kAnswerTruncated);
     CancelAttempts(call);
-    EndCall(connection);
-    m_connections.at(connection)->Abort();
-    return;
+    EndCall(exchange);
+    return caller.Abort();
   }
+  if (call.relayed == id) call.relayed = CallId{};
   call.doubt = reason;
-  RetryOrAnswer(connection, call, reason, false);
+  RetryOrAnswer(exchange, call, reason, false);
 }
 
 Reason IngressShard::DecideRetry(const PendingCall& call, Reason reason, bool proved_not_run) {
@@ -400,7 +406,7 @@
   return call.call_class.attempts > 0 ? call.call_class.attempts : kMaxAttempts;
 }
 
-void IngressShard::RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
+void IngressShard::RetryOrAnswer(ExchangeId exchange, PendingCall& call, Reason reason,
                                  bool proved_not_run) {
   call.last_reason = reason;
   if (!call.attempts.empty()) return;
@@ -408,15 +414,15 @@
   if (decision == Reason::kRetryBudget) {
     // The caller learns why the call was refused; the counter shows that it was not tried again.
     m_context.metrics.CountRefusal(decision);
-    return AnswerReason(connection, reason);
+    return AnswerReason(exchange, reason);
   }
-  if (decision != Reason::kNone) return AnswerReason(connection, decision);
+  if (decision != Reason::kNone) return AnswerReason(exchange, decision);
   m_context.metrics.CountRetry(reason);
   m_log.Step("retry", call.log_id)
       .With("reason", InfoOf(reason).name)
       .With("arrivals", static_cast<std::int64_t>(call.arrivals))
       .With("refusals", static_cast<std::int64_t>(call.refusals));
-  Route(connection, call);
+  Route(exchange, call);
 }
 
 void IngressShard::HandleSendFailed(CallId attempt) {
@@ -424,19 +430,19 @@
 }
 
 void IngressShard::HandleLinkDown(const BackendServerId& owner) {
-  std::vector<ConnectionId> idempotent;
+  std::vector<ExchangeId> idempotent;
   for (auto& [id, attempt] : m_attempts) {
     if (attempt.server != owner || attempt.in_doubt) continue;
     attempt.in_doubt = true;
-    if (m_calls.at(attempt.connection).call_class.idempotent && attempt.next_sequence == 0) {
-      idempotent.push_back(attempt.connection);
+    if (m_calls.at(attempt.exchange).call_class.idempotent && attempt.next_sequence == 0) {
+      idempotent.push_back(attempt.exchange);
     }
   }
-  for (const ConnectionId connection : idempotent) RouteBeside(connection);
+  for (const ExchangeId exchange : idempotent) RouteBeside(exchange);
 }
 
-void IngressShard::RouteBeside(ConnectionId connection) {
-  PendingCall& call = m_calls.at(connection);
+void IngressShard::RouteBeside(ExchangeId exchange) {
+  PendingCall& call = m_calls.at(exchange);
   const TimePoint now = MonotonicNow();
   const bool may_send = call.relayed.value == 0 && call.call_class.request_id.empty() &&
                         call.arrivals + call.attempts.size() < MostArrivals(call) &&
@@ -447,7 +453,7 @@
   const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now);
   if (!expiry || DecideRetry(call, Reason::kLinkSilent, false) != Reason::kNone) return;
   m_context.metrics.CountRetry(Reason::kLinkSilent);
-  SendAttempt(connection, call, choice, *expiry);
+  SendAttempt(exchange, call, choice, *expiry);
 }
 
 void IngressShard::HandleLinkUp(const BackendServerId& owner) {
@@ -468,7 +474,7 @@
       return;
     case AttemptVerdict::kNotRun:
       // The owner itself is well, so the call may go there again.
-      std::erase(m_calls.at(attempt->connection).tried, attempt->server);
+      std::erase(m_calls.at(attempt->exchange).tried, attempt->server);
       return HandleNotRun(id, Reason::kLinkUnavailable);
     case AttemptVerdict::kUnknown:
       return HandleUnknown(id, Reason::kLinkSilent);
@@ -497,7 +503,7 @@
   const auto found = m_attempts.find(id);
   if (found == m_attempts.end()) return;
   m_context.router.NoteEnded(found->second.server, id, result);
-  std::erase(m_calls.at(found->second.connection).attempts, id);
+  std::erase(m_calls.at(found->second.exchange).attempts, id);
   m_attempts.erase(found);
 }
 
@@ -534,20 +540,20 @@
 
 void IngressShard::NoteRequestIdNotRun(CallId id) {
   const Attempt* attempt = FindAttempt(id);
-  if (attempt != nullptr) m_calls.at(attempt->connection).request_id_not_run = true;
+  if (attempt != nullptr) m_calls.at(attempt->exchange).request_id_not_run = true;
 }
 
-void IngressShard::AnswerReason(ConnectionId connection, Reason reason) {
+void IngressShard::AnswerReason(ExchangeId exchange, Reason reason) {
   Outcome outcome = InfoOf(reason).outcome;
   std::string log_id = "-";
   Duration elapsed{};
-  if (PendingCall* call = FindCall(connection); call != nullptr) {
+  if (PendingCall* call = FindCall(exchange); call != nullptr) {
     reason = ProvedReason(*call, reason);
     outcome = ProvedOutcome(*call, reason);
     log_id = call->log_id;
     elapsed = MonotonicNow() - call->started;
     CancelAttempts(*call);
-    EndCall(connection);
+    EndCall(exchange);
   }
   m_context.metrics.CountRefusal(reason);
   const ReasonAnswer answer =
@@ -556,26 +562,26 @@
       .With("outcome", OutcomeName(outcome))
       .With("status", answer.head.status)
       .With("total_us", elapsed.count());
-  CallerConnection& caller = *m_connections.at(connection);
-  caller.StartAnswer(answer.head);
-  caller.SendBody(answer.body);
-  caller.FinishAnswer();
+  CallerConnection& caller = *m_connections.at(exchange.connection);
+  caller.StartAnswer(exchange.number, answer.head);
+  caller.SendBody(exchange.number, answer.body);
+  caller.FinishAnswer(exchange.number);
 }
 
-void IngressShard::EndCall(ConnectionId connection) {
-  const auto found = m_calls.find(connection);
+void IngressShard::EndCall(ExchangeId exchange) {
+  const auto found = m_calls.find(exchange);
   if (found == m_calls.end()) return;
   m_context.body_budget.Release(found->second.body_bytes);
   m_questions.erase(found->second.question);
   m_calls.erase(found);
 }
 
-void IngressShard::OnBadRequest(ConnectionId connection, Reason reason) {
-  AnswerReason(connection, reason);
+void IngressShard::OnBadRequest(ExchangeId exchange, Reason reason) {
+  AnswerReason(exchange, reason);
 }
 
-void IngressShard::OnBodySent(ConnectionId connection, std::size_t bytes) {
-  const PendingCall* call = FindCall(connection);
+void IngressShard::OnBodySent(ExchangeId exchange, std::size_t bytes) {
+  const PendingCall* call = FindCall(exchange);
   if (call == nullptr || call->relayed.value == 0) return;
   const Attempt* attempt = FindAttempt(call->relayed);
   if (attempt == nullptr) return;
@@ -587,12 +593,18 @@
 }
 
 void IngressShard::OnCallerGone(ConnectionId connection) {
-  if (PendingCall* call = FindCall(connection); call != nullptr) {
+  std::vector<ExchangeId> exchanges;
+  for (auto entry = m_calls.lower_bound({connection, 0});
+       entry != m_calls.end() && entry->first.connection == connection; ++entry) {
+    exchanges.push_back(entry->first);
+  }
+  for (const ExchangeId exchange : exchanges) {
+    PendingCall& call = m_calls.at(exchange);
     m_context.metrics.CountRefusal(Reason::kCancelled);
-    m_log.Failure("caller_left", call->log_id, Reason::kCancelled)
-        .With("total_us", (MonotonicNow() - call->started).count());
-    CancelAttempts(*call);
-    EndCall(connection);
+    m_log.Failure("caller_left", call.log_id, Reason::kCancelled)
+        .With("total_us", (MonotonicNow() - call.started).count());
+    CancelAttempts(call);
+    EndCall(exchange);
   }
   const auto found = m_connections.find(connection);
   if (found == m_connections.end()) return;
@@ -629,12 +641,12 @@
 
 void IngressShard::Tick() {
   const TimePoint now = MonotonicNow();
-  std::vector<ConnectionId> waiting;
-  for (const auto& [connection, call] : m_calls) {
-    if (call.waiting) waiting.push_back(connection);
+  std::vector<ExchangeId> waiting;
+  for (const auto& [exchange, call] : m_calls) {
+    if (call.waiting) waiting.push_back(exchange);
   }
-  for (const ConnectionId connection : waiting) {
-    if (PendingCall* call = FindCall(connection); call != nullptr) Route(connection, *call);
+  for (const ExchangeId exchange : waiting) {
+    if (PendingCall* call = FindCall(exchange); call != nullptr) Route(exchange, *call);
   }
   CheckHedges(now);
   CheckDeadlines(now);
@@ -642,21 +654,21 @@
 }
 
 void IngressShard::CheckHedges(TimePoint now) {
-  std::vector<ConnectionId> slow;
-  for (const auto& [connection, call] : m_calls) {
+  std::vector<ExchangeId> slow;
+  for (const auto& [exchange, call] : m_calls) {
     const bool may_hedge = call.call_class.idempotent && call.call_class.request_id.empty() &&
                            !call.hedged && call.attempts.size() == 1 && call.relayed.value == 0 &&
                            call.arrivals + 1 < MostArrivals(call) && now < call.deadline;
     if (!may_hedge) continue;
     const std::optional<Duration> delay = m_retries.HedgeDelay(call.call_class.service);
     if (delay && now - m_attempts.at(call.attempts.front()).sent >= *delay) {
-      slow.push_back(connection);
+      slow.push_back(exchange);
     }
   }
-  for (const ConnectionId connection : slow) SendHedge(connection, m_calls.at(connection), now);
+  for (const ExchangeId exchange : slow) SendHedge(exchange, m_calls.at(exchange), now);
 }
 
-void IngressShard::SendHedge(ConnectionId connection, PendingCall& call, TimePoint now) {
+void IngressShard::SendHedge(ExchangeId exchange, PendingCall& call, TimePoint now) {
   // The paid link is not for calls that run in this region already.
   const RoutingChoice choice = Choose(call, false);
   if (choice.refusal != Reason::kNone) return;
@@ -664,21 +676,21 @@
   if (!expiry || !m_retries.TakeHedge(call.call_class.service, m_budgets, now)) return;
   call.hedged = true;
   m_context.metrics.Add(Metric::kHedges);
-  SendAttempt(connection, call, choice, *expiry);
+  SendAttempt(exchange, call, choice, *expiry);
 }
 
 void IngressShard::CheckDeadlines(TimePoint now) {
-  std::vector<ConnectionId> late;
-  for (const auto& [connection, call] : m_calls) {
-    if (!call.attempts.empty() && now > call.deadline) late.push_back(connection);
+  std::vector<ExchangeId> late;
+  for (const auto& [exchange, call] : m_calls) {
+    if (!call.attempts.empty() && now > call.deadline) late.push_back(exchange);
   }
-  for (const ConnectionId connection : late) CheckDeadline(connection, m_calls.at(connection), now);
+  for (const ExchangeId exchange : late) CheckDeadline(exchange, m_calls.at(exchange), now);
 }
 
-void IngressShard::CheckDeadline(ConnectionId connection, PendingCall& call, TimePoint now) {
+void IngressShard::CheckDeadline(ExchangeId exchange, PendingCall& call, TimePoint now) {
   if (now > call.deadline + kDeadlineGrace) {
     if (call.relayed.value != 0) return HandleUnknown(call.relayed, Reason::kAnswerTruncated);
-    return AnswerReason(connection, Reason::kLinkSilent);
+    return AnswerReason(exchange, Reason::kLinkSilent);
   }
   if (call.asked_at_deadline || call.relayed.value != 0) return;
   call.asked_at_deadline = true;
@@ -688,8 +700,8 @@
   }
 }
 
-IngressShard::PendingCall* IngressShard::FindCall(ConnectionId connection) {
-  const auto found = m_calls.find(connection);
+IngressShard::PendingCall* IngressShard::FindCall(ExchangeId exchange) {
+  const auto found = m_calls.find(exchange);
   return found == m_calls.end() ? nullptr : &found->second;
 }
 
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -73,14 +73,13 @@
   void MakeRoom(std::size_t count);
 
   std::size_t BodyLimit(const HttpRequest& head) const override;
-  void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
-  void OnBadRequest(ConnectionId connection, Reason reason) override;
-  void OnBodySent(ConnectionId connection, std::size_t bytes) override;
+  void OnRequest(ExchangeId exchange, HttpRequest request, std::size_t body_bytes) override;
+  void OnBadRequest(ExchangeId exchange, Reason reason) override;
+  void OnBodySent(ExchangeId exchange, std::size_t bytes) override;
   void OnCallerGone(ConnectionId connection) override;
 
  private:
-  // A call from its complete request to the end of its answer. A connection has one at a time, so
-  // it names the call.
+  // A call from its complete request to the end of its answer.
   struct PendingCall {
     HttpRequest request;
     std::string log_id;
@@ -108,7 +107,7 @@
 
   // One sending of a call to an owner.
   struct Attempt {
-    ConnectionId connection;
+    ExchangeId exchange;
     BackendServerId server;
     ExpiryStamp expiry;
     TimePoint sent{};
@@ -122,20 +121,19 @@
   // Whether the call is refused because its node holds too many caller connections.
   bool IsCrowdedOut(const CallClass& call_class) const;
 
-  void Route(ConnectionId connection, PendingCall& call);
+  void Route(ExchangeId exchange, PendingCall& call);
 
   // Asks near owners for their load; false if the choice is to be made without.
-  bool AskForLoad(ConnectionId connection, PendingCall& call);
+  bool AskForLoad(ExchangeId exchange, PendingCall& call);
   void HandleLoadAnswer(const BackendServerId& owner, const wire::LoadAnswer& answer);
-  void EndQuestion(ConnectionId connection, PendingCall& call);
-  void RouteTo(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
-               TimePoint now);
+  void EndQuestion(ExchangeId exchange, PendingCall& call);
+  void RouteTo(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice, TimePoint now);
 
   // Sends an idempotent call to another server while an attempt is in doubt, so that it does not
   // wait for the new link. The first answer counts.
-  void RouteBeside(ConnectionId connection);
+  void RouteBeside(ExchangeId exchange);
 
-  void SendAttempt(ConnectionId connection, PendingCall& call, const RoutingChoice& choice,
+  void SendAttempt(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice,
                    const ExpiryStamp& expiry);
   bool StartRelay(CallId id, const Attempt& attempt, const wire::ResponseHead& head);
   void NotePaidLinkBytes(std::size_t bytes);
@@ -150,9 +148,8 @@
   // kNone if the call may be sent again, which uses up budget; otherwise the reason to answer with.
   Reason DecideRetry(const PendingCall& call, Reason reason, bool proved_not_run);
   static std::size_t MostArrivals(const PendingCall& call);
-  void RetryOrAnswer(ConnectionId connection, PendingCall& call, Reason reason,
-                     bool proved_not_run);
-  void SendHedge(ConnectionId connection, PendingCall& call, TimePoint now);
+  void RetryOrAnswer(ExchangeId exchange, PendingCall& call, Reason reason, bool proved_not_run);
+  void SendHedge(ExchangeId exchange, PendingCall& call, TimePoint now);
 
   // A request with an id goes to its home, any other to where the router sends it.
   RoutingChoice Choose(const PendingCall& call, bool may_cross_regions);
@@ -170,13 +167,13 @@
   // so it needs the word of a home that accepted the id.
   static Outcome ProvedOutcome(const PendingCall& call, Reason reason);
   void NoteRequestIdNotRun(CallId id);
-  void AnswerReason(ConnectionId connection, Reason reason);
-  void EndCall(ConnectionId connection);
+  void AnswerReason(ExchangeId exchange, Reason reason);
+  void EndCall(ExchangeId exchange);
   void Tick();
   void CheckHedges(TimePoint now);
   void CheckDeadlines(TimePoint now);
-  void CheckDeadline(ConnectionId connection, PendingCall& call, TimePoint now);
-  PendingCall* FindCall(ConnectionId connection);
+  void CheckDeadline(ExchangeId exchange, PendingCall& call, TimePoint now);
+  PendingCall* FindCall(ExchangeId exchange);
   Attempt* FindAttempt(CallId attempt);
 
   IngressContext m_context;
@@ -185,9 +182,9 @@
   std::uint64_t m_next_connection = 1;
   std::uint64_t m_next_attempt = 1;
   std::unordered_map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
-  std::map<ConnectionId, PendingCall> m_calls;
+  std::map<ExchangeId, PendingCall> m_calls;
   std::unordered_map<CallId, Attempt> m_attempts;
-  std::unordered_map<std::uint64_t, ConnectionId> m_questions;
+  std::unordered_map<std::uint64_t, ExchangeId> m_questions;
   RetryPolicy m_retries;  // Its budgets are those of this shard's part of the calls.
   Budgets m_budgets;      // Of the declaration that the last call came under.
   SplitPicker m_splits;
--- /dev/null
+++ b/tests/auto/http/tst_callerconnection.cpp
@@ -0,0 +1,213 @@
+#include <cppunit/TestAssert.h>
+
+#include <QTcpServer>
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/callerconnection.h"
+#include "support/rawclient.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+
+namespace damaskhollow {
+
+namespace {
+
+constexpr std::size_t kAtOnce = 4;
+
+// A server whose test gives the answers.
+class HandedOn : public QTcpServer, public CallerEvents {
+ public:
+  HandedOn() { listen(QHostAddress::LocalHost); }
+
+  Endpoint Address() const { return Endpoint{"127.0.0.1", serverPort()}; }
+  CallerConnection& Connection() { return *m_connection; }
+  // The targets of the requests that were handed on and not refused, in their order.
+  const std::vector<std::string>& Targets() const { return m_targets; }
+  bool IsCallerGone() const { return m_gone; }
+
+  bool WaitForTargets(std::size_t count) {
+    return test::WaitUntil([&] { return m_targets.size() >= count; });
+  }
+
+  // Answers a request with its number, or with a text.
+  void Answer(std::uint64_t number, std::string_view text = "") {
+    const std::string body = text.empty() ? "answer-" + std::to_string(number) : std::string(text);
+    Start(number, body.size());
+    m_connection->SendBody(number, body);
+    m_connection->FinishAnswer(number);
+  }
+
+  void Start(std::uint64_t number, std::size_t length) {
+    HttpResponseHead head;
+    head.status = 200;
+    head.content_length = length;
+    m_connection->StartAnswer(number, head);
+  }
+
+  std::size_t BodyLimit(const HttpRequest&) const override { return 1024; }
+  void OnRequest(ExchangeId, HttpRequest request, std::size_t) override {
+    m_targets.push_back(request.target);
+  }
+  void OnBadRequest(ExchangeId exchange, Reason) override { Answer(exchange.number, "bad"); }
+  void OnBodySent(ExchangeId, std::size_t) override {}
+  void OnCallerGone(ConnectionId) override { m_gone = true; }
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    CallerLimits limits;
+    limits.requests_at_once = kAtOnce;
+    m_connection =
+        std::make_unique<CallerConnection>(ConnectionId{1}, descriptor, limits, m_budget, *this);
+  }
+
+ private:
+  BodyBudget m_budget{1UL << 20U};
+  std::unique_ptr<CallerConnection> m_connection;
+  std::vector<std::string> m_targets;
+  bool m_gone = false;
+};
+
+std::string Get(std::string_view target, std::string_view fields = "") {
+  return "GET " + std::string(target) + " HTTP/1.1\r\nHost: h\r\n" + std::string(fields) + "\r\n";
+}
+
+std::string Post(std::string_view target) {
+  return "POST " + std::string(target) + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+}
+
+// Requests that a caller sends without waiting, and those that are to be handed on before any is
+// answered.
+struct ReadAheadRow {
+  std::string_view name;
+  std::string requests;
+  std::vector<std::string> handed_on;
+  std::vector<std::string> after_all_answers;  // Handed on in all.
+};
+
+const std::array read_ahead_rows{
+    // Pattern: callers that send further look-ups before the first is answered.
+    ReadAheadRow{"safe ones together",
+                 Get("/1") + Get("/2") + Get("/3"),
+                 {"/1", "/2", "/3"},
+                 {"/1", "/2", "/3"}},
+    ReadAheadRow{"up to the limit",
+                 Get("/1") + Get("/2") + Get("/3") + Get("/4") + Get("/5"),
+                 {"/1", "/2", "/3", "/4"},
+                 {"/1", "/2", "/3", "/4", "/5"}},
+    ReadAheadRow{"an unsafe one waits for those before it",
+                 Get("/1") + Get("/2") + Post("/3"),
+                 {"/1", "/2"},
+                 {"/1", "/2", "/3"}},
+    ReadAheadRow{"nothing behind an unsafe one", Post("/1") + Get("/2"), {"/1"}, {"/1", "/2"}},
+    ReadAheadRow{"nothing behind one that closes",
+                 Get("/1") + Get("/2", "Connection: close\r\n") + Get("/3"),
+                 {"/1", "/2"},
+                 {"/1", "/2"}},
+    ReadAheadRow{"nothing behind a malformed one",
+                 Get("/1") + "nonsense\r\n\r\n" + Get("/2"),
+                 {"/1"},
+                 {"/1"}},
+    ReadAheadRow{"nothing behind one of HTTP/1.0",
+                 "GET /1 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n" + Get("/2"),
+                 {"/1"},
+                 {"/1", "/2"}},
+};
+
+// Guards against requests that wait unread behind a slow one, and against any order of answers but
+// that of the requests.
+void TestReadAhead(const ReadAheadRow& row) {
+  HandedOn server;
+  test::RawClient client(server.Address());
+  client.Send(row.requests);
+  CPPUNIT_ASSERT(server.WaitForTargets(row.handed_on.size()));
+  test::RunFor(std::chrono::milliseconds(50));
+  CPPUNIT_ASSERT(server.Targets() == row.handed_on);
+  for (std::size_t number = row.handed_on.size(); number > 0; --number) server.Answer(number);
+  CPPUNIT_ASSERT(server.WaitForTargets(row.after_all_answers.size()));
+  for (std::size_t number = row.handed_on.size(); number < row.after_all_answers.size(); ++number) {
+    server.Answer(number + 1);
+  }
+  std::size_t position = 0;
+  for (std::size_t number = 1; number <= row.after_all_answers.size(); ++number) {
+    const std::string answer = "answer-" + std::to_string(number);
+    CPPUNIT_ASSERT_MESSAGE(answer, client.WaitFor(answer));
+    const std::size_t found = client.Received().find(answer);
+    CPPUNIT_ASSERT(found >= position);
+    position = found;
+  }
+  CPPUNIT_ASSERT(server.Targets() == row.after_all_answers);
+}
+
+const test::TableTest<ReadAheadRow> read_ahead_test("CallerReadAhead", read_ahead_rows,
+                                                    TestReadAhead);
+
+// What happens while two requests of a caller are due.
+struct TwoDueRow {
+  std::string_view name;
+  void (*run)(HandedOn& server, test::RawClient& client);
+};
+
+// Guards against an answer that breaks off and takes the other one's connection with it.
+void ReplacesHeldAnswer(HandedOn& server, test::RawClient& client) {
+  server.Start(1, 100);
+  server.Connection().SendBody(1, "half");
+  CPPUNIT_ASSERT(server.Connection().Retract(1));
+  server.Answer(1, "replaced");
+  server.Answer(2);
+  CPPUNIT_ASSERT(client.WaitFor("answer-2"));
+  CPPUNIT_ASSERT(client.Received().find("half") == std::string::npos);
+  CPPUNIT_ASSERT(client.Received().find("replaced") != std::string::npos);
+}
+
+// Guards against a retraction of bytes that the caller has.
+void KeepsSentAnswer(HandedOn& server, test::RawClient& client) {
+  server.Answer(1);
+  server.Start(2, 100);
+  server.Connection().SendBody(2, "half");
+  CPPUNIT_ASSERT(!server.Connection().Retract(2));
+  CPPUNIT_ASSERT(client.WaitFor("half"));
+}
+
+// Guards against a connection that closes with requests handed on and not answered.
+void AnswersAllBeforeClosing(HandedOn& server, test::RawClient& client) {
+  server.Connection().CloseWhenIdle();
+  client.Send(Get("/3"));
+  server.Answer(2);
+  server.Answer(1);
+  CPPUNIT_ASSERT(client.WaitForClose());
+  const std::string received = client.Received();
+  CPPUNIT_ASSERT(received.find("answer-1") < received.find("Connection: close"));
+  CPPUNIT_ASSERT(received.find("answer-2") != std::string::npos);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.Targets().size());
+}
+
+void HearsOfCallerThatLeaves(HandedOn& server, test::RawClient& client) {
+  client.Abort();
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return server.IsCallerGone(); }));
+}
+
+constexpr std::array two_due_rows{
+    TwoDueRow{"broken answer is replaced", ReplacesHeldAnswer},
+    TwoDueRow{"sent answer is not taken back", KeepsSentAnswer},
+    TwoDueRow{"closes after all answers", AnswersAllBeforeClosing},
+    TwoDueRow{"caller leaves", HearsOfCallerThatLeaves},
+};
+
+void TestTwoDue(const TwoDueRow& row) {
+  HandedOn server;
+  test::RawClient client(server.Address());
+  client.Send(Get("/1") + Get("/2"));
+  CPPUNIT_ASSERT(server.WaitForTargets(2));
+  row.run(server, client);
+}
+
+const test::TableTest<TwoDueRow> two_due_test("CallerTwoDue", two_due_rows, TestTwoDue);
+
+}  // namespace
+
+}  // namespace damaskhollow
--- a/tests/support/httpserver.cpp
+++ b/tests/support/httpserver.cpp
@@ -40,9 +40,10 @@
   head.status = status;
   head.headers = std::move(headers);
   head.content_length = body.size();
-  caller->StartAnswer(head);
-  caller->SendBody(body);
-  caller->FinishAnswer();
+  const std::uint64_t number = caller->FirstDue();
+  caller->StartAnswer(number, head);
+  caller->SendBody(number, body);
+  caller->FinishAnswer(number);
 }
 
 void HttpServer::AnswerChunked(ConnectionId connection, int status, std::string_view body,
@@ -52,11 +53,12 @@
   HttpResponseHead head;
   head.status = status;
   head.headers = std::move(headers);
-  caller->StartAnswer(head);
+  const std::uint64_t number = caller->FirstDue();
+  caller->StartAnswer(number, head);
   for (std::size_t at = 0; at < body.size(); at += chunk_bytes) {
-    caller->SendBody(body.substr(at, chunk_bytes));
+    caller->SendBody(number, body.substr(at, chunk_bytes));
   }
-  caller->FinishAnswer();
+  caller->FinishAnswer(number);
 }
 
 void HttpServer::Abort(ConnectionId connection) {
@@ -66,16 +68,17 @@
 
 std::size_t HttpServer::BodyLimit(const HttpRequest&) const { return kBodyLimitBytes; }
 
-void HttpServer::OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) {
+void HttpServer::OnRequest(ExchangeId exchange, HttpRequest request, std::size_t body_bytes) {
+  const ConnectionId connection = exchange.connection;
   m_budget.Release(body_bytes);
   m_handle(connection, std::move(request));
 }
 
-void HttpServer::OnBadRequest(ConnectionId connection, Reason reason) {
-  Answer(connection, InfoOf(reason).http_status, InfoOf(reason).name);
+void HttpServer::OnBadRequest(ExchangeId exchange, Reason reason) {
+  Answer(exchange.connection, InfoOf(reason).http_status, InfoOf(reason).name);
 }
 
-void HttpServer::OnBodySent(ConnectionId, std::size_t) {}
+void HttpServer::OnBodySent(ExchangeId, std::size_t) {}
 
 void HttpServer::OnCallerGone(ConnectionId connection) {
   Remove(connection);
--- a/tests/support/standin-platform/platform.cpp
+++ b/tests/support/standin-platform/platform.cpp
@@ -40,7 +40,8 @@
 
 std::size_t Platform::BodyLimit(const HttpRequest&) const { return kBodyLimitBytes; }
 
-void Platform::OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) {
+void Platform::OnRequest(ExchangeId exchange, HttpRequest request, std::size_t body_bytes) {
+  const ConnectionId connection = exchange.connection;
   m_budget.Release(body_bytes);
   const QUrl url(QString::fromStdString(request.target));
   const QString path = url.path();
@@ -50,9 +51,9 @@
   Answer(connection, 404, "");
 }
 
-void Platform::OnBadRequest(ConnectionId connection, Reason) { Answer(connection, 400, ""); }
+void Platform::OnBadRequest(ExchangeId exchange, Reason) { Answer(exchange.connection, 400, ""); }
 
-void Platform::OnBodySent(ConnectionId, std::size_t) {}
+void Platform::OnBodySent(ExchangeId, std::size_t) {}
 
 void Platform::OnCallerGone(ConnectionId connection) {
   std::erase_if(m_waiting,
@@ -145,9 +146,10 @@
   head.content_length = value.body.size();
   head.headers.push_back({std::string(kVersionHeader), std::to_string(value.version)});
   CallerConnection& caller = *m_connections.at(connection);
-  caller.StartAnswer(head);
-  caller.SendBody(value.body);
-  caller.FinishAnswer();
+  const std::uint64_t number = caller.FirstDue();
+  caller.StartAnswer(number, head);
+  caller.SendBody(number, value.body);
+  caller.FinishAnswer(number);
 }
 
 void Platform::AnswerNotModified(ConnectionId connection, Resource resource) {
@@ -155,8 +157,9 @@
   head.status = 304;
   head.headers.push_back({std::string(kVersionHeader), std::to_string(Served(resource).version)});
   CallerConnection& caller = *m_connections.at(connection);
-  caller.StartAnswer(head);
-  caller.FinishAnswer();
+  const std::uint64_t number = caller.FirstDue();
+  caller.StartAnswer(number, head);
+  caller.FinishAnswer(number);
 }
 
 void Platform::Answer(ConnectionId connection, int status, std::string_view body) {
@@ -164,9 +167,10 @@
   head.status = status;
   head.content_length = body.size();
   CallerConnection& caller = *m_connections.at(connection);
-  caller.StartAnswer(head);
-  caller.SendBody(body);
-  caller.FinishAnswer();
+  const std::uint64_t number = caller.FirstDue();
+  caller.StartAnswer(number, head);
+  caller.SendBody(number, body);
+  caller.FinishAnswer(number);
 }
 
 const Platform::Value& Platform::Served(Resource resource) const {
--- a/tests/support/standin-platform/platform.h
+++ b/tests/support/standin-platform/platform.h
@@ -45,9 +45,9 @@
 
   // CallerEvents
   std::size_t BodyLimit(const HttpRequest& head) const override;
-  void OnRequest(ConnectionId connection, HttpRequest request, std::size_t body_bytes) override;
-  void OnBadRequest(ConnectionId connection, Reason reason) override;
-  void OnBodySent(ConnectionId connection, std::size_t bytes) override;
+  void OnRequest(ExchangeId exchange, HttpRequest request, std::size_t body_bytes) override;
+  void OnBadRequest(ExchangeId exchange, Reason reason) override;
+  void OnBodySent(ExchangeId exchange, std::size_t bytes) override;
   void OnCallerGone(ConnectionId connection) override;
 
   void Read(ConnectionId connection, Resource resource, const QUrl& url);
