Refuse late calls at once that cannot get a slot in time

Cause (PlatformProgram, 600 calls to two instances at once): an owner that does not know yet how long calls take accepts all of them; 183 were held 2.8 s and then refused as not run, one by one at their deadlines. The same holds for late calls that newer ones in time overtake. Each tick now gives up the late calls for which the work before them leaves no time. Ruled out: a bound on the queue's length, as it would refuse what can be served. Before: GivesUpWhatCannotBeStartedInTime fails to compile without the query; the 600 calls end as queue_expired after 2.8 s. After: they end as queue_full_time.

--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -549,6 +549,9 @@
   for (const OwnedCallId id : m_admission.TakeExpired(now)) {
     RefuseUnrun(id, Reason::kQueueExpired);
   }
+  for (const OwnedCallId id : m_admission.TakeHopeless(now)) {
+    RefuseUnrun(id, Reason::kQueueFullTime);
+  }
   if (m_pause.NoteTick(now)) {
     m_metrics.Add(Metric::kPausesSeen);
     LogEvent(LogPart::kOwner, LogLevel::kWarning, "paused");
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -329,6 +329,41 @@
   return std::exchange(m_expired, {});
 }
 
+double AdmissionQueue::WorkBeforeLate(std::size_t lane) const {
+  const std::size_t group = m_lanes[lane].priority.group;
+  double work = 0.0;
+  for (std::size_t index = 0; index < m_lanes.size(); ++index) {
+    const Lane& other = m_lanes[index];
+    if (other.priority.group > group) break;
+    const bool late_goes_before = other.priority.group < group || index < lane;
+    const std::size_t count = other.queue.size() + (late_goes_before ? other.late.size() : 0);
+    work += static_cast<double>(count) * static_cast<double>(ServiceTimeOf(other).count());
+  }
+  return work;
+}
+
+std::vector<OwnedCallId> AdmissionQueue::TakeHopeless(TimePoint now) {
+  std::vector<OwnedCallId> hopeless;
+  const auto limit = static_cast<double>(Limit());
+  for (std::size_t index = 0; index < m_lanes.size(); ++index) {
+    const Lane& lane = m_lanes[index];
+    const Duration run = ServiceTimeOf(lane);
+    double work = WorkBeforeLate(index);
+    std::vector<OwnedCallId> given_up;
+    for (const AdmissionCall& call : lane.late) {
+      const Duration wait(static_cast<Duration::rep>(work / limit));
+      if (now + wait + WorthStarting(run) > call.deadline) {
+        given_up.push_back(call.id);
+      } else {
+        work += static_cast<double>(run.count());
+      }
+    }
+    for (const OwnedCallId id : given_up) Remove(id);
+    hopeless.insert(hopeless.end(), given_up.begin(), given_up.end());
+  }
+  return hopeless;
+}
+
 bool AdmissionQueue::Cancel(OwnedCallId id) {
   if (!m_queued.contains(id)) return std::erase(m_expired, id) > 0;
   Remove(id);
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -81,6 +81,10 @@
   // Removes and names the queued calls whose deadline has passed.
   std::vector<OwnedCallId> TakeExpired(TimePoint now);
 
+  // Removes and names the late calls that will not get a slot while there is time to run them, as
+  // far as can be told from what is queued before them. They have not expired yet.
+  std::vector<OwnedCallId> TakeHopeless(TimePoint now);
+
   // Removes a queued call; false if it is not queued.
   bool Cancel(OwnedCallId id);
 
@@ -139,6 +143,8 @@
   double ExpectedShare(std::size_t lane) const;
   Duration ExpectedWait(std::size_t lane) const;
   Duration ExpectedLateWait(std::size_t lane) const;
+  // The slot time of the calls that go before the late ones of a lane, in microseconds.
+  double WorkBeforeLate(std::size_t lane) const;
   // Whether the call would be answered in time; late calls wait behind those of their group that
   // would.
   bool IsInTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const;
--- a/tests/auto/policy/tst_admissionqueue.cpp
+++ b/tests/auto/policy/tst_admissionqueue.cpp
@@ -95,6 +95,7 @@
   CPPUNIT_TEST(NeverDispatchesExpiredCalls);
   CPPUNIT_TEST(ReconfiguresWhileQueued);
   CPPUNIT_TEST(ServesLargeBodyAtOnceWhenIdle);
+  CPPUNIT_TEST(GivesUpWhatCannotBeStartedInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -382,6 +383,41 @@
                    Reason::kQueueFullBytes);
   }
 
+  // Guards against calls that wait for a slot until their deadline although it can be told long
+  // before that they will not get one.
+  // Pattern: a flood that comes before the owner knows how long calls take.
+  void GivesUpWhatCannotBeStartedInTime() {
+    constexpr std::size_t kSlots = 9;
+    constexpr std::uint64_t kFlood = 600;
+    constexpr milliseconds kRun{300};
+    constexpr milliseconds kDeadline{3000};
+    AdmissionQueue queue({.slots = kSlots}, Priorities());
+    for (std::uint64_t id = 1; id <= kFlood; ++id) {
+      AdmissionCall call = CallOf(id, 0, kDeadline);
+      call.target = kStart + milliseconds(600);
+      CPPUNIT_ASSERT(queue.Offer(call, kStart).refusal == Reason::kNone);
+    }
+    std::size_t run = 0;
+    std::size_t given_up = 0;
+    std::size_t given_up_late = 0;
+    std::vector<OwnedCallId> running = queue.TakeDispatchable(kStart);
+    for (TimePoint now = kStart + kRun; !running.empty(); now += kRun) {
+      for (const OwnedCallId id : running) {
+        queue.NoteFinished(id, SlotResult::kCompleted, now);
+      }
+      run += running.size();
+      running = queue.TakeDispatchable(now);
+      const std::size_t count = queue.TakeHopeless(now).size() + queue.TakeExpired(now).size();
+      given_up += count;
+      if (now > kStart + kDeadline / 3) given_up_late += count;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kFlood}, run + given_up);
+    // When the running calls end is not known, so the last round of the slots is in doubt.
+    CPPUNIT_ASSERT(given_up_late <= kSlots);
+    // What the slots can start until 0.7 of a run before the deadline is not given up.
+    CPPUNIT_ASSERT(run >= kSlots * (kDeadline / kRun - 1));
+  }
+
  private:
   static SimulationResult Run(const FloodCase& row, double arrival_jitter = 1.0) {
     SimulationOptions options;
