--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -561,6 +561,7 @@
   m_log.Failure("call_failed", log_id, reason)
       .With("outcome", OutcomeName(outcome))
       .With("status", answer.head.status)
+      .With("version", static_cast<std::int64_t>(m_context.version.load()))
       .With("total_us", elapsed.count());
   CallerConnection& caller = *m_connections.at(exchange.connection);
   caller.StartAnswer(exchange.number, answer.head);
--- /dev/null
+++ b/tests/support/platformfleet.cpp
@@ -0,0 +1,164 @@
+#include "support/platformfleet.h"
+
+#include <QTimer>
+#include <fstream>
+#include <utility>
+
+#include "support/freeport.h"
+#include "support/wait.h"
+
+namespace damaskhollow::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds kSlowTime{300};
+constexpr std::chrono::milliseconds kCallTimeout{10000};
+constexpr std::string_view kDeadlineMs = "4000";
+
+}  // namespace
+
+StandInInstance::StandInInstance(std::string id, const Endpoint& address)
+    : m_id(std::move(id)),
+      m_address(address),
+      m_server([this](ConnectionId connection, const HttpRequest& request) {
+        Handle(connection, request);
+      }) {
+  m_server.Listen(address);
+}
+
+void StandInInstance::Handle(ConnectionId connection, const HttpRequest& request) {
+  const HttpHeader load{"Instance-Load", "1,0,9,100"};
+  if (request.target == "/healthz") {
+    return m_server.Answer(connection, 200, "", {{"Instance-Id", m_id}, load});
+  }
+  const std::string request_id(FindHeader(request.headers, "Request-Id"));
+  if (FindHeader(request.headers, "Expect-Instance") != m_id) {
+    return m_server.Answer(connection, 421, "",
+                           {{"Request-Id", request_id}, {"Not-Executed", "misdirected"}});
+  }
+  const Run run{request_id, std::string(FindHeader(request.headers, "Caller-Service")),
+                request.target, request.body};
+  m_runs.push_back(run);
+  if (request.target.starts_with("/lost/")) return m_server.Abort(connection);
+  if (!request.target.starts_with("/slow/")) return Answer(connection, run);
+  QTimer::singleShot(kSlowTime, &m_server, [this, connection, run] { Answer(connection, run); });
+}
+
+void StandInInstance::Answer(ConnectionId connection, const Run& run) {
+  m_server.Answer(connection, 200, m_id + " " + run.target + " " + run.body,
+                  {{"Request-Id", run.request_id},
+                   {"Response-Seal", "seal-" + run.request_id},
+                   {"Instance-Load", "1,0,9,100"}});
+}
+
+PlatformFleet::PlatformFleet() : m_peer_port(FreeEndpoint().port) {
+  for (std::size_t index = 0; index < kNodes; ++index) {
+    Server& server = m_servers.emplace_back();
+    server.ip = "127.0.0." + std::to_string(index + 1);
+    server.outbound = FreeEndpoint();
+    server.ready = FreeEndpoint();
+    // The instance has its VM's address, by which its node knows it.
+    server.instance = std::make_unique<StandInInstance>("i-" + std::to_string(index),
+                                                        Endpoint{server.ip, FreeEndpoint().port});
+    server.node = std::make_unique<Process>(
+        "damaskhollow-platform", std::vector<std::string>(),
+        m_folder.filePath(QString("node-%1.log").arg(index)).toStdString());
+  }
+}
+
+std::string PlatformFleet::SettingsOf(const Server& server) const {
+  const std::string store = ToString(m_store.Address());
+  return R"({"product":{"DAMASKHOLLOW_SERVER_ID":")" + server.ip +
+         R"(","DAMASKHOLLOW_REGION":"west","DAMASKHOLLOW_DATA_CENTRE":"west-1",)" +
+         R"("DAMASKHOLLOW_LISTEN":")" + ToString(server.outbound) +
+         R"(","DAMASKHOLLOW_PEER_LISTEN":")" + server.ip + ":" + std::to_string(m_peer_port) +
+         R"(","DAMASKHOLLOW_ADMIN_LISTEN":")" + ToString(server.ready) +
+         R"(","DAMASKHOLLOW_CONFIGURATION_URL":"http://)" + store +
+         R"(","DAMASKHOLLOW_VM_LIST_URL":"http://)" + store +
+         R"(","DAMASKHOLLOW_WORKERS":"1","DAMASKHOLLOW_DRAIN_ANNOUNCE_MS":"1000"},"store":")" +
+         store + R"(","peer_port":)" + std::to_string(m_peer_port) +
+         R"(,"service":"portal","zones":{"west-1":"west"},"retry_ratio":0.2,"retry_extra":58})";
+}
+
+void PlatformFleet::PutConfiguration(int version, std::string_view more_routes) {
+  const auto route = [](std::string_view name, std::string_view prefix, std::string_view kind) {
+    return R"({"name":")" + std::string(name) + R"(","hostname":"shop.test","prefix":")" +
+           std::string(prefix) + R"(","routeType":")" + std::string(kind) +
+           R"(","service":"portal","timeout":"3s","slo":"600ms","priority":1,"attempts":2})";
+  };
+  m_store.Put("op/config", R"({"configVersion":)" + std::to_string(version) + R"(,"routes":[)" +
+                               route("look", "/look/", "safe") + "," +
+                               route("slow", "/slow/", "safe") + "," +
+                               route("lost", "/lost/", "unsafe") + std::string(more_routes) +
+                               R"(],"services":[{"name":"portal","healthPath":"/healthz"}],)" +
+                               R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,)" +
+                               R"("headerTimeout":"5s","idleTimeout":"20s"}})");
+}
+
+void PlatformFleet::PutInstance(std::size_t index, std::string_view state) {
+  const StandInInstance& instance = Instance(index);
+  m_store.Put("servers/" + instance.Id(),
+              R"({"service":"portal","address":")" + ToString(instance.Address()) +
+                  R"(","zone":"west-1","configVersion":"v1","slots":9,"state":")" +
+                  std::string(state) + R"(","cold":"0ms","seq":1,"born":1700000000000})");
+}
+
+void PlatformFleet::StartNode(std::size_t index) {
+  const std::string path = m_folder.filePath(QString("settings-%1.json").arg(index)).toStdString();
+  std::ofstream(path) << SettingsOf(m_servers[index]);
+  qputenv("DAMASKHOLLOW_CONFIG", QByteArray::fromStdString(path));
+  Node(index).Start();
+}
+
+bool PlatformFleet::Start() {
+  PutConfiguration(1);
+  for (std::size_t index = 0; index < kNodes; ++index) PutInstance(index);
+  for (std::size_t index = 0; index < kNodes; ++index) StartNode(index);
+  for (std::size_t index = 0; index < kNodes; ++index) {
+    if (!WaitUntilServing(index)) return false;
+  }
+  return true;
+}
+
+bool PlatformFleet::WaitUntilServing(std::size_t index) {
+  return WaitUntil([this, index] {
+    return ReadyStatus(index) == 200 && Call(index, "GET", "/look/wait").status == 200;
+  });
+}
+
+HttpRequest PlatformFleet::RequestOf(std::string_view method, std::string_view target,
+                                     std::string body) {
+  return MakeRequest(method, target,
+                     {{"Host", "shop.test"},
+                      {"Request-Id", "r-" + std::to_string(m_next_request++)},
+                      {"Deadline-Ms", std::string(kDeadlineMs)},
+                      {"Caller-Service", "forged"}},
+                     std::move(body));
+}
+
+HttpAnswer PlatformFleet::Call(std::size_t index, std::string_view method, std::string_view target,
+                               std::string body) {
+  return m_client.Fetch(m_servers[index].outbound, RequestOf(method, target, std::move(body)),
+                        kCallTimeout);
+}
+
+ConnectionId PlatformFleet::Send(std::size_t index, std::string_view method,
+                                 std::string_view target, HttpClient::Done done) {
+  return m_client.Send(m_servers[index].outbound, RequestOf(method, target, {}), kCallTimeout,
+                       std::move(done));
+}
+
+int PlatformFleet::ReadyStatus(std::size_t index) {
+  return m_client
+      .Fetch(m_servers[index].ready, MakeRequest("GET", "/v1/readyz", {{"Host", "h"}}),
+             kCallTimeout)
+      .status;
+}
+
+std::string PlatformFleet::Output() const {
+  std::string text;
+  for (const Server& server : m_servers) text += server.node->Output();
+  return text;
+}
+
+}  // namespace damaskhollow::test
--- /dev/null
+++ b/tests/support/platformfleet.h
@@ -0,0 +1,100 @@
+#ifndef DAMASKHOLLOW_TESTS_SUPPORT_PLATFORMFLEET_H_
+#define DAMASKHOLLOW_TESTS_SUPPORT_PLATFORMFLEET_H_
+
+#include <QTemporaryDir>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "support/httpclient.h"
+#include "support/httpserver.h"
+#include "support/process.h"
+#include "support/standinstore.h"
+
+namespace damaskhollow::test {
+
+// A stand-in of one instance of the users' services, as far as callers see it. Requests to /slow/
+// take 300 ms; those to /lost/ run and get no answer.
+class StandInInstance {
+ public:
+  struct Run {
+    std::string request_id;
+    std::string caller_service;
+    std::string target;
+    std::string body;
+  };
+
+  StandInInstance(std::string id, const Endpoint& address);
+
+  const std::string& Id() const { return m_id; }
+  const Endpoint& Address() const { return m_address; }
+  const std::vector<Run>& Runs() const { return m_runs; }
+
+ private:
+  void Handle(ConnectionId connection, const HttpRequest& request);
+  void Answer(ConnectionId connection, const Run& run);
+
+  const std::string m_id;
+  const Endpoint m_address;
+  std::vector<Run> m_runs;
+  HttpServer m_server;
+};
+
+// Processes of the program for the users' platform, one beside each of two instances of the service
+// "portal", with a stand-in of the store. Nodes are addressed by their index.
+class PlatformFleet {
+ public:
+  static constexpr std::size_t kNodes = 2;
+
+  PlatformFleet();
+
+  // Stores the configuration; `more_routes` are JSON objects, each with a comma before it.
+  void PutConfiguration(int version, std::string_view more_routes = "");
+  void PutInstance(std::size_t index, std::string_view state = "ready");
+
+  void StartNode(std::size_t index);
+  // Starts all and waits until each node serves.
+  bool Start();
+  bool WaitUntilServing(std::size_t index);
+
+  // Sends a request with the host "shop.test" to a node's outbound address.
+  HttpAnswer Call(std::size_t index, std::string_view method, std::string_view target,
+                  std::string body = {});
+  ConnectionId Send(std::size_t index, std::string_view method, std::string_view target,
+                    HttpClient::Done done);
+  int ReadyStatus(std::size_t index);
+  std::string NextRequestId() const { return "r-" + std::to_string(m_next_request); }
+  std::string LastRequestId() const { return "r-" + std::to_string(m_next_request - 1); }
+
+  StandInStore& Store() { return m_store; }
+  StandInInstance& Instance(std::size_t index) { return *m_servers[index].instance; }
+  Process& Node(std::size_t index) { return *m_servers[index].node; }
+  std::string Output() const;
+
+ private:
+  struct Server {
+    std::string ip;
+    Endpoint outbound;
+    Endpoint ready;
+    std::unique_ptr<StandInInstance> instance;
+    std::unique_ptr<Process> node;
+  };
+
+  HttpRequest RequestOf(std::string_view method, std::string_view target, std::string body);
+  std::string SettingsOf(const Server& server) const;
+
+  QTemporaryDir m_folder;
+  HttpClient m_client;
+  StandInStore m_store;
+  std::uint16_t m_peer_port;
+  std::vector<Server> m_servers;
+  int m_next_request = 1;
+};
+
+}  // namespace damaskhollow::test
+
+#endif  // DAMASKHOLLOW_TESTS_SUPPORT_PLATFORMFLEET_H_
