--- a/tests/auto/http/tst_callerconnection.cpp
+++ b/tests/auto/http/tst_callerconnection.cpp
@@ -191,7 +191,7 @@
   CPPUNIT_ASSERT(test::WaitUntil([&] { return server.IsCallerGone(); }));
 }
 
-constexpr std::array two_due_rows{
+constexpr std::array kTwoDueRows{
     TwoDueRow{"broken answer is replaced", ReplacesHeldAnswer},
     TwoDueRow{"sent answer is not taken back", KeepsSentAnswer},
     TwoDueRow{"closes after all answers", AnswersAllBeforeClosing},
@@ -206,7 +206,7 @@
   row.run(server, client);
 }
 
-const test::TableTest<TwoDueRow> two_due_test("CallerTwoDue", two_due_rows, TestTwoDue);
+const test::TableTest<TwoDueRow> two_due_test("CallerTwoDue", kTwoDueRows, TestTwoDue);
 
 }  // namespace
 
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -174,7 +174,7 @@
   std::uint32_t limit;      // Of calls in flight afterwards; 7 of 9 slots before.
 };
 
-constexpr std::array turned_away_rows{
+constexpr std::array kTurnedAwayRows{
     TurnedAwayRow{"full", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLoad: full\r\n", 6},
     TurnedAwayRow{"with slots free", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLoad: calm\r\n", 7},
     TurnedAwayRow{"that tells no load", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n", 6},
@@ -203,7 +203,7 @@
   CPPUNIT_ASSERT_EQUAL(row.limit, fixture.Owner().State().limit());
 }
 
-const test::TableTest<TurnedAwayRow> turned_away_test("OwnerServiceTurnedAway", turned_away_rows,
+const test::TableTest<TurnedAwayRow> turned_away_test("OwnerServiceTurnedAway", kTurnedAwayRows,
                                                       TestLimitAfterTurnedAway);
 
 }  // namespace
