Offer calls to further owners when those before have lost their servers

Such a refusal cost a token of the retry budget and counted as an attempt. An owner without its server loads nothing by refusing, so it now costs nothing, up to the limit of refusals for one call; each owner is asked once. Ruled out: the link (the owners answered) and the budget of the others (4 of 67 calls).

--- a/src/libs/policy/retrypolicy.cpp
+++ b/src/libs/policy/retrypolicy.cpp
@@ -93,7 +93,9 @@
                                 TimePoint now) {
   if (!InfoOf(failed.reason).try_another_server) return failed.reason;
   if (!failed.proved_not_run && !failed.idempotent) return failed.reason;
-  if (!failed.reached_server && budgets.refusals_are_free) {
+  // An owner without its server loads nothing by refusing, and more calls do not make it worse.
+  const bool is_free = budgets.refusals_are_free || failed.reason == Reason::kBackendUnreachable;
+  if (!failed.reached_server && is_free) {
     return failed.refusals < kMaxRefusals ? Reason::kNone : failed.reason;
   }
   if (failed.attempts + failed.refusals >= failed.most_attempts) return failed.reason;
--- a/tests/auto/policy/tst_retrypolicy.cpp
+++ b/tests/auto/policy/tst_retrypolicy.cpp
@@ -62,7 +62,7 @@
     DecisionCase{"third attempt", Reason::kDraining, true, true, 3, Reason::kDraining},
 };
 
-// A refused attempt where refusals of owners use no budget, and the decision on it.
+// A refused attempt and the decision on it.
 struct RefusalCase {
   std::string_view name;
   Reason reason;
@@ -71,6 +71,7 @@
   std::size_t refusals;
   double retry_share;  // 0: no budget at all.
   Reason decision;
+  bool refusals_are_free = true;
 };
 
 constexpr std::array kRefusalCases{
@@ -83,11 +84,18 @@
                 Reason::kBackendShed},
     RefusalCase{"owners refused as often as they may", Reason::kQueueFullTime, false, 0,
                 kMaxRefusals, 0.5, Reason::kQueueFullTime},
+    // Pattern: one request has crashed three servers of four at once, and others meet their owners.
+    RefusalCase{"owners without their servers, refusals cost", Reason::kBackendUnreachable, false,
+                0, 3, 0.0, Reason::kNone, false},
+    RefusalCase{"owner refused, refusals cost, no budget", Reason::kQueueFullTime, false, 0, 1, 0.0,
+                Reason::kRetryBudget, false},
+    RefusalCase{"owners without their servers as often as they may", Reason::kBackendUnreachable,
+                false, 0, kMaxRefusals, 0.5, Reason::kBackendUnreachable, false},
 };
 
 void TestRefusal(const RefusalCase& row) {
   Budgets budgets = MakeBudgets(row.retry_share, 0.0);
-  budgets.refusals_are_free = true;
+  budgets.refusals_are_free = row.refusals_are_free;
   RetryPolicy policy;
   policy.NoteFirstAttempt(TestService(), budgets, kStart);
   FailedAttempt failed = MakeFailed(row.reason, true, true, row.attempts);
