Keep the ingress alive when late answers of one connection end together

It needs an answer that is partly sent and an owner that is silent. Ruled out: the same in hedges and after the loss of a link (neither ends a call while it walks the list). Before: LateAnswers, owner stands still: the node is gone. After: both rows pass, three times. The gauge caller_connections is new: two tests waited for it to be 0, which was always so, as it was not exported.

--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -685,7 +685,11 @@
   for (const auto& [exchange, call] : m_calls) {
     if (!call.attempts.empty() && now > call.deadline) late.push_back(exchange);
   }
-  for (const ExchangeId exchange : late) CheckDeadline(exchange, m_calls.at(exchange), now);
+  for (const ExchangeId exchange : late) {
+    // The end of one may close the connection, and with it the others on it.
+    if (PendingCall* call = FindCall(exchange); call != nullptr)
+      CheckDeadline(exchange, *call, now);
+  }
 }
 
 void IngressShard::CheckDeadline(ExchangeId exchange, PendingCall& call, TimePoint now) {
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -39,6 +39,7 @@
   kPausesSeen,
   kQueuedCalls,
   kInFlightCalls,
+  kCallerConnections,
   kLogLinesDropped,
   kFailureLinesDropped,
   kServers,
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -133,6 +133,7 @@
   m_control->Tick(now);  // First, as it closes the view gate after a pause.
   m_owner.Tick(now);
   CheckCrashes();
+  m_metrics.Set(Metric::kCallerConnections, m_caller_connections.load());
   m_metrics.Set(Metric::kLogLinesDropped, DroppedLogLines());
   m_metrics.Set(Metric::kFailureLinesDropped, m_request_log.DroppedFailureLines());
   m_metrics.Set(Metric::kSlownessPercent, m_owner.State().slowness_percent());
--- a/tests/integration/tst_badinput.cpp
+++ b/tests/integration/tst_badinput.cpp
@@ -1,4 +1,8 @@
+#include <arpa/inet.h>
 #include <cppunit/TestAssert.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <filesystem>
@@ -148,6 +152,32 @@
   CPPUNIT_ASSERT(first < second && second < third);
 }
 
+// A connection whose caller never reads.
+class DeafCaller {
+ public:
+  explicit DeafCaller(const Endpoint& node) : m_socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    constexpr int kSmallBuffer = 4096;
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &kSmallBuffer, sizeof(kSmallBuffer));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(node.port);
+    ::inet_pton(AF_INET, node.address.c_str(), &address.sin_addr);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+    CPPUNIT_ASSERT_EQUAL(0, ::connect(m_socket, generic, sizeof(address)));
+  }
+  ~DeafCaller() { ::close(m_socket); }
+  DeafCaller(const DeafCaller&) = delete;
+  DeafCaller& operator=(const DeafCaller&) = delete;
+
+  void Send(const std::string& bytes) const {
+    CPPUNIT_ASSERT(::send(m_socket, bytes.data(), bytes.size(), 0) ==
+                   static_cast<ssize_t>(bytes.size()));
+  }
+
+ private:
+  const int m_socket;
+};
+
 void AcceptsASlowSender(Fleet& fleet) {
   RawClient client(fleet.Caller(0));
   const std::string request =
@@ -250,6 +280,42 @@
   AssertServes(fleet);
 }
 
+// What keeps the answers of one connection from being finished in time.
+struct LateCase {
+  std::string_view name;
+  bool owner_stands_still;  // Otherwise the caller alone is slow.
+};
+
+constexpr std::array kLateCases{
+    LateCase{"caller does not read", false},
+    LateCase{"caller does not read, owner stands still", true},
+};
+
+// Guards against an answer that breaks off and takes with it the node, as those behind it on the
+// same connection are late at the same moment.
+void EndsLateAnswersOfOneConnection(const LateCase& row) {
+  Fleet fleet({.servers = FrontedFleet(2)});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  const DeafCaller caller(fleet.Caller(0));
+  std::string requests;
+  for (const std::string_view id : {"late-1", "late-2"}) {
+    requests += "GET /read?ms=0&bytes=20000000 HTTP/1.1\r\nHost: shop.test\r\nX-Test-Id: " +
+                std::string(id) + "\r\nDamaskhollow-Deadline-Ms: 1500\r\n\r\n";
+  }
+  caller.Send(requests);
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.RunsOf("late-2").ran == 1; }));
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Metric(0, "damaskhollow_caller_connections") == 1; }));
+  if (row.owner_stands_still) fleet.Node(1).Signal(SIGSTOP);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Metric(0, "damaskhollow_caller_connections") == 0; }));
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Node(0).IsRunning());
+  fleet.Node(1).Signal(SIGCONT);
+}
+
+const TableTest<LateCase> late_registration("LateAnswers", kLateCases,
+                                            &EndsLateAnswersOfOneConnection);
+
 const TableTest<MannerCase> manner_registration("CallerManners", kMannerCases, &SurvivesManners);
 
 // A start that must fail, with what the program says about it.
