--- a/src/libs/configuration/readerelection.h
+++ b/src/libs/configuration/readerelection.h
@@ -21,6 +21,12 @@
 // everyone in time if the first watcher is lost (bounds of the platform: 2.5 s).
 inline constexpr std::chrono::milliseconds kSuccessorPause{750};
 
+// The same for a node that the inventory does not list: all nodes of a fleet that starts are
+// unlisted for some seconds, in which all entries come. After an outage of the store in which all
+// entries lapsed no peer may be listed either, so it must not rest for longer than a change may
+// take.
+inline constexpr std::chrono::milliseconds kUnlistedPause{1000};
+
 // What a node does towards the configuration service.
 enum class ReaderRole {
   kFollower,  // Reads from peers only.
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -17,10 +17,6 @@
 // On links that are not of the overlay, so that each end knows how to reach the other.
 constexpr std::chrono::seconds kWideGossipPeriod{20};
 constexpr std::chrono::milliseconds kRefreshTime{500};
-// All nodes of a fleet that starts are unlisted for some seconds, in which all entries come. One
-// that knows no peer yet depends on the store; the others hear of changes from peers.
-constexpr std::chrono::milliseconds kAlonePause{1000};
-constexpr std::chrono::milliseconds kUnlistedPause{4000};
 constexpr std::size_t kRefreshPeers = 3;
 // Each takes about 45 bytes.
 constexpr std::size_t kStatementsPerGossip = 50;
@@ -249,7 +245,7 @@
       std::any_of(live.begin(), live.end(), [&](const auto& node) { return node.id == m_self.id; });
   if (m_context.seams.has_live_inventory && !is_listed) {
     place.role = ReaderRole::kWatcher;
-    place.pause = live.empty() ? kAlonePause : kUnlistedPause;
+    place.pause = kUnlistedPause;
   }
   if (place.role != m_configuration_sync.Plan().Role()) {
     EventLine(LogPart::kConfiguration, LogLevel::kInfo, "reader_role")
--- a/tests/auto/configuration/tst_readerelection.cpp
+++ b/tests/auto/configuration/tst_readerelection.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(LossOfReaderMovesOnlySuccessors);
   CPPUNIT_TEST(AllWatchWhenStoreRegionIsUnknown);
   CPPUNIT_TEST(SuccessorsRestAfterChange);
+  CPPUNIT_TEST(PausesLeaveTimeForAChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -52,6 +53,16 @@
     CPPUNIT_ASSERT_EQUAL(10L, static_cast<long>(watchers));
   }
 
+  // Guards against watchers that rest for longer than a change of the configuration may take, when
+  // the entries of all nodes have lapsed and each depends on its own watch.
+  void PausesLeaveTimeForAChange() {
+    // The platform's bound, and the rest of the way: a read, and gossip over two hops.
+    constexpr std::chrono::milliseconds kConfigurationBound{2500};
+    constexpr std::chrono::milliseconds kRestOfTheWay{1000};
+    CPPUNIT_ASSERT(kUnlistedPause + kRestOfTheWay <= kConfigurationBound);
+    CPPUNIT_ASSERT(kSuccessorPause + kRestOfTheWay <= kConfigurationBound);
+  }
+
   // Guards against a series of changes (a release, many servers that warm up) that each of a
   // region's readers reads at the full pace.
   void SuccessorsRestAfterChange() {
