Ask the own data centre for its load first

Ruled out: distance as a larger round trip in the estimate; it would still compare all near servers, and the load questions themselves cross data centres. Change: load queries have a scope. The own data centre is asked first; the others of the region only if no own estimate leaves half of the target. A call leaves its data centre if that makes it timely or saves a quarter of its time. tst_router names the scope that its servers are in; its checks are unchanged.

--- a/src/libs/calls/sharedrouter.cpp
+++ b/src/libs/calls/sharedrouter.cpp
@@ -81,12 +81,19 @@
 }
 
 std::vector<BackendServerId> SharedRouter::ServersToQuery(const RoutingRequest& request,
+                                                          QueryScope scope,
                                                           std::size_t max_servers) {
   const std::lock_guard lock(m_lock);
   const TimePoint now = MonotonicNow();
   m_used.insert(request.service);
   if (m_gate != nullptr && !m_gate->IsOpen(now)) return {};
-  return m_router.ServersToQuery(request, max_servers, now);
+  return m_router.ServersToQuery(request, scope, max_servers, now);
+}
+
+bool SharedRouter::HasGoodEstimate(const RoutingRequest& request,
+                                   std::span<const LoadEstimate> estimates) const {
+  const std::lock_guard lock(m_lock);
+  return m_router.HasGoodEstimate(request, estimates);
 }
 
 RoutingChoice SharedRouter::ChooseAmong(const RoutingRequest& request,
--- a/src/libs/calls/sharedrouter.h
+++ b/src/libs/calls/sharedrouter.h
@@ -55,11 +55,16 @@
   // Selects the server for a request.
   RoutingChoice Choose(const RoutingRequest& request);
 
-  // Returns up to `max_servers` servers whose load is to be queried before a choice. Empty while
-  // the view gate is closed.
-  std::vector<BackendServerId> ServersToQuery(const RoutingRequest& request,
+  // Returns up to `max_servers` servers in `scope` whose load is to be queried before a choice.
+  // Empty while the view gate is closed.
+  std::vector<BackendServerId> ServersToQuery(const RoutingRequest& request, QueryScope scope,
                                               std::size_t max_servers);
 
+  // Whether a server of the own data centre answers early enough to be chosen without asking
+  // others.
+  bool HasGoodEstimate(const RoutingRequest& request,
+                       std::span<const LoadEstimate> estimates) const;
+
   // Selects a server among those that have answered a load query.
   RoutingChoice ChooseAmong(const RoutingRequest& request, std::span<const LoadEstimate> estimates);
 
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -152,12 +152,18 @@
   const bool can_query = m_context.convention.decode_load != nullptr &&
                          call.call_class.request_id.empty() && call.attempts.empty();
   if (!can_query) return false;
+  call.estimates.clear();
+  return QueryLoadIn(QueryScope::kOwnDataCentre, exchange, call) ||
+         QueryLoadIn(QueryScope::kOtherDataCentresOfRegion, exchange, call);
+}
+
+bool IngressShard::QueryLoadIn(QueryScope scope, ExchangeId exchange, PendingCall& call) {
   const std::vector<BackendServerId> servers = m_context.router.ServersToQuery(
-      RequestOf(call, call.call_class.may_cross_regions), kLoadQueryServers);
+      RequestOf(call, call.call_class.may_cross_regions), scope, kLoadQueryServers);
   if (servers.empty()) return false;
+  call.query_scope = scope;
   call.load_query_id = m_next_attempt++ * m_count + m_index;
   call.pending_load_replies = servers.size();
-  call.estimates.clear();
   m_load_queries[call.load_query_id] = exchange;
   const std::uint64_t load_query_id = call.load_query_id;
   QTimer::singleShot(kLoadQueryTimeout, &m_timer, [this, exchange, load_query_id] {
@@ -189,9 +195,11 @@
   m_load_queries.erase(std::exchange(call.load_query_id, 0));
   const TimePoint now = MonotonicNow();
   if (call.deadline <= now) return RespondWithReason(exchange, Reason::kDeadlineExceeded);
-  const RoutingChoice choice = m_context.router.ChooseAmong(
-      RequestOf(call, call.call_class.may_cross_regions), call.estimates);
-  RouteTo(exchange, call, choice, now);
+  const RoutingRequest request = RequestOf(call, call.call_class.may_cross_regions);
+  const bool asks_region = call.query_scope == QueryScope::kOwnDataCentre &&
+                           !m_context.router.HasGoodEstimate(request, call.estimates);
+  if (asks_region && QueryLoadIn(QueryScope::kOtherDataCentresOfRegion, exchange, call)) return;
+  RouteTo(exchange, call, m_context.router.ChooseAmong(request, call.estimates), now);
 }
 
 void IngressShard::Route(ExchangeId exchange, PendingCall& call) {
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -102,6 +102,7 @@
     CallId relayed_attempt;                // Attempt whose response is relayed; 0 for none.
     std::uint64_t load_query_id = 0;       // Of the load queries in progress; 0 for none.
     std::size_t pending_load_replies = 0;  // Load queries without a reply.
+    QueryScope query_scope = QueryScope::kOwnDataCentre;  // Of the load queries in progress.
     std::vector<LoadEstimate> estimates;
     bool waiting = false;  // For a server that can accept the call.
     TimePoint waiting_until{};
@@ -130,8 +131,11 @@
 
   void Route(ExchangeId exchange, PendingCall& call);
 
-  // Queries nearby owners for their load; returns false if the server is to be chosen without.
+  // Queries owners of the own data centre for their load, or those of the region if there are none;
+  // returns false if the server is to be chosen without.
   bool QueryLoad(ExchangeId exchange, PendingCall& call);
+  // Returns false if there is no server to query in `scope`.
+  bool QueryLoadIn(QueryScope scope, ExchangeId exchange, PendingCall& call);
   void HandleLoadAnswer(const BackendServerId& owner, const wire::LoadAnswer& answer);
   void FinishLoadQuery(ExchangeId exchange, PendingCall& call);
   void RouteTo(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice, TimePoint now);
--- a/src/libs/policy/adaptivestrategy.cpp
+++ b/src/libs/policy/adaptivestrategy.cpp
@@ -82,6 +82,10 @@
     for (std::size_t tier = 0; tier < pool.TierCount(); ++tier) {
       const Sample sample = SampleTier(pool, tier, mode, random, now);
       if (sample.index && (!best.index || sample.delay < best.delay)) best = sample;
+      // Servers further away are not compared if the own data centre is well within the target,
+      // because bytes between data centres are paid for.
+      const bool is_own = tier == static_cast<std::size_t>(ServerTier::kOwnDataCentre);
+      if (is_own && best.index && best.delay * 2 <= pool.Request().target_left) return best.index;
     }
     if (best.index) return best.index;
   }
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -15,6 +15,9 @@
 // Estimated size of the head and framing of a call, in addition to its body.
 constexpr std::size_t kCallOverheadBytes = 512;
 constexpr std::size_t kNearTiers = 2;
+// A call leaves the data centre only if that saves at least this part, as a divisor, of the time
+// that it has or would take.
+constexpr int kWorthwhileSavingDivisor = 4;
 
 std::size_t ServersInRegion(const Declaration& declaration, const RegionId& region) {
   return static_cast<std::size_t>(
@@ -108,6 +111,12 @@
   return &m_scores[*found->second.score];
 }
 
+const ServerScore* Router::FindScore(const BackendServerId& server) const {
+  const auto found = m_servers.find(server);
+  if (found == m_servers.end() || !found->second.score) return nullptr;
+  return &m_scores[*found->second.score];
+}
+
 void Router::SetEligible(const BackendServerId& server, bool eligible, TimePoint now) {
   ServerState& state = m_servers[server];
   if (state.eligible == eligible) return;
@@ -186,11 +195,13 @@
       score.ReportAge(now)};
 }
 
-std::vector<BackendServerId> Router::ServersToQuery(const RoutingRequest& request,
+std::vector<BackendServerId> Router::ServersToQuery(const RoutingRequest& request, QueryScope scope,
                                                     std::size_t max_servers, TimePoint now) {
   const auto found = m_subsets.find(request.service);
   if (found == m_subsets.end()) return {};
   const RoutingPool pool(m_scores, found->second, request, kNearTiers);
+  const ServerTier queried_tier =
+      scope == QueryScope::kOwnDataCentre ? ServerTier::kOwnDataCentre : ServerTier::kOwnRegion;
   std::vector<std::size_t> open;
   for (std::size_t tier = 0; tier < pool.TierCount(); ++tier) {
     for (const std::size_t index : pool.Tier(tier)) {
@@ -199,6 +210,7 @@
       if (!pool.IsOpen(index)) continue;
       if (score.CurrentState() == ServerScore::State::kTrialDue) return {};
       if (score.CurrentState() != ServerScore::State::kNormal) continue;
+      if (score.Tier() != queried_tier) continue;
       const double share = score.RampShare(now);
       if (share >= 1.0 || m_random.Unit() < share) open.push_back(index);
     }
@@ -214,29 +226,52 @@
   return servers;
 }
 
-RoutingChoice Router::ChooseAmong(const RoutingRequest& request,
-                                  std::span<const LoadEstimate> estimates, TimePoint now) {
-  const auto found = m_subsets.find(request.service);
-  std::optional<std::size_t> best;
-  Duration least{};
+std::optional<Router::Offer> Router::BestOffer(std::span<const LoadEstimate> estimates,
+                                               bool in_own_data_centre) const {
+  std::optional<Offer> best;
   for (const LoadEstimate& estimate : estimates) {
     const ServerScore* score = FindScore(estimate.server);
     if (score == nullptr || !score->IsOpen()) continue;
+    if ((score->Tier() == ServerTier::kOwnDataCentre) != in_own_data_centre) continue;
     const Duration expected = estimate.expected + score->RoundTrip();
-    if (best && expected >= least) continue;
-    best = *m_servers.at(estimate.server).score;
-    least = expected;
+    if (best && expected >= best->expected) continue;
+    best = Offer{*m_servers.at(estimate.server).score, expected};
   }
-  if (!best || found == m_subsets.end()) return Choose(request, now);
-  const bool is_late = least > request.target_left;
+  return best;
+}
+
+bool Router::HasGoodEstimate(const RoutingRequest& request,
+                             std::span<const LoadEstimate> estimates) const {
+  const std::optional<Offer> own = BestOffer(estimates, true);
+  return own && own->expected * 2 <= request.target_left;
+}
+
+RoutingChoice Router::ChooseAmong(const RoutingRequest& request,
+                                  std::span<const LoadEstimate> estimates, TimePoint now) {
+  const auto found = m_subsets.find(request.service);
+  const std::optional<Offer> own = BestOffer(estimates, true);
+  const std::optional<Offer> near = BestOffer(estimates, false);
+  if ((!own && !near) || found == m_subsets.end()) return Choose(request, now);
+  const Offer best = own && near ? PreferOwn(*own, *near, request.target_left) : own ? *own : *near;
+  const bool is_late = best.expected > request.target_left;
   if (is_late && request.may_cross_regions && m_paid_link.HasRoom(now)) {
-    RoutingChoice other = SelectServer(request, now);
-    if (other.crosses_regions && other.expected_delay < least) {
+    RoutingRequest anywhere = request;
+    anywhere.target_left = Duration(0);  // No server of the region can meet the target.
+    RoutingChoice other = SelectServer(anywhere, now);
+    if (other.crosses_regions && other.expected_delay < best.expected) {
       ChargePaidLink(request, other, now);
       return other;
     }
   }
-  return RoutingChoice{Reason::kNone, m_scores[*best].Id(), false, least, Duration(0)};
+  return RoutingChoice{Reason::kNone, m_scores[best.score].Id(), false, best.expected, Duration(0)};
+}
+
+Router::Offer Router::PreferOwn(const Offer& own, const Offer& near, Duration target_left) {
+  if (near.expected >= own.expected) return own;
+  const bool near_is_in_time = near.expected <= target_left;
+  if (own.expected > target_left && near_is_in_time) return near;
+  const Duration least_saving = std::max(own.expected, target_left) / kWorthwhileSavingDivisor;
+  return own.expected - near.expected >= least_saving ? near : own;
 }
 
 bool Router::HasOpenRemoteServer(const RoutingPool& pool) const {
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -37,6 +37,10 @@
   Duration expected{};  // Queue wait plus service time.
 };
 
+// The servers whose owners are queried for their load before a selection. The own data centre comes
+// first, because bytes between data centres are paid for.
+enum class QueryScope { kOwnDataCentre, kOtherDataCentresOfRegion };
+
 // Selects backend servers for calls. Subsets are computed when the declaration or the membership
 // changes, so a selection looks only at the subset of its service. Not thread-safe.
 class Router {
@@ -71,14 +75,21 @@
   // paid link if the selected server is in another region.
   RoutingChoice Choose(const RoutingRequest& request, TimePoint now);
 
-  // Returns up to `max_servers` servers in this region whose owners should be queried for their
-  // load before the selection. Empty if a query would not help: no server is open, or a server is
-  // due for a trial call.
-  std::vector<BackendServerId> ServersToQuery(const RoutingRequest& request,
+  // Returns up to `max_servers` servers in `scope` whose owners should be queried for their load
+  // before the selection. Empty if a query would not help: no server is open, or a server of the
+  // region is due for a trial call.
+  std::vector<BackendServerId> ServersToQuery(const RoutingRequest& request, QueryScope scope,
                                               std::size_t max_servers, TimePoint now);
 
+  // Whether an estimate leaves so much of the request's target unused that a server outside the own
+  // data centre cannot be worth its bytes.
+  bool HasGoodEstimate(const RoutingRequest& request,
+                       std::span<const LoadEstimate> estimates) const;
+
   // Selects the server with the lowest estimate in `estimates`, which the owners have just
-  // reported. Leaves the region only if no estimate is within `target_left` of the request.
+  // reported. Leaves the own data centre only for a call that would otherwise be late, or if that
+  // saves a considerable part of its time. Leaves the region only if no estimate is within
+  // `target_left` of the request.
   RoutingChoice ChooseAmong(const RoutingRequest& request, std::span<const LoadEstimate> estimates,
                             TimePoint now);
 
@@ -86,6 +97,17 @@
   std::vector<BackendServerId> SubsetOf(const ServiceId& service) const;
 
  private:
+  // An estimate of a server that is open, with the time that the response needs to arrive.
+  struct Offer {
+    std::size_t score = 0;  // Index in m_scores.
+    Duration expected{};
+  };
+
+  // Returns the lowest estimate among servers in the own data centre, or among those outside it.
+  std::optional<Offer> BestOffer(std::span<const LoadEstimate> estimates,
+                                 bool in_own_data_centre) const;
+  // Returns `near`, which is outside the own data centre, if it is worth its bytes; else `own`.
+  static Offer PreferOwn(const Offer& own, const Offer& near, Duration target_left);
   // Like Choose, but does not charge the budget of the paid link.
   RoutingChoice SelectServer(const RoutingRequest& request, TimePoint now);
   void ChargePaidLink(const RoutingRequest& request, const RoutingChoice& choice, TimePoint now);
@@ -103,6 +125,7 @@
   std::size_t AddScore(const BackendServer& server, ServerState& state, TimePoint now);
   void ReleaseScore(ServerState& state);
   ServerScore* FindScore(const BackendServerId& server);
+  const ServerScore* FindScore(const BackendServerId& server) const;
   // Whether one more server can be suspended: at most half of a subset may be ejected.
   bool CanSuspend(const ServiceSubset& subset) const;
   bool HasOpenRemoteServer(const RoutingPool& pool) const;
--- a/tests/auto/policy/tst_router.cpp
+++ b/tests/auto/policy/tst_router.cpp
@@ -198,13 +198,17 @@
 
   void AsksOnlyNearServersThatAreOpen() {
     Router router = MakeRouter();
-    std::vector<BackendServerId> queried = router.ServersToQuery(MakeRequest(), 3, kQueryTime);
+    std::vector<BackendServerId> queried =
+        router.ServersToQuery(MakeRequest(), QueryScope::kOtherDataCentresOfRegion, 3, kQueryTime);
     std::sort(queried.begin(), queried.end());
     CPPUNIT_ASSERT(queried == (std::vector{BackendServerId("n0"), BackendServerId("n1")}));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                         router.ServersToQuery(MakeRequest(), 1, kQueryTime).size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        router.ServersToQuery(MakeRequest(), QueryScope::kOtherDataCentresOfRegion, 1, kQueryTime)
+            .size());
     router.SetReachable(BackendServerId("n0"), false, kQueryTime);
-    queried = router.ServersToQuery(MakeRequest(), 3, kQueryTime);
+    queried =
+        router.ServersToQuery(MakeRequest(), QueryScope::kOtherDataCentresOfRegion, 3, kQueryTime);
     CPPUNIT_ASSERT(queried == std::vector{BackendServerId("n1")});
   }
 
