Bound what is read of answers without end

Cause: a faulty backend server can send bytes without end. Interim responses, answers of other requests, a chunk extension and a trailer were read until the time-out, the latter two into memory; a body that ends with its connection was read whatever the credit was. A refusal that says not-run was trusted without the request's id, so that a late copy of an earlier one could become a false promise. Change: at most 16 interim responses, 4 MB of other requests' answers and 64 KB of an incomplete head, chunk header or trailer; credit holds for close-delimited bodies too. A not-run response must repeat the id.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -21,6 +21,10 @@
 constexpr qint64 kReadBufferBytes = 64LL * 1024LL;
 constexpr std::uint32_t kHeaderLimitBytes = 64 * 1024;
 constexpr std::size_t kCloseDelimitedReadBytes = 16UL * 1024UL;
+// Interim (1xx) responses accepted before the final one.
+constexpr unsigned kMaxInterimResponses = 16;
+// Bytes read of responses that belong to other requests, for one request.
+constexpr std::size_t kMaxSkippedBytes = 4UL * 1024UL * 1024UL;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -74,6 +78,8 @@
                              std::chrono::milliseconds timeout, ResponseCheck check) {
   m_check = std::move(check);
   m_skipping_response = false;
+  m_skipped_bytes = 0;
+  m_interim_responses = 0;
   m_output = SerializeRequest(request);
   m_method = request.method;
   m_credit = credit;
@@ -101,6 +107,7 @@
 
 void BackendConnection::AddCredit(std::size_t bytes) {
   m_credit += bytes;
+  if (m_close_delimited_notifier && m_credit > 0) m_close_delimited_notifier->setEnabled(true);
   if (m_state == State::kReading) ReadMore();
 }
 
@@ -132,6 +139,7 @@
       AcceptHead();
       if (m_state == State::kClosed) return;
     }
+    if (m_skipping_response) m_skipped_bytes += used;
     CollectBody();
     if (m_skipping_response && m_parser->is_done()) {
       m_skipping_response = false;
@@ -141,6 +149,11 @@
     }
   }
   if (error && error != http::error::need_more) return Fail(Reason::kBackendMalformed);
+  // What the parser leaves is an incomplete head, chunk header or trailer.
+  const bool is_endless = m_input.size() > kHeaderLimitBytes ||
+                          m_skipped_bytes > kMaxSkippedBytes ||
+                          m_interim_responses > kMaxInterimResponses;
+  if (is_endless) return Fail(Reason::kBackendMalformed);
   if (m_parser->is_done()) return Finish();
   if (m_head_parsed && m_parser->need_eof()) StartCloseDelimitedBody();
 }
@@ -156,7 +169,8 @@
 void BackendConnection::AcceptHead() {
   const auto& message = m_parser->get();
   if (message.result_int() >= 100 && message.result_int() < 200) {
-    StartParser();  // An interim (1xx) response; the final one follows.
+    ++m_interim_responses;
+    StartParser();  // The final response follows.
     return;
   }
   HttpResponseHead head;
@@ -180,9 +194,15 @@
 }
 
 bool BackendConnection::IsValidResponse(const HttpResponseHead& head) const {
-  if (!IsSuccess(head.status)) return true;
   const bool needs_id = !m_check.id_field.empty() && !m_check.id.empty();
-  if (needs_id && !HasHeader(head.headers, m_check.id_field)) return false;
+  const bool lacks_id = needs_id && !HasHeader(head.headers, m_check.id_field);
+  if (!IsSuccess(head.status)) {
+    // Without an id, it may be a late copy of the response to an earlier request.
+    const bool means_not_run =
+        !m_check.not_run_field.empty() && HasHeader(head.headers, m_check.not_run_field);
+    return !lacks_id || !means_not_run;
+  }
+  if (lacks_id) return false;
   if (m_check.success_marker_field.empty()) return true;
   // Callers request no content encoding, so the success marker does not vouch for an encoded body.
   return HasHeader(head.headers, m_check.success_marker_field) &&
@@ -206,8 +226,10 @@
 
 void BackendConnection::ReadCloseDelimitedBody() {
   std::array<char, kCloseDelimitedReadBytes> data{};
-  const ssize_t count =
-      ::recv(m_close_delimited_descriptor, data.data(), data.size(), MSG_DONTWAIT);
+  // Without credit, the bytes stay in the socket, so that the backend server has to wait.
+  if (m_credit == 0) return m_close_delimited_notifier->setEnabled(false);
+  const ssize_t count = ::recv(m_close_delimited_descriptor, data.data(),
+                               std::min(data.size(), m_credit), MSG_DONTWAIT);
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (count < 0) return Fail(Reason::kBackendClosed);
   if (count > 0) {
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -36,6 +36,7 @@
   std::string id_field;              // Field in which the response repeats the request's id.
   std::string id;                    // Id of the request; empty if it has none.
   std::string success_marker_field;  // Field present in every success response.
+  std::string not_run_field;         // Field of a response that says the request was not run.
 };
 
 // Receives the events of connections to the backend server. Members are called on the connection's
@@ -100,7 +101,7 @@
   // Sends a request, connecting first if needed. At most `credit` bytes of the response body are
   // read. After `timeout` the request fails with kBackendTimeout and the connection closes. A
   // response with the id of another request is skipped; a success that lacks the id or the success
-  // marker fails the request with kBackendMalformed.
+  // marker, and a not-run response that lacks the id, fail the request with kBackendMalformed.
   void Send(const HttpRequest& request, std::size_t credit, std::chrono::milliseconds timeout,
             ResponseCheck check = {});
 
@@ -149,6 +150,8 @@
   std::string m_input;
   ResponseCheck m_check;
   bool m_skipping_response = false;  // The response belongs to another request.
+  std::size_t m_skipped_bytes = 0;   // Of such responses, for the current request.
+  unsigned m_interim_responses = 0;
   std::optional<Duration> m_keep_alive_timeout;
   // A close-delimited body (RFC 9112, 6.3) is read from a duplicate of the socket's descriptor, as
   // Qt does not distinguish a reset from an orderly close. -1 unless such a body is being read.
--- a/tests/auto/http/tst_backendconnection.cpp
+++ b/tests/auto/http/tst_backendconnection.cpp
@@ -6,6 +6,7 @@
 
 #include "support/scriptedserver.h"
 #include "support/tabletest.h"
+#include "support/wait.h"
 
 namespace damaskhollow {
 
@@ -49,6 +50,12 @@
               ScriptedServer::End::kKeepOpen, Reason::kBackendMalformed, ""},
     AnswerRow{"refusal without id", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
               ScriptedServer::End::kKeepOpen, std::nullopt, ""},
+    AnswerRow{"not run, with id",
+              "HTTP/1.1 503 Busy\r\nRequest-Id: mine\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+              ScriptedServer::End::kKeepOpen, std::nullopt, ""},
+    AnswerRow{"not run, without id, perhaps of another request",
+              "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+              ScriptedServer::End::kKeepOpen, Reason::kBackendMalformed, ""},
     AnswerRow{"bytes that are no answer", "\x01\x02garbage\r\n\r\n", ScriptedServer::End::kKeepOpen,
               Reason::kBackendMalformed, ""},
     AnswerRow{"cut short", std::string(kOwnHead) + "Content-Length: 9\r\n\r\nabc",
@@ -68,6 +75,63 @@
 
 const test::TableTest<AnswerRow> answer_test("BackendAnswer", answer_rows, TestAnswer);
 
+struct EndlessRow {
+  std::string_view name;
+  std::string start;
+  std::string repeated;
+  Reason failure;
+};
+
+// More than a server can have sent before the client closed: what the client may read, and what
+// the sockets of both sides hold.
+constexpr std::size_t kMaxSentBytes = 24UL * 1024UL * 1024UL;
+constexpr std::size_t kCredit = 65536;
+constexpr std::chrono::milliseconds kTimeout{1500};
+
+const std::string block(16384, 'x');
+
+// Bytes of a faulty server that do not end until the client closes. What can't be an answer fails
+// at once; a body fails at the time-out of the request, and is read only as far as it may be.
+const std::array endless_rows{
+    EndlessRow{"no status line", "", block, Reason::kBackendMalformed},
+    EndlessRow{"header field", "HTTP/1.1 200 OK\r\nX: ", block, Reason::kBackendMalformed},
+    EndlessRow{"header fields", "HTTP/1.1 200 OK\r\n", "X: 1\r\n", Reason::kBackendMalformed},
+    EndlessRow{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", Reason::kBackendMalformed},
+    EndlessRow{"answers of other requests", "", other_answer + other_answer,
+               Reason::kBackendMalformed},
+    EndlessRow{"body of another request's answer",
+               "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSeal: s\r\n\r\n", block,
+               Reason::kBackendMalformed},
+    EndlessRow{"chunk extension", std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n3;x=",
+               block, Reason::kBackendMalformed},
+    EndlessRow{"trailer", std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+               "X: 1\r\n", Reason::kBackendMalformed},
+    EndlessRow{"body without length", std::string(kOwnHead) + "\r\n", block,
+               Reason::kBackendTimeout},
+    EndlessRow{"body of endless length",
+               std::string(kOwnHead) + "Content-Length: 9000000000000000000\r\n\r\n", block,
+               Reason::kBackendTimeout},
+    EndlessRow{"endless chunks", std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n",
+               "4\r\nabcd\r\n", Reason::kBackendTimeout},
+};
+
+// Guards against memory and processor time that a server in trouble can take without limit.
+void TestEndless(const EndlessRow& row) {
+  // Small pieces are sent many at a time, so that a limit is reached soon.
+  std::string repeated;
+  while (repeated.size() < block.size()) repeated += row.repeated;
+  const ScriptedServer server({row.start, repeated}, ScriptedServer::End::kRepeatLast);
+  const test::CollectedResponse answer = test::FetchFrom(server, kTimeout, kCredit);
+  CPPUNIT_ASSERT(answer.failure);
+  CPPUNIT_ASSERT_EQUAL(std::string(InfoOf(row.failure).name),
+                       std::string(InfoOf(*answer.failure).name));
+  CPPUNIT_ASSERT(answer.body_bytes <= kCredit);
+  CPPUNIT_ASSERT(server.RepeatedBytes() <= kMaxSentBytes);
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return server.OpenConnections() == 0; }));
+}
+
+const test::TableTest<EndlessRow> endless_test("EndlessAnswer", endless_rows, TestEndless);
+
 }  // namespace
 
 }  // namespace damaskhollow
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -26,6 +26,7 @@
   void OnBackendResponsePart(ConnectionId, ResponsePart part, bool) override {
     if (part.head) m_response.status = part.head->status;
     m_response.body += part.data;
+    m_response.body_bytes += part.data.size();
     m_response.complete = part.last;
   }
   void OnBackendFailed(ConnectionId, Reason reason, bool) override { m_response.failure = reason; }
@@ -47,6 +48,8 @@
 void ScriptedServer::incomingConnection(qintptr descriptor) {
   auto* socket = new QTcpSocket(this);
   socket->setSocketDescriptor(descriptor);
+  ++m_open_connections;
+  connect(socket, &QTcpSocket::disconnected, this, [this] { --m_open_connections; });
   connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
     if (socket->readAll().contains("\r\n\r\n")) WritePiece(*socket, 0);
   });
@@ -60,8 +63,21 @@
   QTimer::singleShot(0, &socket, [this, &socket, index] { WritePiece(socket, index + 1); });
 }
 
-void ScriptedServer::EndConnection(QTcpSocket& socket) const {
+void ScriptedServer::RepeatLast(QTcpSocket& socket) {
+  if (socket.state() != QAbstractSocket::ConnectedState) return;
+  // The socket must not collect what the client does not read.
+  if (socket.bytesToWrite() == 0) {
+    const std::string& piece = m_pieces.back();
+    m_repeated_bytes += piece.size();
+    socket.write(piece.data(), static_cast<qint64>(piece.size()));
+    socket.flush();
+  }
+  QTimer::singleShot(0, &socket, [this, &socket] { RepeatLast(socket); });
+}
+
+void ScriptedServer::EndConnection(QTcpSocket& socket) {
   if (m_end == End::kKeepOpen) return;
+  if (m_end == End::kRepeatLast) return RepeatLast(socket);
   QTimer::singleShot(kEndDelay, &socket, [this, &socket] {
     if (m_end == End::kReset) {
       const linger reset_on_close{1, 0};
@@ -73,14 +89,18 @@
 }
 
 CollectedResponse FetchFrom(const ScriptedServer& server) {
+  return FetchFrom(server, kRequestTimeout, kCreditBytes);
+}
+
+CollectedResponse FetchFrom(const ScriptedServer& server, milliseconds timeout,
+                            std::size_t credit) {
   ResponseCollector collector;
   BackendConnection connection(ConnectionId{1}, server.Address(), collector);
   HttpRequest request;
   request.method = "GET";
   request.target = "/";
   request.headers = {{"Host", "h"}, {"Request-Id", "mine"}};
-  connection.Send(request, kCreditBytes, kRequestTimeout,
-                  ResponseCheck{"Request-Id", "mine", "Seal"});
+  connection.Send(request, credit, timeout, ResponseCheck{"Request-Id", "mine", "Seal", "Not-Run"});
   CPPUNIT_ASSERT(
       WaitUntil([&] { return collector.Response().complete || collector.Response().failure; }));
   return collector.Response();
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -3,6 +3,7 @@
 
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -16,21 +17,29 @@
 // A server that responds to each request with the same bytes, split into the given writes.
 class ScriptedServer : public QTcpServer {
  public:
-  enum class End { kKeepOpen, kClose, kReset };
+  // kRepeatLast writes the last piece again and again until the client closes.
+  enum class End { kKeepOpen, kClose, kReset, kRepeatLast };
 
   ScriptedServer(std::vector<std::string> pieces, End end);
 
   Endpoint Address() const { return Endpoint{"127.0.0.1", serverPort()}; }
 
+  // Bytes that clients have accepted from the repeated piece.
+  std::size_t RepeatedBytes() const { return m_repeated_bytes; }
+  std::size_t OpenConnections() const { return m_open_connections; }
+
  protected:
   void incomingConnection(qintptr descriptor) override;
 
  private:
   void WritePiece(QTcpSocket& socket, std::size_t index);
-  void EndConnection(QTcpSocket& socket) const;
+  void EndConnection(QTcpSocket& socket);
+  void RepeatLast(QTcpSocket& socket);
 
   const std::vector<std::string> m_pieces;
   const End m_end;
+  std::size_t m_repeated_bytes = 0;
+  std::size_t m_open_connections = 0;
 };
 
 // The response or failure that a BackendConnection reports for the server's bytes.
@@ -39,12 +48,18 @@
   int status = 0;  // 0: no response head was accepted.
   std::string body;
   std::optional<Reason> failure;
+  std::size_t body_bytes = 0;
 };
 
 // Sends one request with the id "mine" and runs the event loop until the request has ended. The
 // connection only accepts a response that repeats the id in Request-Id and has the header Seal.
 CollectedResponse FetchFrom(const ScriptedServer& server);
 
+// Like FetchFrom, but fails the request after `timeout` and grants no more credit than for `credit`
+// bytes of body.
+CollectedResponse FetchFrom(const ScriptedServer& server, std::chrono::milliseconds timeout,
+                            std::size_t credit);
+
 }  // namespace damaskhollow::test
 
 #endif  // DAMASKHOLLOW_TESTS_SUPPORT_SCRIPTEDSERVER_H_
