Refuse one odd entry of the store alone

Cause: an entry whose service is the empty string passed the adapter, and every node then refused the whole list for as long as the entry stood. Port 0, a service of a megabyte, ids with control characters (the id is sent as a header field) and numbers out of range of the casts in DecodeLoad, DecodeDuration and the routes' times passed too. Ruled out: deep nesting; Qt's parser refuses more than 1,024 levels, and the page carries values as base64 text. The list is written with one entry a line, in linear time (it searched all entries for each server). Measured: 23 odd entries as rows, a property test of 1,500 lists with random odd values, and lists with one bad entry; the old code fails on the empty service, port 0, the megabyte, the casts, priority 1.5 and the lists (read in the issue and the code, not run on it here).

--- a/src/libs/configuration/vmlist.cpp
+++ b/src/libs/configuration/vmlist.cpp
@@ -3,7 +3,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <algorithm>
+#include <set>
 #include <string>
 
 #include "base/endpoint.h"
@@ -23,7 +23,7 @@
 QString ToQString(const std::string& text) { return QString::fromStdString(text); }
 
 // Parses the backend server of an entry. Returns nullopt if the service is missing, an address is
-// invalid or the number of slots is out of range.
+// invalid, a port is 0 or the number of slots is out of range.
 std::optional<BackendServer> ReadServer(const QJsonObject& entry) {
   BackendServer server;
   server.id = BackendServerId(TextOf(entry, "id"));
@@ -35,7 +35,10 @@
   server.instance = TextOf(entry, "instance");
   server.warming = entry.value("warming").toBool();
   const int slots = entry.value("slots").toInt();
-  const bool has_addresses = ParseEndpoint(server.address) && ParseEndpoint(server.peer_address);
+  const Result<Endpoint> address = ParseEndpoint(server.address);
+  const Result<Endpoint> peer_address = ParseEndpoint(server.peer_address);
+  const bool has_addresses =
+      address && address.value().port > 0 && peer_address && peer_address.value().port > 0;
   if (server.service.IsEmpty() || !has_addresses || slots < 1 || slots > kMaxSlots) {
     return std::nullopt;
   }
@@ -52,30 +55,36 @@
   if (!vms.isArray()) return std::nullopt;
   VmList list;
   if (document.object().value("live_inventory").toBool()) list.inventory.emplace();
+  std::set<std::string> ids;
   for (const QJsonValue value : vms.toArray()) {
     const QJsonObject entry = value.toObject();
     const std::string id = TextOf(entry, "id");
     const std::string state = TextOf(entry, "state");
-    if (id.empty() || (state != kLive && state != kLeaving)) return std::nullopt;
+    std::optional<BackendServer> server = list.inventory ? ReadServer(entry) : BackendServer();
+    const bool is_valid = !id.empty() && (state == kLive || state == kLeaving) && server;
+    if (!is_valid || !ids.insert(id).second) {
+      list.refused.push_back(id);
+      continue;
+    }
     list.entries.push_back({BackendServerId(id), state == kLeaving});
-    if (!list.inventory) continue;
-    std::optional<BackendServer> server = ReadServer(entry);
-    if (!server) return std::nullopt;
-    list.inventory->push_back(std::move(*server));
+    if (list.inventory) list.inventory->push_back(std::move(*server));
   }
   return list;
 }
 
 std::string FormatVmList(const std::vector<BackendServer>& inventory,
                          const std::vector<VmEntry>& entries) {
-  QJsonArray vms;
+  std::set<BackendServerId> leaving;
+  for (const VmEntry& entry : entries) {
+    if (entry.leaving) leaving.insert(entry.server);
+  }
+  // One line for each entry, so that changes of the text are short.
+  std::string text = "{\"live_inventory\":true,\"vms\":[";
+  std::string_view separator = "\n";
   for (const BackendServer& server : inventory) {
-    const bool is_leaving = std::any_of(entries.begin(), entries.end(), [&](const VmEntry& entry) {
-      return entry.server == server.id && entry.leaving;
-    });
     QJsonObject entry;
     entry.insert("id", ToQString(server.id.Value()));
-    entry.insert("state", is_leaving ? kLeaving : kLive);
+    entry.insert("state", leaving.contains(server.id) ? kLeaving : kLive);
     entry.insert("service", ToQString(server.service.Value()));
     entry.insert("address", ToQString(server.address));
     entry.insert("peer_address", ToQString(server.peer_address));
@@ -84,12 +93,12 @@
     entry.insert("slots", static_cast<int>(server.slots));
     entry.insert("instance", ToQString(server.instance));
     entry.insert("warming", server.warming);
-    vms.append(entry);
+    text += separator;
+    text += QJsonDocument(entry).toJson(QJsonDocument::Compact).toStdString();
+    separator = ",\n";
   }
-  QJsonObject list;
-  list.insert("live_inventory", true);
-  list.insert("vms", vms);
-  return QJsonDocument(list).toJson(QJsonDocument::Compact).toStdString();
+  text += "\n]}";
+  return text;
 }
 
 }  // namespace damaskhollow
--- a/src/libs/configuration/vmlist.h
+++ b/src/libs/configuration/vmlist.h
@@ -16,9 +16,13 @@
 struct VmList {
   std::vector<VmEntry> entries;
   std::optional<std::vector<BackendServer>> inventory;
+  // Ids of entries that were left out because a field is missing or out of range, or because an
+  // earlier entry has the same id.
+  std::vector<std::string> refused;
 };
 
-// Parses a VM list in the format of docs/platform.md. Returns nullopt if the text is malformed.
+// Parses a VM list in the format of docs/platform.md. An invalid entry affects no other one.
+// Returns nullopt if the text is not a VM list.
 std::optional<VmList> ParseVmList(std::string_view text);
 
 // Serializes a live inventory into the format that ParseVmList parses. `entries` states which
--- a/src/libs/control/vmlistholder.cpp
+++ b/src/libs/control/vmlistholder.cpp
@@ -1,5 +1,6 @@
 #include "control/vmlistholder.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -24,6 +25,7 @@
         .With("source", name);
     return OfferResult::kInvalid;
   }
+  LogRefusedEntries(list->refused, version);
   m_version = version;
   m_text = std::string(text);
   m_last_offer = MonotonicNow();
@@ -40,6 +42,18 @@
   return OfferResult::kAccepted;
 }
 
+void VmListHolder::LogRefusedEntries(const std::vector<std::string>& refused,
+                                     std::uint64_t version) {
+  const std::vector<std::string> known = std::exchange(m_refused, refused);
+  for (const std::string& id : refused) {
+    if (std::find(known.begin(), known.end(), id) != known.end()) continue;
+    EventLine(LogPart::kFleet, LogLevel::kWarning, "vm_list_entry_refused")
+        .With("server", id)
+        .With("version", static_cast<std::int64_t>(version))
+        .With("detail", "missing, invalid or duplicate field");
+  }
+}
+
 void VmListHolder::Tick(TimePoint now, bool is_source_reachable) {
   if (!is_source_reachable || now - m_last_offer < kSuspectListInterval) return;
   if (!m_membership.IsListSuspect()) return;
--- a/src/libs/control/vmlistholder.h
+++ b/src/libs/control/vmlistholder.h
@@ -36,12 +36,16 @@
   void Tick(TimePoint now, bool is_source_reachable);
 
  private:
+  // Logs the entries that were refused and were not in the last list.
+  void LogRefusedEntries(const std::vector<std::string>& refused, std::uint64_t version);
+
   Membership& m_membership;
   InventoryFunction m_on_inventory;
   std::function<void()> m_changed;
   std::uint64_t m_version = 0;
   std::string m_text;
   std::vector<VmEntry> m_entries;
+  std::vector<std::string> m_refused;  // Refused entries of the last list.
   TimePoint m_last_offer{};
 };
 
--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <string>
 
 #include "configuration/vmlist.h"
@@ -62,6 +64,30 @@
     EntryRow{"no slots at all", "\"slots\":9", "\"slots\":0", "slots"},
     EntryRow{"cold without unit", "0ms", "12", "cold"},
     EntryRow{"no seq", "\"seq\":4,", "", "seq"},
+    EntryRow{"empty service", "\"portail\"", "\"\"", "service"},
+    EntryRow{"service with a line break", "portail", "por\\ntail", "service"},
+    EntryRow{"service of 200 characters", "portail", std::string(200, 's'), ""},
+    EntryRow{"service of 201 characters", "portail", std::string(201, 's'), "service"},
+    EntryRow{"value of megabytes", "portail", std::string(1500000, 's'), "value"},
+    EntryRow{"deep nesting", "\"seq\"",
+             "\"more\":" + std::string(5000, '[') + std::string(5000, ']') + ",\"seq\"", "value"},
+    EntryRow{"port 0", ":8080", ":0", "address"},
+    EntryRow{"port 70000", ":8080", ":70000", "address"},
+    EntryRow{"port 2^64", ":8080", ":18446744073709551616", "address"},
+    EntryRow{"negative port", ":8080", ":-1", "address"},
+    EntryRow{"host name in place of an address", "10.1.0.9", "server", "address"},
+    EntryRow{"slots 1e300", "\"slots\":9", "\"slots\":1e300", "slots"},
+    EntryRow{"slots 2^64", "\"slots\":9", "\"slots\":18446744073709551616", "slots"},
+    EntryRow{"negative slots", "\"slots\":9", "\"slots\":-1", "slots"},
+    EntryRow{"slots NaN", "\"slots\":9", "\"slots\":NaN", "value"},
+    EntryRow{"seq 1e300", "\"seq\":4", "\"seq\":1e300", "seq"},
+    EntryRow{"seq above the range of numbers", "\"seq\":4", "\"seq\":1e999", "value"},
+    EntryRow{"negative seq", "\"seq\":4", "\"seq\":-1", "seq"},
+    EntryRow{"born 2^64", "1700000000000", "18446744073709551616", "born"},
+    EntryRow{"cold 1e300", "0ms", "1e300s", "cold"},
+    EntryRow{"cold infinite", "0ms", "infs", "cold"},
+    EntryRow{"cold NaN", "0ms", "nanms", "cold"},
+    EntryRow{"negative cold", "0ms", "-1ms", "cold"},
     EntryRow{"list in place of an object", kEntry, "[]", "value"},
     EntryRow{"bytes", kEntry, "\xff\x00\x7f"s, "value"},
 };
@@ -111,6 +137,18 @@
     RulesRow{"no service", ",\"service\":\"s1\",\"attempts\"", ",\"attempts\"",
              "routes[0].service"},
     RulesRow{"part without weight", ",\"weight\":10", "", "routes[1].split"},
+    RulesRow{"time out of range", "1500ms", "1e300ms", "routes[0].timeout"},
+    RulesRow{"time of 32 bits and more", "1500ms", "4294967296ms", "routes[0].timeout"},
+    RulesRow{"priority with a fraction", "\"priority\":1,\"service\"",
+             "\"priority\":1.5,\"service\"", "routes[0].priority"},
+    RulesRow{"priority out of range", "\"priority\":1,\"service\"",
+             "\"priority\":1e300,\"service\"", "routes[0].priority"},
+    RulesRow{"attempts as text", "\"attempts\":2},", "\"attempts\":\"2\"},", "routes[0].attempts"},
+    RulesRow{"version out of range", "\"configVersion\":7", "\"configVersion\":1e300",
+             "configVersion"},
+    RulesRow{"deep nesting", "\"routes\"",
+             "\"more\":" + std::string(5000, '[') + std::string(5000, ']') + ",\"routes\"",
+             "value"},
     RulesRow{"no limits", "\"maxHeaderBytes\":16384,", "", "limits"},
 };
 
@@ -149,6 +187,10 @@
     LoadRow{"no figure", "", false, 0.0},
     LoadRow{"text", "3,many,8", false, 0.0},
     LoadRow{"negative", "-1,0,8", false, 0.0},
+    LoadRow{"out of range", "1e300,0,8", false, 0.0},
+    LoadRow{"slowness out of range", "1,0,8,1e300", false, 0.0},
+    LoadRow{"infinite", "inf,0,8", false, 0.0},
+    LoadRow{"not a number", "nan,0,8", false, 0.0},
 };
 
 void TestDecodedLoad(const LoadRow& row) {
@@ -176,6 +218,7 @@
     SettingsRow{"no JSON", "{", "", "settings"},
     SettingsRow{"no store", "\"store\":\"10.200.1.7:8142\",", "", "store"},
     SettingsRow{"port out of range", "7380", "70000", "peer_port"},
+    SettingsRow{"port with a fraction", "7380", "7380.5", "peer_port"},
     SettingsRow{"no service", "\"portail\"", "\"\"", "service"},
     SettingsRow{"no zones", "\"brest-a\":\"finistere\"", "", "zones"},
     SettingsRow{"negative ratio", ":0.2", ":-0.2", "retry_ratio"},
@@ -198,6 +241,9 @@
   CPPUNIT_TEST(EachVmKeepsItsEntry);
   CPPUNIT_TEST(NewestInstanceOfAVmCounts);
   CPPUNIT_TEST(InvalidEntryIsIgnored);
+  CPPUNIT_TEST(KeyThatIsNoNameIsIgnored);
+  CPPUNIT_TEST(ListWithAnInvalidEntryKeepsTheOthers);
+  CPPUNIT_TEST(NodesAcceptWhateverTheAdapterPasses);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -223,6 +269,107 @@
     CPPUNIT_ASSERT_EQUAL("i-new"s, list.inventory->front().instance);
   }
 
+  // Guards against header fields and log lines that an id can break, as the id of an instance is
+  // sent to it with each request.
+  void KeyThatIsNoNameIsIgnored() {
+    Put("i-1", kEntry, 1);
+    int address = 20;
+    for (const std::string& id :
+         {""s, "i 2"s, "i\r\nX: 1"s, "i\0"s, "\xff"s, std::string(201, 'i')}) {
+      Put(id, Replaced(kEntry, "10.1.0.9", "10.1.0." + std::to_string(address++)), 2);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Translate().inventory->size());
+  }
+
+  // Guards against a list that every node refuses as a whole because of one entry, for as long as
+  // the entry exists.
+  void ListWithAnInvalidEntryKeepsTheOthers() {
+    Put("i-1", kEntry, 1);
+    Put("i-2", Replaced(kEntry, "10.1.0.9", "10.1.0.10"), 2);
+    const std::string text = InventoryTranslator(Zones(), kPeerPort)(m_items)->text;
+    struct Row {
+      std::string part;
+      std::string replacement;
+    };
+    const std::array rows{Row{"\"service\":\"portail\"", "\"service\":\"\""},
+                          Row{"\"slots\":9", "\"slots\":1e300"},
+                          Row{"\"slots\":9", "\"slots\":-1"},
+                          Row{":8080", ":0"},
+                          Row{":7380", ":70000"},
+                          Row{"\"state\":\"live\"", "\"state\":\"odd\""},
+                          Row{"\"id\":\"10.1.0.10\"", "\"id\":\"\""},
+                          Row{"\"id\":\"10.1.0.10\"", "\"id\":\"10.1.0.9\""},
+                          Row{"\"id\":\"10.1.0.10\"", "\"id\":7"}};
+    for (const Row& row : rows) {
+      const std::optional<VmList> list = ParseVmList(Replaced(text, row.part, row.replacement));
+      CPPUNIT_ASSERT_MESSAGE(row.replacement, list && list->inventory);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.replacement, std::size_t{1}, list->entries.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.replacement, std::size_t{1}, list->inventory->size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.replacement, std::size_t{1}, list->refused.size());
+    }
+  }
+
+  // Property test over entries with random odd values: what the adapter passes on is accepted by
+  // the nodes, entry by entry, and the valid entry beside them is always kept.
+  void NodesAcceptWhateverTheAdapterPasses() {
+    const std::array<std::string, 24> odd_values{"0",
+                                                 "-1",
+                                                 "1e300",
+                                                 "-1e300",
+                                                 "1e999",
+                                                 "18446744073709551616",
+                                                 "9.5",
+                                                 "null",
+                                                 "true",
+                                                 "\"\"",
+                                                 "\"NaN\"",
+                                                 "\"\\ud800\"",
+                                                 "\"\\u0000\"",
+                                                 "\"é\"",
+                                                 "\"10.1.0.30:0\"",
+                                                 "\"10.1.0.30:65535\"",
+                                                 "\"[::1]:80\"",
+                                                 "\"1e300s\"",
+                                                 "\"0s\"",
+                                                 "\"draining\"",
+                                                 "\"x\"",
+                                                 std::string(2000, '[') + std::string(2000, ']'),
+                                                 "{}",
+                                                 "\"" + std::string(300, 'n') + "\""};
+    const std::array<std::string, 9> fields{"service", "address", "zone", "configVersion", "slots",
+                                            "state",   "cold",    "seq",  "born"};
+    for (const std::uint64_t seed : {1, 20, 300}) {
+      RandomSource random(seed);
+      for (int round = 0; round < 500; ++round) {
+        m_items.clear();
+        Put("i-1", kEntry, 1);
+        for (int entry = 0; entry < 4; ++entry) {
+          std::map<std::string, std::string> values{
+              {"service", "\"portail\""},
+              {"address", "\"10.1.0.3" + std::to_string(entry) + ":80\""},
+              {"zone", "\"rennes-a\""},
+              {"configVersion", "\"v\""},
+              {"slots", "9"},
+              {"state", "\"ready\""},
+              {"cold", "\"0ms\""},
+              {"seq", "1"},
+              {"born", "5"}};
+          values[fields[random.Below(fields.size())]] = odd_values[random.Below(odd_values.size())];
+          std::string text;
+          for (const auto& [field, value] : values) {
+            text += (text.empty() ? "{\"" : ",\"") + field + "\":" + value;
+          }
+          Put("odd-" + std::to_string(entry), text + "}", 2);
+        }
+        const VmList list = Translate();
+        CPPUNIT_ASSERT(list.refused.empty());
+        CPPUNIT_ASSERT_EQUAL(list.entries.size(), list.inventory->size());
+        CPPUNIT_ASSERT(std::any_of(list.inventory->begin(), list.inventory->end(),
+                                   [](const auto& server) { return server.instance == "i-1"; }));
+      }
+    }
+  }
+
   void InvalidEntryIsIgnored() {
     Put("i-1", kEntry, 1);
     Put("i-2", "not json", 2);
