Send list changes, and keep the number of readers constant

Readers grew with data centres (two each), and at the start each node read the whole list and then watched it until it was listed itself, which each new entry of 195 ended. Each change of one entry sent the whole list to each node, and each node announced it on all its links. Ruled out: seeds through a control role; three nodes would serve 195 starting ones. Change: three readers in the store's region and two in each other one, in different data centres; a reader whose reads fail twice says so and gives way to the next. A node that is not listed yet asks peers for versions and watches the store only if it has no link to a reader. Lists travel as changes of lines against the version that the asking node holds, with the whole text as the fallback; they are announced to overlay neighbours only. A long poll of a node that is no longer a reader ends.

--- a/src/libs/configuration/fetchplan.cpp
+++ b/src/libs/configuration/fetchplan.cpp
@@ -28,6 +28,7 @@
   m_assignment = std::move(assignment);
   const bool becomes_reader = was_follower && m_assignment.role != ReaderRole::kFollower;
   if (becomes_reader) m_next_read = std::max(m_next_read, now);
+  if (m_assignment.role == ReaderRole::kFollower) m_failures = 0;
 }
 
 void FetchPlan::RecordPeerVersion(const FleetNode& peer, std::uint64_t version, TimePoint now) {
@@ -155,6 +156,10 @@
   m_retry_not_before = m_next_read;
 }
 
+bool FetchPlan::IsReadObsolete() const {
+  return m_reading && m_read_waits && m_assignment.role != ReaderRole::kWatcher;
+}
+
 void FetchPlan::RequestStoreRead(TimePoint at) {
   if (!m_requested_read || at < *m_requested_read) m_requested_read = at;
 }
--- a/src/libs/configuration/fetchplan.h
+++ b/src/libs/configuration/fetchplan.h
@@ -75,6 +75,11 @@
   void OnStoreReadUnchanged(TimePoint now);
   void OnStoreReadFailed(RandomSource& random, TimePoint now);
 
+  // Whether a long poll runs although the node is no longer a watcher. The caller aborts the read
+  // and reports that, because each change that ends a long poll is a read that is paid for.
+  bool IsReadObsolete() const;
+  void OnStoreReadCancelled() { m_reading = false; }
+
   // Requests one read at `at` regardless of the role, for instance because the node has no
   // configuration yet or the VM list has to be confirmed.
   void RequestStoreRead(TimePoint at);
@@ -87,6 +92,8 @@
   ReaderRole Role() const { return m_assignment.role; }
   // Whether the last read of the service succeeded.
   bool IsStoreReachable() const { return m_failures == 0; }
+  // Consecutive failed reads in the present role.
+  unsigned FailedReads() const { return m_failures; }
 
  private:
   struct Peer {
--- a/src/libs/configuration/platformreader.cpp
+++ b/src/libs/configuration/platformreader.cpp
@@ -28,10 +28,10 @@
   connect(&m_timer, &QTimer::timeout, this, [this] { Fail("no response within the time limit"); });
 }
 
-PlatformReader::~PlatformReader() { AbortRead(); }
+PlatformReader::~PlatformReader() { Cancel(); }
 
 void PlatformReader::Start(const StoreRead& read) {
-  AbortRead();
+  Cancel();
   QUrl url = m_url;
   if (read.after > 0) {
     QUrlQuery query;
@@ -67,18 +67,18 @@
     return Fail(m_reply->errorString().toStdString());
   }
   if (status == kStatusNotModified) {
-    AbortRead();
+    Cancel();
     return m_events.OnPlatformUnchanged();
   }
   bool has_version = false;
   const quint64 version = m_reply->rawHeader(kVersionHeader).toULongLong(&has_version);
   if (status != kStatusOk || !has_version) return Fail("unexpected status or version header");
   const QByteArray text = m_reply->readAll();
-  AbortRead();
+  Cancel();
   m_events.OnPlatformChanged(version, {text.constData(), static_cast<std::size_t>(text.size())});
 }
 
-void PlatformReader::AbortRead() {
+void PlatformReader::Cancel() {
   m_timer.stop();
   QNetworkReply* reply = std::exchange(m_reply, nullptr);
   if (reply == nullptr) return;
@@ -88,7 +88,7 @@
 }
 
 void PlatformReader::Fail(std::string_view detail) {
-  AbortRead();
+  Cancel();
   m_events.OnPlatformFailed(detail);
 }
 
--- a/src/libs/configuration/platformreader.h
+++ b/src/libs/configuration/platformreader.h
@@ -36,9 +36,12 @@
  public:
   virtual ~DocumentReader() = default;
 
-  // Starts a read. A read that still runs is aborted without an event; every other read ends with
-  // exactly one event.
+  // Starts a read. A read that still runs is aborted without an event; every other read that is not
+  // cancelled ends with exactly one event.
   virtual void Start(const StoreRead& read) = 0;
+
+  // Aborts the read that runs, if any, without an event.
+  virtual void Cancel() = 0;
 };
 
 // Creates the reader of a document; `events` must outlive it.
@@ -53,11 +56,11 @@
   ~PlatformReader() override;
 
   void Start(const StoreRead& read) override;
+  void Cancel() override;
 
  private:
   void CheckSize();
   void Finish();
-  void AbortRead();
   void Fail(std::string_view detail);
 
   QUrl m_url;
--- a/src/libs/configuration/readerelection.cpp
+++ b/src/libs/configuration/readerelection.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "base/randomsource.h"
@@ -35,34 +36,51 @@
   return kNames[static_cast<std::size_t>(role)];
 }
 
-std::vector<BackendServerId> ReaderOrder(std::span<const FleetNode> live,
-                                         const DataCentreId& data_centre) {
-  std::vector<BackendServerId> members;
+std::vector<BackendServerId> ReaderOrder(std::span<const FleetNode> live, const RegionId& region) {
+  std::map<DataCentreId, std::vector<BackendServerId>> members;
   for (const FleetNode& node : live) {
-    if (node.data_centre == data_centre) members.push_back(node.id);
+    if (node.region == region) members[node.data_centre].push_back(node.id);
   }
-  return ByRendezvous("reader/" + data_centre.Value(), std::move(members));
+  // Position within the data centre first, then the rank within the region.
+  std::vector<std::tuple<std::size_t, std::uint64_t, BackendServerId>> ranked;
+  for (auto& [data_centre, nodes] : members) {
+    std::size_t position = 0;
+    for (BackendServerId& node : ByRendezvous("reader/" + data_centre.Value(), std::move(nodes))) {
+      const std::uint64_t rank = StableHash("region-reader/" + region.Value(), node.Value());
+      ranked.emplace_back(position++, rank, std::move(node));
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<BackendServerId> order;
+  order.reserve(ranked.size());
+  for (auto& entry : ranked) order.push_back(std::move(std::get<BackendServerId>(entry)));
+  return order;
 }
 
-std::vector<BackendServerId> RegionReaders(std::span<const FleetNode> live,
-                                           const RegionId& region) {
-  std::set<DataCentreId> data_centres;
-  for (const FleetNode& node : live) {
-    if (node.region == region) data_centres.insert(node.data_centre);
-  }
-  std::vector<BackendServerId> readers;
-  for (const DataCentreId& data_centre : data_centres) {
-    std::vector<BackendServerId> order = ReaderOrder(live, data_centre);
-    order.resize(std::min(order.size(), kReadersPerDataCentre));
-    readers.insert(readers.end(), order.begin(), order.end());
+std::size_t ReaderCount(const RegionId& region, const RegionId& store_region) {
+  const bool is_near = store_region.IsEmpty() || store_region == region;
+  return is_near ? kReadersNearStore : kReadersFarFromStore;
+}
+
+std::vector<BackendServerId> RegionReaders(std::span<const FleetNode> live, const RegionId& region,
+                                           const RegionId& store_region,
+                                           const IsUnableFunction& is_unable) {
+  const std::size_t count = ReaderCount(region, store_region);
+  std::vector<BackendServerId> readers = ReaderOrder(live, region);
+  readers.resize(std::min(readers.size(), count * kReaderCandidateFactor));
+  if (is_unable) {
+    std::stable_partition(readers.begin(), readers.end(),
+                          [&](const BackendServerId& node) { return !is_unable(node); });
   }
-  return ByRendezvous("region-reader/" + region.Value(), std::move(readers));
+  readers.resize(std::min(readers.size(), count));
+  return readers;
 }
 
 ReaderAssignment ReaderAssignmentOf(std::span<const FleetNode> live, const FleetNode& self,
-                                    const RegionId& store_region) {
+                                    const RegionId& store_region,
+                                    const IsUnableFunction& is_unable) {
   ReaderAssignment assignment;
-  assignment.region_readers = RegionReaders(live, self.region);
+  assignment.region_readers = RegionReaders(live, self.region, store_region, is_unable);
   const auto found =
       std::find(assignment.region_readers.begin(), assignment.region_readers.end(), self.id);
   if (found == assignment.region_readers.end()) return assignment;
--- a/src/libs/configuration/readerelection.h
+++ b/src/libs/configuration/readerelection.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -12,9 +13,17 @@
 
 namespace damaskhollow {
 
-// Number of nodes per data centre that read the configuration service. With two, neither the
-// loss of one reader nor a silent connection of one reader delays a change.
-inline constexpr std::size_t kReadersPerDataCentre = 2;
+// Number of nodes that read the configuration service in its own region and in each other one. It
+// depends on neither the number of nodes nor that of data centres, because each read is paid for.
+// The loss of two readers, or silent connections of two, delays no change in the service's region.
+inline constexpr std::size_t kReadersNearStore = 3;
+inline constexpr std::size_t kReadersFarFromStore = 2;
+
+// How many times as many nodes as readers are considered if some are unable to read.
+inline constexpr std::size_t kReaderCandidateFactor = 3;
+
+// Number of nodes after the readers that keep links to them and replace them.
+inline constexpr std::size_t kReaderSuccessors = 2;
 
 // How long a reader that is not the first of its own region pauses after a change, so that a series
 // of changes is read once per region instead of once by each watcher of the region. The pause is
@@ -45,20 +54,31 @@
   std::chrono::milliseconds pause{};            // Minimum delay between a change and the next read.
 };
 
-// Returns the live nodes of a data centre in the order in which they become readers. Every node
-// computes the same order from the same live nodes, and the loss of a node moves only the
-// nodes after it.
-std::vector<BackendServerId> ReaderOrder(std::span<const FleetNode> live,
-                                         const DataCentreId& data_centre);
+// Returns the live nodes of a region in the order in which they become readers. The data centres
+// take turns, so that the loss of one leaves readers in the others. Every node computes the same
+// order from the same live nodes.
+std::vector<BackendServerId> ReaderOrder(std::span<const FleetNode> live, const RegionId& region);
+
+// Returns the number of readers of a region. `store_region` is the region of the configuration
+// service; if it is empty, every region counts as its own.
+std::size_t ReaderCount(const RegionId& region, const RegionId& store_region);
+
+// Whether the reads of a node fail, as far as this node knows.
+using IsUnableFunction = std::function<bool(const BackendServerId& node)>;
 
-// Returns the readers of a region in the order in which they fetch over the paid link.
-std::vector<BackendServerId> RegionReaders(std::span<const FleetNode> live, const RegionId& region);
+// Returns the readers of a region in the order in which they fetch over the paid link. Nodes that
+// are unable to read give way to the next ones in order, as far as there are able ones among the
+// first few; otherwise the service itself is likely to be down.
+std::vector<BackendServerId> RegionReaders(std::span<const FleetNode> live, const RegionId& region,
+                                           const RegionId& store_region,
+                                           const IsUnableFunction& is_unable = nullptr);
 
 // Returns the role of `self`. `store_region` is the region of the configuration service; if it is
 // empty, all readers are watchers. In other regions than this one only the first reader is a
 // watcher, so that a change crosses the paid link once.
 ReaderAssignment ReaderAssignmentOf(std::span<const FleetNode> live, const FleetNode& self,
-                                    const RegionId& store_region);
+                                    const RegionId& store_region,
+                                    const IsUnableFunction& is_unable = nullptr);
 
 }  // namespace damaskhollow
 
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -2,6 +2,7 @@
 
 #include <QMetaObject>
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "fleet/overlay.h"
@@ -18,12 +19,16 @@
 constexpr std::chrono::seconds kWideGossipPeriod{20};
 constexpr std::chrono::milliseconds kRefreshTimeout{500};
 constexpr std::size_t kRefreshPeers = 3;
+// Failed reads in a row after which a reader gives way to another node, and for how long.
+constexpr unsigned kFailedReadsToGiveWay = 2;
+constexpr std::chrono::seconds kStoreUnreachableTime{10};
+// How often a node that is not listed asks a peer for versions. A change must reach it in time.
+constexpr std::chrono::milliseconds kVersionQueryInterval{500};
+// The refresh_id of such queries; refreshes after a pause count up from 1.
+constexpr std::uint64_t kVersionQueryId = std::numeric_limits<std::uint64_t>::max();
 // A statement takes about 45 bytes.
 constexpr std::size_t kStatementsPerGossip = 50;
 constexpr std::size_t kMaxSeeds = 4;
-// The readers of a data centre and the next nodes in order. These keep links to the readers, so
-// that they notice the loss of a reader immediately.
-constexpr std::size_t kReaderCandidates = kReadersPerDataCentre + 2;
 // Sent gossip may use a quarter of the budget. Received gossip uses as much, and the rest is left
 // for pings and handshakes.
 constexpr std::size_t kGossipBudgetDivisor = 4;
@@ -39,7 +44,8 @@
                        state.sequence(),
                        state.draining(),
                        state.configuration_version(),
-                       state.started_ms()};
+                       state.started_ms(),
+                       state.store_unreachable()};
 }
 
 }  // namespace
@@ -57,7 +63,7 @@
                       }),
       m_vm_list(
           m_membership, [this](const VmList& list) { OnInventoryReceived(list, MonotonicNow()); },
-          [this] { m_view_changed = m_announce = true; }),
+          [this] { m_view_changed = true; }),
       m_configuration_sync(wire::DOCUMENT_CONFIGURATION, m_self,
                            context.bindings.read_configuration, m_configuration, context.metrics,
                            [this](const BackendServerId& peer, wire::Envelope message) {
@@ -83,11 +89,15 @@
   const std::string& file = settings.declaration_file;
   if (!file.empty()) return m_configuration.LoadFile(file);
   const TimePoint now = MonotonicNow();
+  m_started = now;
   const bool has_seeds = !settings.seed_peers.empty() || !settings.peer_overrides.empty();
   const bool is_seed = settings.seed_peers.contains(m_self.id);
   m_bootstrap.emplace(has_seeds, is_seed, m_random, now, m_context.bindings.store_is_current);
   DialSeeds();
-  if (m_context.bindings.has_live_inventory) UpdateReaderAssignment(now);
+  if (m_context.bindings.has_live_inventory) {
+    UpdateReaderAssignment(now);
+    m_vm_list_sync.Plan().RequestStoreRead(now);
+  }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -216,6 +226,8 @@
   TickInventory(now);
   if (now >= m_next_second) TickSecond(now);
   if (std::exchange(m_view_changed, false)) RefreshView(now);
+  TickStoreReachability(now);
+  if (std::exchange(m_readers_changed, false)) UpdateReaderAssignment(now);
   TickGossip(now);
 }
 
@@ -227,6 +239,8 @@
   m_vm_list.Tick(now, is_list_source_reachable);
   for (const BackendServerId& peer : m_links.Overdue(now)) m_membership.OnLinkDown(peer);
   RefreshView(now);
+  // The state of its links decides the role of a node that is not listed.
+  if (m_context.bindings.has_live_inventory && !m_is_listed) UpdateReaderAssignment(now);
   if (m_declaration) UpdateLinks(*m_declaration, now);
 }
 
@@ -239,14 +253,17 @@
 
 void ControlService::UpdateReaderAssignment(TimePoint now) {
   const std::vector<FleetNode> live = m_membership.LiveNodes();
-  ReaderAssignment assignment =
-      ReaderAssignmentOf(live, m_self, m_context.settings.configuration_region);
-  // A node that the live inventory does not list (yet) cannot be elected as a reader, and peers may
-  // not have a link to it, so it watches the service itself.
-  const bool is_listed =
+  ReaderAssignment assignment = ReaderAssignmentOf(
+      live, m_self, m_context.settings.configuration_region,
+      [this](const BackendServerId& node) { return m_membership.IsStoreUnreachableFrom(node); });
+  m_is_listed =
       std::any_of(live.begin(), live.end(), [&](const auto& node) { return node.id == m_self.id; });
-  if (m_context.bindings.has_live_inventory && !is_listed) {
-    assignment.role = ReaderRole::kWatcher;
+  // A node that the live inventory does not list (yet) cannot be elected as a reader, and no peer
+  // dials it. It learns of changes from a reader that it dials; without one, it watches the service
+  // itself. The links of a node that has just started need some time.
+  if (m_context.bindings.has_live_inventory && !m_is_listed) {
+    const bool watches = now - m_started > kUnlistedPause && IsIsolated(live);
+    assignment.role = watches ? ReaderRole::kWatcher : ReaderRole::kFollower;
     assignment.pause = kUnlistedPause;
   }
   if (assignment.role != m_configuration_sync.Plan().Role()) {
@@ -257,6 +274,45 @@
   m_vm_list_sync.Plan().SetAssignment(assignment, now);
 }
 
+void ControlService::TickStoreReachability(TimePoint now) {
+  if (m_store_unreachable_until) {
+    if (now < *m_store_unreachable_until) return;
+    m_store_unreachable_until.reset();
+    return SetStoreUnreachable(false);
+  }
+  const unsigned failed =
+      std::max(m_configuration_sync.Plan().FailedReads(), m_vm_list_sync.Plan().FailedReads());
+  if (!m_is_listed || failed < kFailedReadsToGiveWay) return;
+  m_store_unreachable_until = now + kStoreUnreachableTime;
+  SetStoreUnreachable(true);
+}
+
+void ControlService::SetStoreUnreachable(bool unreachable) {
+  EventLine(LogPart::kConfiguration, LogLevel::kWarning, "reader_gives_way")
+      .With("unable", unreachable ? "yes" : "no");
+  PeerStatement statement = StatementFrom(m_self.id, m_context.owner.State());
+  statement.store_unreachable = unreachable;
+  m_membership.RecordStatement(statement);
+  m_readers_changed = true;
+  m_announce = true;
+}
+
+bool ControlService::IsIsolated(std::span<const FleetNode> live) const {
+  const std::vector<BackendServerId> readers =
+      RegionReaders(live, m_self.region, m_context.settings.configuration_region);
+  return std::none_of(readers.begin(), readers.end(),
+                      [this](const BackendServerId& reader) { return m_links.IsUp(reader); });
+}
+
+void ControlService::QueryVersions(TimePoint now) {
+  const std::vector<BackendServerId> peers = m_links.Connected(now);
+  if (peers.empty()) return;
+  m_next_version_query = now + kVersionQueryInterval;
+  wire::Gossip gossip = OwnGossip();
+  gossip.set_refresh_id(kVersionQueryId);
+  SendGossip(peers[m_random.Below(peers.size())], std::move(gossip), now);
+}
+
 void ControlService::UpdateOverlay(std::span<const FleetNode> nodes) {
   const auto same = [](const FleetNode& left, const FleetNode& right) {
     return left.id == right.id && left.data_centre == right.data_centre;
@@ -270,16 +326,19 @@
   const auto own = overlay.find(m_self.id);
   const Overlay::Neighbours neighbours = own == overlay.end() ? Overlay::Neighbours() : own->second;
   m_gossip_queue.SetNeighbours(neighbours, m_membership.DrainingServers());
+  std::erase_if(m_announced, [&](const auto& entry) { return !neighbours.contains(entry.first); });
   m_control_peers.assign(neighbours.begin(), neighbours.end());
-  std::vector<BackendServerId> candidates = ReaderOrder(nodes, m_self.data_centre);
-  candidates.resize(std::min(candidates.size(), kReaderCandidates));
+  const RegionId& store_region = m_context.settings.configuration_region;
+  // The readers and the next nodes in order keep links to each other, so that they notice the loss
+  // of a reader immediately.
+  std::vector<BackendServerId> candidates = ReaderOrder(nodes, m_self.region);
+  candidates.resize(
+      std::min(candidates.size(), ReaderCount(m_self.region, store_region) + kReaderSuccessors));
   const bool is_candidate =
       std::find(candidates.begin(), candidates.end(), m_self.id) != candidates.end();
   // A node that is not in the inventory has no neighbours, so it links to the readers instead.
   if (!is_candidate && own != overlay.end()) return;
   m_control_peers.insert(m_control_peers.end(), candidates.begin(), candidates.end());
-  const std::vector<BackendServerId> readers = RegionReaders(nodes, m_self.region);
-  m_control_peers.insert(m_control_peers.end(), readers.begin(), readers.end());
   std::erase(m_control_peers, m_self.id);
 }
 
@@ -401,6 +460,7 @@
   own.set_draining(state.draining());
   own.set_configuration_version(state.configuration_version());
   own.set_started_ms(state.started_ms());
+  own.set_store_unreachable(m_store_unreachable_until.has_value());
   gossip.set_vm_list_version(m_vm_list.HeldVersion());
   gossip.set_known_vm_list_version(m_vm_list_sync.Plan().HighestKnown());
   // The version of a declaration file is local to this node, so it is not sent to peers.
@@ -420,6 +480,7 @@
   state.set_draining(statement->draining);
   state.set_configuration_version(statement->configuration_version);
   state.set_started_ms(statement->started_ms);
+  state.set_store_unreachable(statement->store_unreachable.value_or(false));
 }
 
 void ControlService::SendGossip(const BackendServerId& peer, wire::Gossip gossip, TimePoint now) {
@@ -433,24 +494,26 @@
 }
 
 void ControlService::TickGossip(TimePoint now) {
-  if (std::exchange(m_announce, false)) {
-    m_announced_version = m_configuration_sync.Plan().HighestKnown();
-    AnnounceToAll(now);
-  }
-  const std::uint64_t known = m_configuration_sync.Plan().HighestKnown();
-  const bool has_newer_version = known > std::exchange(m_announced_version, known);
+  const AnnouncedVersions versions{m_configuration_sync.Plan().HighestKnown(),
+                                   m_vm_list.HeldVersion()};
+  if (std::exchange(m_announce, false)) AnnounceToAll(now);
   const bool is_due = now >= m_next_gossip;
   if (is_due) m_next_gossip = now + kGossipPeriod;
   for (const BackendServerId& neighbour : m_gossip_queue.Neighbours()) {
     const bool has_pending = m_gossip_queue.HasPending(neighbour);
+    AnnouncedVersions& announced = m_announced[neighbour];
+    const bool has_newer_version = announced != versions;
     if (!is_due && !has_newer_version && !has_pending) continue;
     wire::Gossip gossip = OwnGossip();
     if (!m_gossip_budget.TryConsume(gossip.ByteSizeLong(), now)) break;
+    announced = versions;
     for (const BackendServerId& server : m_gossip_queue.Pop(neighbour, kStatementsPerGossip)) {
       AddStatement(gossip, server);
     }
     SendGossip(neighbour, std::move(gossip), now);
   }
+  const bool asks_peers = m_context.bindings.has_live_inventory && !m_is_listed;
+  if (asks_peers && now >= m_next_version_query) QueryVersions(now);
   if (now < m_next_wide_gossip) return;
   m_next_wide_gossip = now + kWideGossipPeriod;
   AnnounceToAll(now);
@@ -466,7 +529,12 @@
     RecordPeerVersions(peer, state.configuration_version(), std::nullopt, now);
     m_gossip_queue.Reset(peer, m_membership.DrainingServers());
     m_view_changed = true;
-    SendGossip(peer, OwnGossip(), now);
+    wire::Gossip gossip = OwnGossip();
+    const bool is_control_peer =
+        std::find(m_control_peers.begin(), m_control_peers.end(), peer) != m_control_peers.end();
+    const bool asks = m_context.bindings.has_live_inventory && !m_is_listed && is_control_peer;
+    if (asks) gossip.set_refresh_id(kVersionQueryId);
+    SendGossip(peer, std::move(gossip), now);
   };
   QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
 }
@@ -543,6 +611,7 @@
   if (!m_membership.RecordStatement(statement)) return;
   m_gossip_queue.Enqueue(statement.server, from);
   m_view_changed = true;
+  m_readers_changed = true;
 }
 
 void ControlService::RecordPeerVersions(const BackendServerId& peer, std::uint64_t configuration,
--- a/src/libs/control/controlservice.h
+++ b/src/libs/control/controlservice.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -111,6 +112,14 @@
   PeerLinks::Target TargetOf(const BackendServer& server) const;
   void UpdateOverlay(std::span<const FleetNode> nodes);
   void UpdateReaderAssignment(TimePoint now);
+  // States that the reads of this node fail, so that another node becomes a reader, and takes that
+  // back after some time.
+  void TickStoreReachability(TimePoint now);
+  void SetStoreUnreachable(bool unreachable);
+  // Whether no reader among the live nodes can tell this node of new versions.
+  bool IsIsolated(std::span<const FleetNode> live) const;
+  // While the inventory does not list this node, asks a peer which versions it holds.
+  void QueryVersions(TimePoint now);
 
   void HandleGossip(const ReplyRoute& route, const wire::Gossip& gossip, TimePoint now);
   void RecordPeerVersions(const BackendServerId& peer, std::uint64_t configuration,
@@ -123,6 +132,14 @@
   void StartRefresh(TimePoint now);
   FleetNode PeerNode(const BackendServerId& peer) const;
 
+  // Document versions that neighbours are told of at once: the highest known configuration, so that
+  // readers with a silent connection to the service learn of it, and the list that is held.
+  struct AnnouncedVersions {
+    std::uint64_t configuration = 0;
+    std::uint64_t vm_list = 0;
+
+    bool operator==(const AnnouncedVersions&) const = default;
+  };
   using RegionMap = std::unordered_map<BackendServerId, RegionId>;
 
   ControlContext m_context;
@@ -154,11 +171,16 @@
   bool m_announce = false;  // Send gossip to all connected peers at the next tick.
   bool m_announced_draining = false;
   bool m_was_leaving = false;  // Whether the backend server was leaving at the last tick.
-  std::uint64_t m_announced_version = 0;  // Highest configuration version sent to neighbours.
+  std::map<BackendServerId, AnnouncedVersions> m_announced;  // Last sent to each neighbour.
   TimePoint m_next_second{};
   TimePoint m_next_bootstrap_read{};
   TimePoint m_next_gossip{};
   TimePoint m_next_wide_gossip{};
+  TimePoint m_next_version_query{};
+  TimePoint m_started{};
+  std::optional<TimePoint> m_store_unreachable_until;  // Set while this node states it.
+  bool m_readers_changed = false;                      // A node has stated whether its reads fail.
+  bool m_is_listed = false;  // Whether the live inventory lists this node.
   std::uint64_t m_refresh_id = 0;
   TimePoint m_refresh_until{};
   bool m_refresh_answered = false;
--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -3,10 +3,41 @@
 #include <algorithm>
 #include <utility>
 
+#include "configuration/textchange.h"
 #include "logging/logger.h"
 
 namespace damaskhollow {
 
+namespace {
+
+// Covers the time in which a peer fetches a version while others follow in quick succession.
+constexpr std::size_t kRememberedTexts = 4;
+// A change must be shorter than the text by this factor to be sent instead of it.
+constexpr std::size_t kMinShortening = 2;
+
+wire::TextChange ToMessage(const TextChange& change) {
+  wire::TextChange message;
+  for (const TextSegment& segment : change.segments) {
+    wire::TextSegment& added = *message.add_segments();
+    added.set_first_line(static_cast<std::uint32_t>(segment.first_line));
+    added.set_line_count(static_cast<std::uint32_t>(segment.line_count));
+    added.set_added(segment.added);
+  }
+  message.set_result_hash(change.result_hash);
+  return message;
+}
+
+TextChange FromMessage(const wire::TextChange& message) {
+  TextChange change;
+  for (const wire::TextSegment& segment : message.segments()) {
+    change.segments.push_back({segment.first_line(), segment.line_count(), segment.added()});
+  }
+  change.result_hash = message.result_hash();
+  return change;
+}
+
+}  // namespace
+
 DocumentSync::DocumentSync(wire::Document document, const FleetNode& self,
                            const MakeDocumentReader& make_reader, DocumentHolder& holder,
                            MetricsRegistry& metrics, SendFunction send)
@@ -21,12 +52,17 @@
 
 void DocumentSync::Tick(TimePoint now) {
   if (m_reader) {
+    if (m_plan.IsReadObsolete()) {
+      m_reader->Cancel();
+      m_plan.OnStoreReadCancelled();
+    }
     if (const std::optional<StoreRead> read = m_plan.StoreReadDue(now)) {
       m_plan.OnStoreReadStarted(now, read->wait);
       if (m_document == wire::DOCUMENT_CONFIGURATION) m_metrics.Add(Metric::kStoreReads);
       m_reader->Start(*read);
     }
   }
+  RememberHeld();
   if (m_transfer && m_transfer->IsStalled(now)) EndTransfer(true, now);
   if (!m_transfer && m_plan.HighestKnown() > m_plan.Held()) QueryPeer(now);
 }
@@ -35,6 +71,7 @@
   const std::optional<BackendServerId> peer = m_plan.PeerToQuery(m_random, now);
   if (!peer) return;
   m_transfer.emplace(*peer, m_plan.Held() + 1, now);
+  m_requests_whole = false;
   SendQuery();
 }
 
@@ -44,16 +81,46 @@
   query.set_version(m_transfer->Version());
   query.set_offset(m_transfer->NextOffset());
   query.set_document(m_document);
+  if (!m_requests_whole) query.set_base_version(m_holder.HeldVersion());
   m_send(m_transfer->Peer(), std::move(message));
 }
 
-wire::Envelope DocumentSync::AnswerQuery(const wire::ConfigurationQuery& query) const {
-  const bool is_same = query.version() == m_holder.HeldVersion();
-  const DocumentPart held =
-      PartOf(m_holder.HeldVersion(), m_holder.HeldText(), is_same ? query.offset() : 0);
+void DocumentSync::RememberHeld() {
+  const std::uint64_t version = m_holder.HeldVersion();
+  if (version == 0 || (!m_texts.empty() && m_texts.back().version == version)) return;
+  m_texts.push_back({version, std::string(m_holder.HeldText())});
+  if (m_texts.size() > kRememberedTexts) m_texts.pop_front();
+  m_changes.clear();
+}
+
+const wire::TextChange* DocumentSync::FindChange(std::uint64_t base_version) {
+  RememberHeld();
+  const auto known = m_changes.find(base_version);
+  if (known != m_changes.end()) return &known->second;
+  const auto base = std::find_if(m_texts.begin(), m_texts.end(), [&](const HeldText& held) {
+    return held.version == base_version;
+  });
+  if (base == m_texts.end() || base_version >= m_holder.HeldVersion()) return nullptr;
+  wire::TextChange change = ToMessage(DescribeChange(base->text, m_holder.HeldText()));
+  if (change.ByteSizeLong() * kMinShortening > m_holder.HeldText().size()) return nullptr;
+  return &m_changes.emplace(base_version, std::move(change)).first->second;
+}
+
+wire::Envelope DocumentSync::AnswerQuery(const wire::ConfigurationQuery& query) {
   wire::Envelope message;
   wire::ConfigurationPart& part = *message.mutable_configuration_part();
   part.set_document(m_document);
+  const wire::TextChange* change =
+      query.base_version() > 0 && query.offset() == 0 ? FindChange(query.base_version()) : nullptr;
+  if (change != nullptr) {
+    part.set_version(m_holder.HeldVersion());
+    part.set_base_version(query.base_version());
+    *part.mutable_change() = *change;
+    return message;
+  }
+  const bool is_same = query.version() == m_holder.HeldVersion();
+  const DocumentPart held =
+      PartOf(m_holder.HeldVersion(), m_holder.HeldText(), is_same ? query.offset() : 0);
   part.set_version(held.version);
   part.set_offset(held.offset);
   part.set_total(held.total);
@@ -64,6 +131,7 @@
 void DocumentSync::HandlePart(const BackendServerId& peer, const wire::ConfigurationPart& part,
                               TimePoint now) {
   if (!m_transfer || m_transfer->Peer() != peer) return;
+  if (part.has_change()) return HandleChange(peer, part, now);
   const DocumentPart arrived{part.version(), part.offset(), part.total(), part.data()};
   switch (m_transfer->Add(arrived, now)) {
     case PartTransfer::Progress::kIgnored:
@@ -75,10 +143,35 @@
     case PartTransfer::Progress::kComplete:
       break;
   }
-  const OfferResult result = m_holder.OfferDocument(m_transfer->Version(), m_transfer->Text(),
-                                                    DocumentSource::kPeer, "peer " + peer.Value());
+  const std::string text = m_transfer->Text();
+  FinishTransfer(m_transfer->Version(), text, now);
+}
+
+void DocumentSync::HandleChange(const BackendServerId& peer, const wire::ConfigurationPart& part,
+                                TimePoint now) {
+  const bool is_expected = !m_requests_whole && part.version() >= m_transfer->Version();
+  const bool fits = is_expected && part.base_version() == m_holder.HeldVersion();
+  const std::optional<std::string> text =
+      fits ? ApplyChange(m_holder.HeldText(), FromMessage(part.change()), kMaxConfigurationBytes)
+           : std::nullopt;
+  if (text) return FinishTransfer(part.version(), *text, now);
+  EventLine(LogPart::kConfiguration, LogLevel::kWarning, "change_refused")
+      .With("document", DocumentName())
+      .With("server", peer.Value())
+      .With("version", static_cast<std::int64_t>(part.version()))
+      .With("base_version", static_cast<std::int64_t>(part.base_version()))
+      .With("detail", fits ? "does not apply to the held text" : "unexpected version");
+  // A second change in one transfer shows that the peer cannot send the whole document.
+  if (m_requests_whole) return EndTransfer(true, now);
+  m_requests_whole = true;
+  SendQuery();
+}
+
+void DocumentSync::FinishTransfer(std::uint64_t version, std::string_view text, TimePoint now) {
+  const OfferResult result = m_holder.OfferDocument(version, text, DocumentSource::kPeer,
+                                                    "peer " + m_transfer->Peer().Value());
   const bool is_bad = result == OfferResult::kInvalid;
-  if (!is_bad) m_plan.RecordHeld(m_transfer->Version());
+  if (!is_bad) m_plan.RecordHeld(version);
   EndTransfer(is_bad, now);
 }
 
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -2,7 +2,9 @@
 #define DAMASKHOLLOW_CONTROL_DOCUMENTSYNC_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,8 +56,9 @@
   // Starts the reads and transfers that are due.
   void Tick(TimePoint now);
 
-  // Builds the reply to a peer's query: a part of the held version.
-  wire::Envelope AnswerQuery(const wire::ConfigurationQuery& query) const;
+  // Builds the reply to a peer's query: a part of the held version, or its change against the
+  // version that the peer holds if that is shorter.
+  wire::Envelope AnswerQuery(const wire::ConfigurationQuery& query);
 
   // Adds a part received from `peer` to the running transfer; ignored if none runs from that peer.
   void HandlePart(const BackendServerId& peer, const wire::ConfigurationPart& part, TimePoint now);
@@ -68,7 +71,22 @@
   void OnPlatformUnchanged() override;
   void OnPlatformFailed(std::string_view detail) override;
 
+  // A version that this node holds or held before.
+  struct HeldText {
+    std::uint64_t version = 0;
+    std::string text;
+  };
+
   std::string_view DocumentName() const;
+  // Keeps the held version, so that peers which still hold it can be sent later changes of it.
+  void RememberHeld();
+  // Returns the held text as a change of `base_version`; null if that version is not known or the
+  // change is not much shorter than the text.
+  const wire::TextChange* FindChange(std::uint64_t base_version);
+  // Applies a change to the held text and offers the result to the holder.
+  void HandleChange(const BackendServerId& peer, const wire::ConfigurationPart& part,
+                    TimePoint now);
+  void FinishTransfer(std::uint64_t version, std::string_view text, TimePoint now);
   void OnStoreAnswered();
   void QueryPeer(TimePoint now);
   void SendQuery();
@@ -82,6 +100,10 @@
   FetchPlan m_plan;
   std::unique_ptr<DocumentReader> m_reader;
   std::optional<PartTransfer> m_transfer;
+  bool m_requests_whole = false;  // Whether the running transfer must not be answered by a change.
+  std::deque<HeldText> m_texts;   // Oldest first.
+  // Changes of earlier versions to the held one, in the form in which they are sent.
+  std::map<std::uint64_t, wire::TextChange> m_changes;
   std::uint64_t m_store_version = 0;  // Highest version read from the service.
   bool m_is_store_across_paid_link = false;
   std::string m_store_failure;
--- a/src/libs/control/membership.cpp
+++ b/src/libs/control/membership.cpp
@@ -35,7 +35,17 @@
   const std::lock_guard lock(m_lock);
   const PeerStatement* known = m_view.StatementOf(statement.server);
   const bool was_draining = known != nullptr && known->draining;
-  return m_view.RecordStatement(statement) && statement.draining != was_draining;
+  const bool was_unreachable = known != nullptr && known->store_unreachable.value_or(false);
+  if (!m_view.RecordStatement(statement)) return false;
+  const PeerStatement* stored = m_view.StatementOf(statement.server);
+  return stored->draining != was_draining ||
+         stored->store_unreachable.value_or(false) != was_unreachable;
+}
+
+bool Membership::IsStoreUnreachableFrom(const BackendServerId& server) const {
+  const std::lock_guard lock(m_lock);
+  const PeerStatement* statement = m_view.StatementOf(server);
+  return statement != nullptr && statement->store_unreachable.value_or(false);
 }
 
 void Membership::OnLinkUp(const BackendServerId& server) {
--- a/src/libs/control/membership.h
+++ b/src/libs/control/membership.h
@@ -23,7 +23,8 @@
   void SetListTrusted(bool trusted);
   FleetView::ListResult OfferList(std::vector<VmEntry> entries);
 
-  // Records a statement. Returns true if it starts or ends a drain, which is passed on by gossip.
+  // Records a statement. Returns true if it changes what is passed on by gossip: whether the server
+  // drains and whether its node reaches the platform's services.
   bool RecordStatement(const PeerStatement& statement);
 
   void OnLinkUp(const BackendServerId& server);
@@ -45,6 +46,9 @@
   // Returns the latest statement, or nullopt if there is none.
   std::optional<PeerStatement> StatementOf(const BackendServerId& server) const;
 
+  // Whether the node of `server` has stated that its reads of the platform's services fail.
+  bool IsStoreUnreachableFrom(const BackendServerId& server) const;
+
   // The servers whose latest statement reports a drain.
   std::vector<BackendServerId> DrainingServers() const;
 
--- a/src/libs/fleet/fleetview.cpp
+++ b/src/libs/fleet/fleetview.cpp
@@ -118,7 +118,12 @@
   Member* member = FindMember(statement.server);
   if (member == nullptr) return false;
   if (member->statement && !IsLater(statement, *member->statement)) return false;
+  const bool is_same_process =
+      member->statement && member->statement->incarnation == statement.incarnation;
+  const std::optional<bool> known =
+      is_same_process ? member->statement->store_unreachable : std::nullopt;
   member->statement = statement;
+  if (!statement.store_unreachable) member->statement->store_unreachable = known;
   return true;
 }
 
--- a/src/libs/fleet/fleetview.h
+++ b/src/libs/fleet/fleetview.h
@@ -42,6 +42,9 @@
   bool draining = false;
   std::uint64_t configuration_version = 0;
   std::uint64_t started_ms = 0;  // Wall-clock start time of the process, in ms since the epoch.
+  // Whether its reads of the platform's services fail. Empty if the statement does not say, which
+  // leaves what an earlier statement of the incarnation said.
+  std::optional<bool> store_unreachable = std::nullopt;
 };
 
 // One entry of the VM list.
--- /dev/null
+++ b/tests/auto/control/tst_documentsync.cpp
@@ -0,0 +1,178 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+
+#include "control/documentsync.h"
+
+namespace damaskhollow {
+
+namespace {
+
+const FleetNode holder_node{BackendServerId("holder"), RegionId("r"), DataCentreId("d")};
+const FleetNode asking_node{BackendServerId("asking"), RegionId("r"), DataCentreId("d")};
+
+constexpr TimePoint kTime{std::chrono::seconds(100)};
+
+// A document that takes over every newer version.
+class TextHolder : public DocumentHolder {
+ public:
+  std::uint64_t HeldVersion() const override { return m_version; }
+  std::string_view HeldText() const override { return m_text; }
+  OfferResult OfferDocument(std::uint64_t version, std::string_view text, DocumentSource,
+                            std::string_view) override {
+    if (version <= m_version) return OfferResult::kOlder;
+    Set(version, std::string(text));
+    return OfferResult::kAccepted;
+  }
+
+  void Set(std::uint64_t version, std::string text) {
+    m_version = version;
+    m_text = std::move(text);
+  }
+
+ private:
+  std::uint64_t m_version = 0;
+  std::string m_text;
+};
+
+// One node's copy of the VM list, which records what it sends.
+struct Node {
+  explicit Node(const FleetNode& self)
+      : sync(wire::DOCUMENT_VM_LIST, self, nullptr, holder, metrics,
+             [this](const BackendServerId&, wire::Envelope message) {
+               sent.push_back(std::move(message));
+             }) {}
+
+  MetricsRegistry metrics;
+  TextHolder holder;
+  std::vector<wire::Envelope> sent;
+  DocumentSync sync;
+};
+
+std::string ListOf(std::size_t entries, const std::string& suffix) {
+  std::string text;
+  for (std::size_t entry = 0; entry < entries; ++entry) {
+    text += "{\"id\":\"10.1.0." + std::to_string(entry) + "\",\"service\":\"portail\"" +
+            (entry == 1 ? suffix : "") + "}\n";
+  }
+  return text;
+}
+
+}  // namespace
+
+class DocumentSyncTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DocumentSyncTest);
+  CPPUNIT_TEST(ChangeCostsTheSameInAnyFleet);
+  CPPUNIT_TEST(UnknownBaseIsSentWhole);
+  CPPUNIT_TEST(ChangeThatDoesNotApplyIsFollowedByTheWhole);
+  CPPUNIT_TEST(ChangesInARowAreAppliedInOrder);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a change of one entry that costs each node the list of the whole fleet.
+  void ChangeCostsTheSameInAnyFleet() {
+    constexpr std::size_t kMaxBytesOfAChange = 200;
+    for (const std::size_t entries : {10U, 80U, 195U, 1200U}) {
+      Node holder(holder_node);
+      Node asking(asking_node);
+      Hold(holder, 1, ListOf(entries, ""));
+      CPPUNIT_ASSERT(Fetch(asking, holder) > entries * 20);
+      Hold(holder, 2, ListOf(entries, ",\"state\":\"leaving\""));
+      const std::size_t bytes = Fetch(asking, holder);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes), bytes < kMaxBytesOfAChange);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, asking.holder.HeldVersion());
+      CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+    }
+  }
+
+  // The versions that the other node has not held, or has forgotten.
+  void UnknownBaseIsSentWhole() {
+    Node holder(holder_node);
+    Node asking(asking_node);
+    Hold(holder, 1, ListOf(50, ""));
+    Fetch(asking, holder);
+    for (std::uint64_t version = 2; version < 12; ++version) {
+      Hold(holder, version, ListOf(50, std::to_string(version)));
+    }
+    CPPUNIT_ASSERT(Fetch(asking, holder) > 1000);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, asking.holder.HeldVersion());
+    CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+  }
+
+  // Guards against losing the list in force, or following the wrong one, because of a change that
+  // belongs to another text.
+  void ChangeThatDoesNotApplyIsFollowedByTheWhole() {
+    struct Row {
+      std::uint64_t base_version;
+      std::uint64_t version;
+      std::uint32_t first_line;
+    };
+    constexpr std::array kRows{Row{1, 2, 4000000000U}, Row{7, 2, 0}, Row{1, 1, 0}, Row{1, 2, 0}};
+    for (const Row& row : kRows) {
+      Node holder(holder_node);
+      Node asking(asking_node);
+      Hold(holder, 1, ListOf(50, ""));
+      Fetch(asking, holder);
+      const std::string before(asking.holder.HeldText());
+      Hold(holder, 2, ListOf(50, "x"));
+      asking.sync.Plan().RecordPeerVersion(holder_node, 2, kTime);
+      asking.sync.Tick(kTime);
+      wire::ConfigurationPart bad;
+      bad.set_document(wire::DOCUMENT_VM_LIST);
+      bad.set_version(row.version);
+      bad.set_base_version(row.base_version);
+      bad.mutable_change()->add_segments()->set_first_line(row.first_line);
+      asking.sent.clear();
+      asking.sync.HandlePart(holder_node.id, bad, kTime);
+      CPPUNIT_ASSERT(asking.holder.HeldText() == before);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asking.sent.size());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                           std::uint64_t{asking.sent[0].configuration_query().base_version()});
+      Deliver(asking, holder);
+      CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+    }
+  }
+
+  void ChangesInARowAreAppliedInOrder() {
+    Node holder(holder_node);
+    Node asking(asking_node);
+    Hold(holder, 1, ListOf(50, ""));
+    Fetch(asking, holder);
+    Hold(holder, 2, ListOf(50, "b"));
+    Hold(holder, 3, ListOf(50, "c"));
+    CPPUNIT_ASSERT(Fetch(asking, holder) < 200);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, asking.holder.HeldVersion());
+    CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+  }
+
+ private:
+  static void Hold(Node& node, std::uint64_t version, std::string text) {
+    node.holder.Set(version, std::move(text));
+    node.sync.Plan().RecordHeld(version);
+    node.sync.Tick(kTime);
+  }
+
+  // Answers the queries of `asking` until it asks no more. Returns the bytes of the answers.
+  static std::size_t Deliver(Node& asking, Node& holder) {
+    std::size_t bytes = 0;
+    while (!asking.sent.empty()) {
+      const wire::Envelope query = asking.sent.front();
+      asking.sent.erase(asking.sent.begin());
+      const wire::Envelope answer = holder.sync.AnswerQuery(query.configuration_query());
+      bytes += answer.ByteSizeLong();
+      asking.sync.HandlePart(holder_node.id, answer.configuration_part(), kTime);
+    }
+    return bytes;
+  }
+
+  static std::size_t Fetch(Node& asking, Node& holder) {
+    asking.sync.Plan().RecordPeerVersion(holder_node, holder.holder.HeldVersion(), kTime);
+    asking.sync.Tick(kTime);
+    return Deliver(asking, holder);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentSyncTest);
+
+}  // namespace damaskhollow
