Ask owners whether they would refuse before a call is sent

Load reports tell the wait of the most urgent priority, so that the other region always seemed free. Change: a load query carries the time left; the owner says whether it would refuse. Owners that refuse get no call; if all asked ones do, the next are asked, and the caller is told not-run at once when there is none. A server that refused for overload gets calls of that priority from other regions again with a share that grows over a second. Bytes to other data centres are counted by purpose.

--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -192,9 +192,9 @@
   m_declaration = declaration;
   m_apply(declaration, version);
   const std::vector<FleetNode> nodes = NodesOf(*declaration);
-  auto regions = std::make_shared<RegionMap>();
-  for (const FleetNode& node : nodes) regions->emplace(node.id, node.region);
-  m_regions.store(std::move(regions));
+  auto locations = std::make_shared<LocationMap>();
+  for (const FleetNode& node : nodes) locations->emplace(node.id, node);
+  m_locations.store(std::move(locations));
   m_membership.SetInventory(nodes);
   for (const FleetNode& node : nodes) {
     if (m_links.IsUp(node.id)) m_membership.OnLinkUp(node.id);
@@ -629,15 +629,19 @@
   return found == m_overlay_nodes.end() ? FleetNode{peer, {}, {}} : *found;
 }
 
-void ControlService::CountBytes(const BackendServerId& peer, std::size_t sent,
-                                std::size_t received) {
-  m_context.metrics.Add(Metric::kControlBytesSent, sent);
-  m_context.metrics.Add(Metric::kControlBytesReceived, received);
-  const std::shared_ptr<const RegionMap> regions = m_regions.load();
-  if (!regions) return;
-  const auto region = regions->find(peer);
-  const bool is_far = region != regions->end() && region->second != m_self.region;
-  if (is_far) m_context.metrics.Add(Metric::kControlPaidLinkBytes, sent);
+void ControlService::CountSent(const BackendServerId& peer, BytePurpose purpose, bool is_control,
+                               std::size_t bytes) {
+  if (is_control) m_context.metrics.Add(Metric::kControlBytesSent, bytes);
+  const std::shared_ptr<const LocationMap> locations = m_locations.load();
+  if (!locations) return;
+  const auto location = locations->find(peer);
+  if (location == locations->end()) return;
+  const FleetNode& node = location->second;
+  if (node.data_centre != m_self.data_centre) {
+    m_context.metrics.CountDataCentreBytes(purpose, bytes);
+  }
+  const bool is_far = node.region != m_self.region;
+  if (is_control && is_far) m_context.metrics.Add(Metric::kControlPaidLinkBytes, bytes);
 }
 
 void ControlService::AddStatus(QJsonObject& status) const {
--- a/src/libs/control/controlservice.h
+++ b/src/libs/control/controlservice.h
@@ -78,9 +78,10 @@
   // Handles Gossip, ConfigurationQuery and ConfigurationPart messages. From any thread.
   void HandleMessage(const ReplyRoute& route, wire::Envelope message);
 
-  // Adds to the byte counters of control messages; bytes sent to a peer in another region also
-  // count for the paid link. From any thread.
-  void CountBytes(const BackendServerId& peer, std::size_t sent, std::size_t received);
+  // Counts bytes sent to a peer: by purpose if it is in another data centre, and those of control
+  // messages; if the peer is in another region, they also count for the paid link. From any thread.
+  void CountSent(const BackendServerId& peer, BytePurpose purpose, bool is_control,
+                 std::size_t bytes);
 
   // The membership view; its const methods may be called from any thread.
   const Membership& Members() const { return m_membership; }
@@ -140,7 +141,7 @@
 
     bool operator==(const AnnouncedVersions&) const = default;
   };
-  using RegionMap = std::unordered_map<BackendServerId, RegionId>;
+  using LocationMap = std::unordered_map<BackendServerId, FleetNode>;
 
   ControlContext m_context;
   ConfigurationHolder::ApplyFunction m_apply;
@@ -163,7 +164,7 @@
   std::uint64_t m_rules_version = 0;
   std::optional<std::vector<BackendServer>> m_inventory;  // Live inventory; empty if declared.
   std::shared_ptr<const Declaration> m_declaration;       // Active rules and inventory.
-  std::atomic<std::shared_ptr<const RegionMap>> m_regions;
+  std::atomic<std::shared_ptr<const LocationMap>> m_locations;
 
   std::vector<FleetNode> m_overlay_nodes;        // Nodes that the overlay was computed from.
   std::vector<BackendServerId> m_control_peers;  // Overlay neighbours and other readers.
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -51,6 +51,19 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+std::uint64_t MicrosecondsLeft(Duration time) {
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(time.count(), 0));
+}
+
+// The result of an attempt that an owner refused before it ran.
+AttemptResult ResultOfRefusal(Reason reason) {
+  // An owner whose backend server is unreachable refuses at once. kNoBackend keeps that short
+  // response time from attracting calls.
+  if (reason == Reason::kBackendUnreachable) return AttemptResult::kNoBackend;
+  const bool is_overloaded = reason == Reason::kQueueFullTime || reason == Reason::kBackendShed;
+  return is_overloaded ? AttemptResult::kOverloaded : AttemptResult::kRefused;
+}
+
 // Whether an attempt that was not run reached the backend server, which refused it.
 bool ReachedServer(Reason reason) { return reason == Reason::kBackendShed; }
 
@@ -172,10 +185,18 @@
       FinishLoadQuery(exchange, *waiting);
     }
   });
+  const TimePoint now = MonotonicNow();
+  const Duration target_left = call.started + call.call_class.target - now;
+  const Duration deadline_left = call.deadline - now;
   for (const BackendServerId& server : servers) {
     wire::Envelope message;
-    message.mutable_load_query()->set_call_id(load_query_id);
-    message.mutable_load_query()->set_priority(call.call_class.priority.Value());
+    wire::LoadQuery& query = *message.mutable_load_query();
+    query.set_call_id(load_query_id);
+    query.set_priority(call.call_class.priority.Value());
+    if (!call.call_class.route.IsEmpty()) {
+      query.set_target_left_us(MicrosecondsLeft(target_left));
+      query.set_deadline_left_us(MicrosecondsLeft(deadline_left));
+    }
     m_context.messenger.Send(server, std::move(message));
   }
   return true;
@@ -187,7 +208,8 @@
   if (found == m_load_queries.end()) return;
   const ExchangeId exchange = found->second;
   PendingCall& call = m_calls.at(exchange);
-  call.estimates.push_back({owner, Duration(static_cast<Duration::rep>(answer.expected_us()))});
+  call.estimates.push_back(
+      {owner, Duration(static_cast<Duration::rep>(answer.expected_us())), answer.refuses()});
   if (--call.pending_load_replies == 0) FinishLoadQuery(exchange, call);
 }
 
@@ -199,7 +221,14 @@
   const bool asks_region = call.query_scope == QueryScope::kOwnDataCentre &&
                            !m_context.router.HasGoodEstimate(request, call.estimates);
   if (asks_region && QueryLoadIn(QueryScope::kOtherDataCentresOfRegion, exchange, call)) return;
-  RouteTo(exchange, call, m_context.router.ChooseAmong(request, call.estimates), now);
+  const RoutingChoice choice = m_context.router.ChooseAmong(request, call.estimates);
+  if (choice.refusal != Reason::kQueueFullTime) return RouteTo(exchange, call, choice, now);
+  // All owners that were asked would refuse the call. Others may have room.
+  for (const LoadEstimate& estimate : call.estimates) call.tried.push_back(estimate.server);
+  ++call.refusals;
+  m_log.Failure("all_refuse", call.log_id, choice.refusal)
+      .With("asked", static_cast<std::int64_t>(call.estimates.size()));
+  RetryOrAnswer(exchange, call, choice.refusal, true);
 }
 
 void IngressShard::Route(ExchangeId exchange, PendingCall& call) {
@@ -373,10 +402,7 @@
   m_log.Failure("attempt_refused", call.log_id, reason)
       .With("server", attempt->server.Value())
       .With("after_us", (MonotonicNow() - attempt->sent).count());
-  // An owner whose backend server is unreachable refuses at once. kNoBackend keeps that short
-  // response time from attracting calls.
-  EndAttempt(id, reason == Reason::kBackendUnreachable ? AttemptResult::kNoBackend
-                                                       : AttemptResult::kRefused);
+  EndAttempt(id, ResultOfRefusal(reason));
   RetryOrAnswer(exchange, call, reason, true);
 }
 
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -56,6 +56,9 @@
      "Time that work takes on this VM now; 100 is as usual."},
 }};
 
+constexpr std::array<std::string_view, static_cast<std::size_t>(BytePurpose::kCount)> kPurposeNames{
+    "calls", "answers", "load_queries", "gossip", "documents", "links"};
+
 constexpr bool IsInEnumerationOrder() {
   for (std::size_t index = 0; index < kMetrics.size(); ++index) {
     if (kMetrics[index].metric != static_cast<Metric>(index)) return false;
@@ -65,6 +68,7 @@
 static_assert(IsInEnumerationOrder(), "kMetrics must be in the order of the Metric enumeration");
 
 constexpr std::size_t IndexOf(Metric metric) { return static_cast<std::size_t>(metric); }
+constexpr std::size_t IndexOf(BytePurpose purpose) { return static_cast<std::size_t>(purpose); }
 constexpr std::size_t IndexOf(Reason reason) { return static_cast<std::size_t>(reason); }
 
 // The latency histogram covers 0.1 ms to 100 s in 60 buckets of equal ratio (about 1.26).
@@ -94,6 +98,14 @@
   m_values[IndexOf(metric)].store(value, std::memory_order_relaxed);
 }
 
+void MetricsRegistry::CountDataCentreBytes(BytePurpose purpose, std::uint64_t bytes) {
+  m_data_centre_bytes[IndexOf(purpose)].fetch_add(bytes, std::memory_order_relaxed);
+}
+
+std::uint64_t MetricsRegistry::DataCentreBytes(BytePurpose purpose) const {
+  return m_data_centre_bytes[IndexOf(purpose)].load(std::memory_order_relaxed);
+}
+
 void MetricsRegistry::CountRefusal(Reason reason) {
   m_refusals[IndexOf(reason)].fetch_add(1, std::memory_order_relaxed);
 }
@@ -140,6 +152,14 @@
   WriteReasonCounters(out, "refusals_total", "Calls refused or failed, by reason.", m_refusals);
   WriteReasonCounters(out, "retries_by_reason_total", "Calls tried again, by reason.", m_retries);
 
+  out << "# HELP damaskhollow_data_centre_bytes_total Bytes sent to peers in other data centres, "
+         "by "
+         "purpose.\n# TYPE damaskhollow_data_centre_bytes_total counter\n";
+  for (std::size_t purpose = 0; purpose < kPurposeNames.size(); ++purpose) {
+    out << "damaskhollow_data_centre_bytes_total{purpose=\"" << kPurposeNames[purpose] << "\"} "
+        << m_data_centre_bytes[purpose].load() << '\n';
+  }
+
   out << "# HELP damaskhollow_latency_ms Time from request to end of answer, by priority.\n"
          "# TYPE damaskhollow_latency_ms histogram\n";
   const std::lock_guard lock(m_latency_lock);
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -47,6 +47,9 @@
   kCount,
 };
 
+// What bytes sent to another data centre are for.
+enum class BytePurpose { kCalls, kAnswers, kLoadQueries, kGossip, kDocuments, kLinks, kCount };
+
 // Collects the metrics that a node serves on its admin port. Thread-safe.
 class MetricsRegistry {
  public:
@@ -56,6 +59,9 @@
   // Sets a gauge.
   void Set(Metric metric, std::uint64_t value);
 
+  // Counts bytes sent to a peer in another data centre.
+  void CountDataCentreBytes(BytePurpose purpose, std::uint64_t bytes);
+
   // Counts a call that was refused or failed for `reason`.
   void CountRefusal(Reason reason);
 
@@ -68,6 +74,7 @@
   std::uint64_t Value(Metric metric) const;
   std::uint64_t Refusals(Reason reason) const;
   std::uint64_t Retries(Reason reason) const;
+  std::uint64_t DataCentreBytes(BytePurpose purpose) const;
 
   // Returns all metrics in the Prometheus text format, including the CPU time and memory of the
   // process.
@@ -88,6 +95,8 @@
   std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Metric::kCount)> m_values{};
   std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Reason::kCount)> m_refusals{};
   std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Reason::kCount)> m_retries{};
+  std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(BytePurpose::kCount)>
+      m_data_centre_bytes{};
   mutable std::mutex m_latency_lock;
   std::map<PriorityId, Latency> m_latencies;
 };
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -15,6 +15,30 @@
 // thread before the owner is idle, and need this time to reach the network.
 constexpr std::chrono::milliseconds kResponseFlushTime{250};
 
+BytePurpose PurposeOf(const wire::Envelope& message) {
+  switch (message.body_case()) {
+    case wire::Envelope::kResponseChunk:
+    case wire::Envelope::kRefused:
+    case wire::Envelope::kCallFailed:
+      return BytePurpose::kAnswers;
+    case wire::Envelope::kLoadQuery:
+    case wire::Envelope::kLoadAnswer:
+      return BytePurpose::kLoadQueries;
+    case wire::Envelope::kGossip:
+      return BytePurpose::kGossip;
+    case wire::Envelope::kConfigurationQuery:
+    case wire::Envelope::kConfigurationPart:
+      return BytePurpose::kDocuments;
+    case wire::Envelope::kHello:
+    case wire::Envelope::kHelloReply:
+    case wire::Envelope::kPing:
+    case wire::Envelope::kPong:
+      return BytePurpose::kLinks;
+    default:
+      return BytePurpose::kCalls;
+  }
+}
+
 Result<std::string> ReadFile(const std::string& path) {
   QFile file(QString::fromStdString(path));
   if (!file.open(QIODevice::ReadOnly)) {
@@ -290,8 +314,12 @@
   return false;
 }
 
-void Node::OnControlBytes(const BackendServerId& peer, std::size_t sent, std::size_t received) {
-  m_control->CountBytes(peer, sent, received);
+void Node::OnSent(const BackendServerId& peer, const wire::Envelope& message, std::size_t bytes) {
+  m_control->CountSent(peer, PurposeOf(message), IsControlMessage(message), bytes);
+}
+
+void Node::OnControlReceived(const BackendServerId&, std::size_t bytes) {
+  m_metrics.Add(Metric::kControlBytesReceived, bytes);
 }
 
 QJsonObject Node::Status() const {
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -64,7 +64,9 @@
   bool HasOutstandingCalls(const BackendServerId& peer) const override;
   wire::OwnerState LocalOwnerState() const override;
   bool IsAllowedPeer(const BackendServerId& peer, const std::string& public_key) const override;
-  void OnControlBytes(const BackendServerId& peer, std::size_t sent, std::size_t received) override;
+  void OnSent(const BackendServerId& peer, const wire::Envelope& message,
+              std::size_t bytes) override;
+  void OnControlReceived(const BackendServerId& peer, std::size_t bytes) override;
 
   Result<LinkKeys> LoadKeys() const;
   void ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -205,10 +205,21 @@
     const Duration run = m_pacer.ExpectedTimeToResponse(PriorityId(query.priority()), in_flight,
                                                         slots, MonotonicNow());
     answer.set_expected_us(static_cast<std::uint64_t>((wait + run).count()));
+    answer.set_refuses(WouldRefuse(query));
   }
   m_messenger.Reply(route, std::move(message));
 }
 
+bool OwnerService::WouldRefuse(const wire::LoadQuery& query) const {
+  if (query.deadline_left_us() == 0) return false;
+  const TimePoint now = MonotonicNow();
+  AdmissionCall call;
+  call.priority_index = PriorityIndexOf(query.priority());
+  call.deadline = now + Duration(static_cast<Duration::rep>(query.deadline_left_us()));
+  call.target = now + Duration(static_cast<Duration::rep>(query.target_left_us()));
+  return m_admission.WouldRefuse(call, now);
+}
+
 void OwnerService::AnswerLoadQueries() {
   m_is_probing = false;
   for (const auto& [route, query] : std::exchange(m_load_queries, {})) {
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -126,6 +126,8 @@
   void HandleLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query);
 
   // Replies with the current load and with the expected time until the call would be answered.
+  // Whether the call that the query describes would be refused for lack of time.
+  bool WouldRefuse(const wire::LoadQuery& query) const;
   void AnswerLoadQuery(const ReplyRoute& route, const wire::LoadQuery& query);
 
   // Ends the current probe and answers all load queries that wait for it.
--- a/src/libs/policy/adaptivestrategy.cpp
+++ b/src/libs/policy/adaptivestrategy.cpp
@@ -28,8 +28,13 @@
 bool IsCandidate(const RoutingPool& pool, std::size_t index, SamplingMode mode,
                  RandomSource& random, TimePoint now) {
   if (!pool.IsOpen(index)) return false;
-  if (mode == SamplingMode::kAny) return true;
   const ServerScore& score = pool.Score(index);
+  // A server of the own region is asked for its load before a call is sent to it.
+  if (score.Tier() == ServerTier::kOtherRegion) {
+    const double share = score.ShareAfterOverload(pool.Request().priority_index, now);
+    if (share < 1.0 && random.Unit() >= share) return false;
+  }
+  if (mode == SamplingMode::kAny) return true;
   if (score.CurrentState() != State::kNormal) return false;
   if (mode == SamplingMode::kNormal) return true;
   const double share = score.RampShare(now);
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -249,6 +249,12 @@
   return admission;
 }
 
+bool AdmissionQueue::WouldRefuse(const AdmissionCall& call, TimePoint now) const {
+  const bool runs_immediately = HasFreeSlot() && m_queued.empty();
+  const std::size_t lane = std::min(call.priority_index, m_lanes.size() - 1);
+  return !runs_immediately && !MeetsTimeLimits(call, lane, now);
+}
+
 void AdmissionQueue::Enqueue(const AdmissionCall& call, std::size_t lane, bool late) {
   Lane& target = m_lanes[lane];
   std::list<AdmissionCall>& queue = late ? target.late : target.queue;
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -74,6 +74,9 @@
   // call is cancelled.
   Admission Offer(const AdmissionCall& call, TimePoint now);
 
+  // Whether a call would be refused at present because it cannot be served in time.
+  bool WouldRefuse(const AdmissionCall& call, TimePoint now) const;
+
   // Whether calls of a priority are held back although there are free slots.
   using IsHeld = std::function<bool(const PriorityId& priority)>;
 
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -231,7 +231,7 @@
   std::optional<Offer> best;
   for (const LoadEstimate& estimate : estimates) {
     const ServerScore* score = FindScore(estimate.server);
-    if (score == nullptr || !score->IsOpen()) continue;
+    if (score == nullptr || !score->IsOpen() || estimate.refuses) continue;
     if ((score->Tier() == ServerTier::kOwnDataCentre) != in_own_data_centre) continue;
     const Duration expected = estimate.expected + score->RoundTrip();
     if (best && expected >= best->expected) continue;
@@ -251,21 +251,36 @@
   const auto found = m_subsets.find(request.service);
   const std::optional<Offer> own = BestOffer(estimates, true);
   const std::optional<Offer> near = BestOffer(estimates, false);
+  const bool is_refused =
+      std::any_of(estimates.begin(), estimates.end(),
+                  [](const LoadEstimate& estimate) { return estimate.refuses; });
+  if (!own && !near && is_refused) {
+    std::vector<BackendServerId> excluded(request.excluded.begin(), request.excluded.end());
+    for (const LoadEstimate& estimate : estimates) excluded.push_back(estimate.server);
+    RoutingRequest others = request;
+    others.excluded = excluded;
+    return ChooseOtherRegion(others, Duration::max(), now)
+        .value_or(RoutingChoice{Reason::kQueueFullTime, {}});
+  }
   if ((!own && !near) || found == m_subsets.end()) return Choose(request, now);
   const Offer best = own && near ? PreferOwn(*own, *near, request.target_left) : own ? *own : *near;
-  const bool is_late = best.expected > request.target_left;
-  if (is_late && request.may_cross_regions && m_paid_link.HasRoom(now)) {
-    RoutingRequest anywhere = request;
-    anywhere.target_left = Duration(0);  // No server of the region can meet the target.
-    RoutingChoice other = SelectServer(anywhere, now);
-    if (other.crosses_regions && other.expected_delay < best.expected) {
-      ChargePaidLink(request, other, now);
-      return other;
-    }
+  if (best.expected > request.target_left) {
+    if (const auto other = ChooseOtherRegion(request, best.expected, now)) return *other;
   }
   return RoutingChoice{Reason::kNone, m_scores[best.score].Id(), false, best.expected, Duration(0)};
 }
 
+std::optional<RoutingChoice> Router::ChooseOtherRegion(const RoutingRequest& request,
+                                                       Duration latest, TimePoint now) {
+  if (!request.may_cross_regions || !m_paid_link.HasRoom(now)) return std::nullopt;
+  RoutingRequest anywhere = request;
+  anywhere.target_left = Duration(0);  // No server of the region can meet the target.
+  const RoutingChoice other = SelectServer(anywhere, now);
+  if (!other.crosses_regions || other.expected_delay >= latest) return std::nullopt;
+  ChargePaidLink(request, other, now);
+  return other;
+}
+
 Router::Offer Router::PreferOwn(const Offer& own, const Offer& near, Duration target_left) {
   if (near.expected >= own.expected) return own;
   const bool near_is_in_time = near.expected <= target_left;
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -34,7 +34,8 @@
 // Reply of an owner to a load query: how long a call would take on its backend server.
 struct LoadEstimate {
   BackendServerId server;
-  Duration expected{};  // Queue wait plus service time.
+  Duration expected{};   // Queue wait plus service time.
+  bool refuses = false;  // The owner would refuse the call, as it cannot serve it in time.
 };
 
 // The servers whose owners are queried for their load before a selection. The own data centre comes
@@ -89,7 +90,8 @@
   // Selects the server with the lowest estimate in `estimates`, which the owners have just
   // reported. Leaves the own data centre only for a call that would otherwise be late, or if that
   // saves a considerable part of its time. Leaves the region only if no estimate is within
-  // `target_left` of the request.
+  // `target_left` of the request. If all owners in `estimates` would refuse the call, the choice is
+  // a server in another region that is not known to be overloaded, or kQueueFullTime.
   RoutingChoice ChooseAmong(const RoutingRequest& request, std::span<const LoadEstimate> estimates,
                             TimePoint now);
 
@@ -106,6 +108,10 @@
   // Returns the lowest estimate among servers in the own data centre, or among those outside it.
   std::optional<Offer> BestOffer(std::span<const LoadEstimate> estimates,
                                  bool in_own_data_centre) const;
+  // Returns a server in another region, charged to the paid link, or nothing if there is none that
+  // is expected to respond earlier than `latest`.
+  std::optional<RoutingChoice> ChooseOtherRegion(const RoutingRequest& request, Duration latest,
+                                                 TimePoint now);
   // Returns `near`, which is outside the own data centre, if it is worth its bytes; else `own`.
   static Offer PreferOwn(const Offer& own, const Offer& near, Duration target_left);
   // Like Choose, but does not charge the budget of the paid link.
--- a/src/libs/policy/serverscores.cpp
+++ b/src/libs/policy/serverscores.cpp
@@ -30,6 +30,8 @@
 constexpr unsigned kMaxDoublings = 6;  // Up to 64 s.
 
 constexpr std::chrono::seconds kRampTime{10};
+// An overload of a service lasts for seconds.
+constexpr double kOverloadMemoryUs = 1e6;
 constexpr double kRampFloor = 0.05;
 
 double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
@@ -79,6 +81,7 @@
   const auto found = std::find_if(m_outstanding.begin(), m_outstanding.end(),
                                   [&](const auto& entry) { return entry.attempt == attempt; });
   if (found == m_outstanding.end()) return;
+  const std::size_t priority_index = found->priority_index;
   m_outstanding.erase(found);
   const bool was_trial = m_state == State::kTrialRunning && m_trial == attempt;
   switch (result) {
@@ -89,6 +92,10 @@
       return RecordFailure(was_trial, may_suspend, now);
     case AttemptResult::kNoBackend:
       return RecordNoBackend(now);
+    case AttemptResult::kOverloaded:
+      if (m_overloaded_at.size() <= priority_index) m_overloaded_at.resize(priority_index + 1);
+      m_overloaded_at[priority_index] = now;
+      [[fallthrough]];
     case AttemptResult::kRefused:
     case AttemptResult::kCancelled:
       if (was_trial) {
@@ -152,6 +159,16 @@
   return std::max(part, kRampFloor);
 }
 
+double ServerScore::ShareAfterOverload(std::size_t priority_index, TimePoint now) const {
+  double share = 1.0;
+  for (std::size_t index = 0; index < m_overloaded_at.size() && index <= priority_index; ++index) {
+    if (!m_overloaded_at[index]) continue;
+    const double age = Microseconds(now - *m_overloaded_at[index]);
+    share = std::min(share, age / kOverloadMemoryUs);
+  }
+  return share;
+}
+
 double ServerScore::ServiceTime(Duration typical, TimePoint now) const {
   const double usual = Microseconds(typical);
   if (m_load.service_time.count() == 0) return usual;
--- a/src/libs/policy/serverscores.h
+++ b/src/libs/policy/serverscores.h
@@ -25,12 +25,13 @@
 
 // Result of one attempt as seen by the ingress.
 enum class AttemptResult {
-  kAnswered,   // Status below 500.
-  kError,      // Status 500 or above.
-  kRefused,    // The owner refused it before it ran.
-  kFailed,     // Interrupted or timed out.
-  kNoBackend,  // The owner could not connect to its backend server.
-  kCancelled,  // The caller disconnected.
+  kAnswered,    // Status below 500.
+  kError,       // Status 500 or above.
+  kRefused,     // The owner refused it before it ran.
+  kOverloaded,  // The same, because the owner could not serve it in time.
+  kFailed,      // Interrupted or timed out.
+  kNoBackend,   // The owner could not connect to its backend server.
+  kCancelled,   // The caller disconnected.
 };
 
 // Load, health and outstanding attempts of one server as seen by this ingress, from which its share
@@ -57,6 +58,11 @@
   // servers of the service are already suspended.
   void RecordEnded(CallId attempt, AttemptResult result, bool may_suspend, TimePoint now);
 
+  // Share of calls of this priority that the server may get after it has refused one of the same or
+  // a more urgent priority as overloaded: grows from 0 to 1 within a second. Load reports do not
+  // show such an overload, as they tell the queue of the most urgent priority.
+  double ShareAfterOverload(std::size_t priority_index, TimePoint now) const;
+
   // Ends a suspension whose time is over; a trial is then due.
   void Refresh(TimePoint now);
 
@@ -112,6 +118,7 @@
   TimePoint m_state_until{};  // End of the suspension, or time since which a trial is due.
   CallId m_trial;
   bool m_ejected = false;
+  std::vector<std::optional<TimePoint>> m_overloaded_at;  // By priority index.
   std::optional<TimePoint> m_ramp_from;
 };
 
--- a/src/libs/wire/peertransport.cpp
+++ b/src/libs/wire/peertransport.cpp
@@ -26,8 +26,13 @@
 constexpr unsigned kTicksPerBusyCheck = 4;
 constexpr unsigned kTicksPerIdleCheck = 40;
 
-// Whether the message does not belong to a call. Such messages count against the budget
-// measuring_bytes_per_second.
+// Extracts the server id from a routing id "ID#incarnation#number".
+BackendServerId PeerFromRoutingId(const std::string& routing_id) {
+  return BackendServerId(routing_id.substr(0, routing_id.find('#')));
+}
+
+}  // namespace
+
 bool IsControlMessage(const wire::Envelope& message) {
   switch (message.body_case()) {
     case wire::Envelope::kHello:
@@ -43,13 +48,6 @@
   }
 }
 
-// Extracts the server id from a routing id "ID#incarnation#number".
-BackendServerId PeerFromRoutingId(const std::string& routing_id) {
-  return BackendServerId(routing_id.substr(0, routing_id.find('#')));
-}
-
-}  // namespace
-
 class PeerTransport::Worker {
  public:
   Worker(TransportOptions options, PeerHandler& handler)
@@ -171,7 +169,7 @@
                                        const wire::Envelope& message) {
   const std::string bytes = message.SerializeAsString();
   if (!link.Send(bytes, MonotonicNow())) return false;
-  if (IsControlMessage(message)) m_handler.OnControlBytes(peer, bytes.size(), 0);
+  m_handler.OnSent(peer, message, bytes.size());
   return true;
 }
 
@@ -191,9 +189,7 @@
 void PeerTransport::Worker::Reply(const ReplyRoute& route, const wire::Envelope& message) {
   const std::string bytes = message.SerializeAsString();
   const std::size_t size = bytes.size();
-  if (m_accepted->Send(route.routing_id, bytes) && IsControlMessage(message)) {
-    m_handler.OnControlBytes(route.peer, size, 0);
-  }
+  if (m_accepted->Send(route.routing_id, bytes)) m_handler.OnSent(route.peer, message, size);
   ReadAccepted();
 }
 
@@ -215,7 +211,7 @@
     EventLine(LogPart::kLink, LogLevel::kWarning, "malformed_message").With("server", peer.Value());
     return;
   }
-  if (IsControlMessage(message)) m_handler.OnControlBytes(peer, 0, bytes.size());
+  if (IsControlMessage(message)) m_handler.OnControlReceived(peer, bytes.size());
   if (message.has_hello_reply() && link.CurrentState() == DialledLink::State::kAwaitingHelloReply) {
     link.OnHelloReply();
     m_handler.OnLinkUp(peer, message.hello_reply().state());
@@ -243,7 +239,7 @@
         .With("server", route.peer.Value());
     return;
   }
-  if (IsControlMessage(message)) m_handler.OnControlBytes(route.peer, 0, accepted.body.size());
+  if (IsControlMessage(message)) m_handler.OnControlReceived(route.peer, accepted.body.size());
   wire::Envelope answer;
   if (message.has_hello()) {
     *answer.mutable_hello_reply()->mutable_state() = m_handler.LocalOwnerState();
--- a/src/libs/wire/peertransport.h
+++ b/src/libs/wire/peertransport.h
@@ -59,11 +59,18 @@
   // empty `peer` stands for any node, for checks of the key before the id of the node is known.
   virtual bool IsAllowedPeer(const BackendServerId& peer, const std::string& public_key) const = 0;
 
-  // Bytes of control messages, which are those that do not belong to a call, were sent or received.
-  virtual void OnControlBytes(const BackendServerId& peer, std::size_t sent,
-                              std::size_t received) = 0;
+  // A message of `bytes` was sent to `peer`.
+  virtual void OnSent(const BackendServerId& peer, const wire::Envelope& message,
+                      std::size_t bytes) = 0;
+
+  // A control message, which is one that does not belong to a call, was received.
+  virtual void OnControlReceived(const BackendServerId& peer, std::size_t bytes) = 0;
 };
 
+// Whether the message does not belong to a call. Such messages count against the budget
+// measuring_bytes_per_second.
+bool IsControlMessage(const wire::Envelope& message);
+
 // Intervals of the link health checks.
 struct LinkTimings {
   std::uint32_t connect_retry_ms = 25;
--- a/tests/auto/policy/tst_admissionqueue.cpp
+++ b/tests/auto/policy/tst_admissionqueue.cpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "admissionsimulation.h"
+#include "base/randomsource.h"
 #include "policy/admissionqueue.h"
 
 namespace damaskhollow {
@@ -98,6 +99,7 @@
   CPPUNIT_TEST(ServesLargeBodyAtOnceWhenIdle);
   CPPUNIT_TEST(GivesUpWhatCannotBeStartedInTime);
   CPPUNIT_TEST(LongCallsDoNotShutOutShortOnesForGood);
+  CPPUNIT_TEST(SaysBeforehandWhatItRefuses);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -427,6 +429,37 @@
 
   // Guards against an estimate that makes the queue refuse all calls of a priority and is therefore
   // never updated.
+  // Guards against calls that travel to owners which refuse them: an owner that is asked first must
+  // give the answer that it would give to the call.
+  void SaysBeforehandWhatItRefuses() {
+    constexpr milliseconds kRun{20};
+    for (const std::uint64_t seed : {1, 20, 300}) {
+      RandomSource random(seed);
+      AdmissionQueue queue({.slots = 2}, Priorities());
+      std::vector<OwnedCallId> running;
+      TimePoint now = kStart;
+      int refused = 0;
+      for (std::uint64_t next = 1; next < 2000; ++next) {
+        AdmissionCall call = CallOf(next, random.Below(3));
+        call.deadline = now + milliseconds(10 + random.Below(400));
+        if (random.Below(2) == 0) call.target = call.deadline - milliseconds(random.Below(200));
+        const bool would_refuse = queue.WouldRefuse(call, now);
+        const bool is_refused = queue.Offer(call, now).refusal == Reason::kQueueFullTime;
+        CPPUNIT_ASSERT_EQUAL(is_refused, would_refuse);
+        refused += is_refused ? 1 : 0;
+        for (const OwnedCallId id : queue.PopDispatchable(now)) running.push_back(id);
+        if (random.Below(3) == 0 && !running.empty()) {
+          now += kRun / 2;
+          queue.OnCallFinished(running.front(), SlotResult::kCompleted, now);
+          running.erase(running.begin());
+        }
+        queue.PopExpired(now);
+        for (const OwnedCallId id : queue.PopDispatchable(now)) running.push_back(id);
+      }
+      CPPUNIT_ASSERT(refused > 100);
+    }
+  }
+
   // Pattern: a route with long calls shares its priority with routes of short calls, on a server
   // that is constantly busy with less urgent calls.
   void LongCallsDoNotShutOutShortOnesForGood() {
--- a/tests/auto/policy/tst_datacentrerouting.cpp
+++ b/tests/auto/policy/tst_datacentrerouting.cpp
@@ -176,6 +176,8 @@
   CPPUNIT_TEST(LeavesTheDataCentreForWhatIsWorthIt);
   CPPUNIT_TEST(AsksEachScopeForItself);
   CPPUNIT_TEST(KeepsCallsNearWithoutAQuery);
+  CPPUNIT_TEST(SendsNothingToOwnersThatRefuse);
+  CPPUNIT_TEST(OverloadedRegionGetsFewCalls);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -266,21 +268,79 @@
     CPPUNIT_ASSERT_EQUAL(std::string("near"), router.Choose(request, kTime).server.Value());
   }
 
+  // Guards against calls that cross data centres and regions only to be refused. Parameters: which
+  // of the own and the near owner refuse, whether another region may be used, and the choice.
+  void SendsNothingToOwnersThatRefuse() {
+    struct Row {
+      bool own_refuses;
+      bool near_refuses;
+      bool may_cross;
+      std::string_view server;
+    };
+    constexpr std::array kRows{Row{false, true, true, "own"}, Row{true, false, true, "near"},
+                               Row{false, false, true, "own"}, Row{true, true, true, "far"},
+                               Row{true, true, false, ""}};
+    for (const Row& row : kRows) {
+      Router router = MakeRouter();
+      RoutingRequest request{ServiceId("s"), true, row.may_cross, 0, {}};
+      request.target_left = kTarget;
+      const std::array estimates{
+          LoadEstimate{BackendServerId("own"), std::chrono::milliseconds(300), row.own_refuses},
+          LoadEstimate{BackendServerId("near"), std::chrono::milliseconds(290), row.near_refuses}};
+      const RoutingChoice choice = router.ChooseAmong(request, estimates, kTime);
+      CPPUNIT_ASSERT_EQUAL(std::string(row.server), choice.server.Value());
+      CPPUNIT_ASSERT(choice.refusal ==
+                     (row.server.empty() ? Reason::kQueueFullTime : Reason::kNone));
+    }
+  }
+
+  // Pattern: all regions are overloaded. Each call that no near server takes was sent to the other
+  // region, which refused it too, as its load reports tell the wait of the most urgent calls only.
+  void OverloadedRegionGetsFewCalls() {
+    Router router = MakeRouter();
+    RoutingRequest request{ServiceId("s"), true, true, 0, {}};
+    request.priority_index = 1;
+    const std::array refusing{
+        LoadEstimate{BackendServerId("own"), std::chrono::milliseconds(300), true},
+        LoadEstimate{BackendServerId("near"), std::chrono::milliseconds(290), true}};
+    constexpr std::uint64_t kCallsInASecond = 1000;
+    int crossed = 0;
+    TimePoint now = kTime;
+    for (std::uint64_t call = 1; call <= kCallsInASecond; ++call) {
+      now += std::chrono::milliseconds(1);
+      const RoutingChoice choice = router.ChooseAmong(request, refusing, now);
+      if (choice.refusal != Reason::kNone) continue;
+      ++crossed;
+      router.RecordSent(choice.server, CallId{call}, request.priority_index, now);
+      router.RecordEnded(choice.server, CallId{call}, AttemptResult::kOverloaded, now);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(crossed), crossed > 1 && crossed < 100);
+    // More urgent calls are not held off, and the others return within a second.
+    request.priority_index = 0;
+    CPPUNIT_ASSERT(router.ChooseAmong(request, refusing, now).crosses_regions);
+    request.priority_index = 1;
+    CPPUNIT_ASSERT(
+        router.ChooseAmong(request, refusing, now + std::chrono::seconds(1)).crosses_regions);
+  }
+
  private:
   static constexpr TimePoint kTime{std::chrono::seconds(100)};
 
-  // Returns a router with a server in its own data centre and one in another of the region.
+  // Returns a router with a server in its own data centre, one in another of the region and one in
+  // another region.
   static Router MakeRouter() {
     Declaration declaration;
     Service service;
     service.id = ServiceId("s");
     declaration.services.push_back(service);
+    declaration.budgets.paid_link_bytes_per_second = 10000000;
     for (const auto& [id, data_centre] :
-         {std::pair("own", kDataCentres[0]), std::pair("near", kDataCentres[1])}) {
+         {std::pair("own", kDataCentres[0]), std::pair("near", kDataCentres[1]),
+          std::pair("far", DataCentreId("e-1"))}) {
       BackendServer server;
       server.id = BackendServerId(id);
       server.service = service.id;
-      server.region = RegionId("west");
+      server.region = RegionId(data_centre.Value().starts_with('w') ? "west" : "east");
       server.data_centre = data_centre;
       server.slots = kSlots;
       declaration.backend_servers.push_back(server);
@@ -288,7 +348,7 @@
     Router router("adaptive",
                   NodeLocation{BackendServerId("self"), RegionId("west"), kDataCentres[0]}, 1);
     router.SetDeclaration(std::make_shared<const Declaration>(declaration), kTime);
-    for (const char* id : {"own", "near"}) {
+    for (const char* id : {"own", "near", "far"}) {
       router.SetReachable(BackendServerId(id), true, kTime);
       router.RecordLoad(BackendServerId(id), IdleLoad(1), kTime);
     }
