--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -19,9 +19,6 @@
 constexpr std::chrono::seconds kWideGossipPeriod{20};
 constexpr std::chrono::milliseconds kRefreshTimeout{500};
 constexpr std::size_t kRefreshPeers = 3;
-// Failed reads in a row after which a reader gives way to another node, and for how long.
-constexpr unsigned kFailedReadsToGiveWay = 2;
-constexpr std::chrono::seconds kStoreUnreachableTime{10};
 // How often a node that is not listed asks a peer for versions. A change must reach it in time.
 constexpr std::chrono::milliseconds kVersionQueryInterval{500};
 // The refresh_id of such queries; refreshes after a pause count up from 1.
@@ -74,6 +71,8 @@
                      [this](const BackendServerId& peer, wire::Envelope message) {
                        m_links.Send(peer, std::move(message), MonotonicNow());
                      }),
+      m_reader_duty(m_self, context.settings.configuration_region,
+                    context.bindings.has_live_inventory),
       m_probe(context.metrics,
               [this](ProbeResult result) { m_drain.OnProbe(result, MonotonicNow()); }) {
   const RegionId& store_region = context.settings.configuration_region;
@@ -89,7 +88,7 @@
   const std::string& file = settings.declaration_file;
   if (!file.empty()) return m_configuration.LoadFile(file);
   const TimePoint now = MonotonicNow();
-  m_started = now;
+  m_reader_duty.Start(now);
   const bool has_seeds = !settings.seed_peers.empty() || !settings.peer_overrides.empty();
   const bool is_seed = settings.seed_peers.contains(m_self.id);
   m_bootstrap.emplace(has_seeds, is_seed, m_random, now, m_context.bindings.store_is_current);
@@ -226,8 +225,7 @@
   TickInventory(now);
   if (now >= m_next_second) TickSecond(now);
   if (std::exchange(m_view_changed, false)) RefreshView(now);
-  TickStoreReachability(now);
-  if (std::exchange(m_readers_changed, false)) UpdateReaderAssignment(now);
+  TickReaderDuty(now);
   TickGossip(now);
 }
 
@@ -240,7 +238,7 @@
   for (const BackendServerId& peer : m_links.Overdue(now)) m_membership.OnLinkDown(peer);
   RefreshView(now);
   // The state of its links decides the role of a node that is not listed.
-  if (m_context.bindings.has_live_inventory && !m_is_listed) UpdateReaderAssignment(now);
+  if (m_reader_duty.HasToAskPeers()) UpdateReaderAssignment(now);
   if (m_declaration) UpdateLinks(*m_declaration, now);
 }
 
@@ -253,19 +251,11 @@
 
 void ControlService::UpdateReaderAssignment(TimePoint now) {
   const std::vector<FleetNode> live = m_membership.LiveNodes();
-  ReaderAssignment assignment = ReaderAssignmentOf(
-      live, m_self, m_context.settings.configuration_region,
-      [this](const BackendServerId& node) { return m_membership.IsStoreUnreachableFrom(node); });
-  m_is_listed =
-      std::any_of(live.begin(), live.end(), [&](const auto& node) { return node.id == m_self.id; });
-  // A node that the live inventory does not list (yet) cannot be elected as a reader, and no peer
-  // dials it. It learns of changes from a reader that it dials; without one, it watches the service
-  // itself. The links of a node that has just started need some time.
-  if (m_context.bindings.has_live_inventory && !m_is_listed) {
-    const bool watches = now - m_started > kUnlistedPause && IsIsolated(live);
-    assignment.role = watches ? ReaderRole::kWatcher : ReaderRole::kFollower;
-    assignment.pause = kUnlistedPause;
-  }
+  const ReaderSurroundings surroundings{
+      live,
+      [this](const BackendServerId& node) { return m_membership.IsStoreUnreachableFrom(node); },
+      [this](const BackendServerId& node) { return m_links.IsUp(node); }};
+  const ReaderAssignment assignment = m_reader_duty.Assign(surroundings, now);
   if (assignment.role != m_configuration_sync.Plan().Role()) {
     EventLine(LogPart::kConfiguration, LogLevel::kInfo, "reader_role")
         .With("role", ReaderRoleName(assignment.role));
@@ -274,34 +264,19 @@
   m_vm_list_sync.Plan().SetAssignment(assignment, now);
 }
 
-void ControlService::TickStoreReachability(TimePoint now) {
-  if (m_store_unreachable_until) {
-    if (now < *m_store_unreachable_until) return;
-    m_store_unreachable_until.reset();
-    return SetStoreUnreachable(false);
-  }
+void ControlService::TickReaderDuty(TimePoint now) {
   const unsigned failed =
       std::max(m_configuration_sync.Plan().FailedReads(), m_vm_list_sync.Plan().FailedReads());
-  if (!m_is_listed || failed < kFailedReadsToGiveWay) return;
-  m_store_unreachable_until = now + kStoreUnreachableTime;
-  SetStoreUnreachable(true);
-}
-
-void ControlService::SetStoreUnreachable(bool unreachable) {
-  EventLine(LogPart::kConfiguration, LogLevel::kWarning, "reader_gives_way")
-      .With("unable", unreachable ? "yes" : "no");
-  PeerStatement statement = StatementFrom(m_self.id, m_context.owner.State());
-  statement.store_unreachable = unreachable;
-  m_membership.RecordStatement(statement);
-  m_readers_changed = true;
-  m_announce = true;
-}
-
-bool ControlService::IsIsolated(std::span<const FleetNode> live) const {
-  const std::vector<BackendServerId> readers =
-      RegionReaders(live, m_self.region, m_context.settings.configuration_region);
-  return std::none_of(readers.begin(), readers.end(),
-                      [this](const BackendServerId& reader) { return m_links.IsUp(reader); });
+  if (m_reader_duty.UpdateFailures(failed, now)) {
+    EventLine(LogPart::kConfiguration, LogLevel::kWarning, "reader_gives_way")
+        .With("unable", m_reader_duty.IsUnable() ? "yes" : "no");
+    PeerStatement statement = StatementFrom(m_self.id, m_context.owner.State());
+    statement.store_unreachable = m_reader_duty.IsUnable();
+    m_membership.RecordStatement(statement);
+    m_readers_changed = true;
+    m_announce = true;
+  }
+  if (std::exchange(m_readers_changed, false)) UpdateReaderAssignment(now);
 }
 
 void ControlService::QueryVersions(TimePoint now) {
@@ -460,7 +435,7 @@
   own.set_draining(state.draining());
   own.set_configuration_version(state.configuration_version());
   own.set_started_ms(state.started_ms());
-  own.set_store_unreachable(m_store_unreachable_until.has_value());
+  own.set_store_unreachable(m_reader_duty.IsUnable());
   gossip.set_vm_list_version(m_vm_list.HeldVersion());
   gossip.set_known_vm_list_version(m_vm_list_sync.Plan().HighestKnown());
   // The version of a declaration file is local to this node, so it is not sent to peers.
@@ -512,8 +487,7 @@
     }
     SendGossip(neighbour, std::move(gossip), now);
   }
-  const bool asks_peers = m_context.bindings.has_live_inventory && !m_is_listed;
-  if (asks_peers && now >= m_next_version_query) QueryVersions(now);
+  if (m_reader_duty.HasToAskPeers() && now >= m_next_version_query) QueryVersions(now);
   if (now < m_next_wide_gossip) return;
   m_next_wide_gossip = now + kWideGossipPeriod;
   AnnounceToAll(now);
@@ -532,8 +506,7 @@
     wire::Gossip gossip = OwnGossip();
     const bool is_control_peer =
         std::find(m_control_peers.begin(), m_control_peers.end(), peer) != m_control_peers.end();
-    const bool asks = m_context.bindings.has_live_inventory && !m_is_listed && is_control_peer;
-    if (asks) gossip.set_refresh_id(kVersionQueryId);
+    if (m_reader_duty.HasToAskPeers() && is_control_peer) gossip.set_refresh_id(kVersionQueryId);
     SendGossip(peer, std::move(gossip), now);
   };
   QMetaObject::invokeMethod(this, handle, Qt::QueuedConnection);
--- a/src/libs/control/controlservice.h
+++ b/src/libs/control/controlservice.h
@@ -19,6 +19,7 @@
 #include "calls/viewgate.h"
 #include "configuration/configurationbootstrap.h"
 #include "configuration/inventoryretention.h"
+#include "configuration/readerduty.h"
 #include "control/configurationholder.h"
 #include "control/documentsync.h"
 #include "control/healthprobe.h"
@@ -113,12 +114,9 @@
   PeerLinks::Target TargetOf(const BackendServer& server) const;
   void UpdateOverlay(std::span<const FleetNode> nodes);
   void UpdateReaderAssignment(TimePoint now);
-  // States that the reads of this node fail, so that another node becomes a reader, and takes that
-  // back after some time.
-  void TickStoreReachability(TimePoint now);
-  void SetStoreUnreachable(bool unreachable);
-  // Whether no reader among the live nodes can tell this node of new versions.
-  bool IsIsolated(std::span<const FleetNode> live) const;
+  // Tells peers when the reads of this node fail, so that another node becomes a reader, and when
+  // it can be one again.
+  void TickReaderDuty(TimePoint now);
   // While the inventory does not list this node, asks a peer which versions it holds.
   void QueryVersions(TimePoint now);
 
@@ -153,6 +151,7 @@
   VmListHolder m_vm_list;
   DocumentSync m_configuration_sync;
   DocumentSync m_vm_list_sync;
+  ReaderDuty m_reader_duty;
   LinkPlan m_link_plan;
   GossipQueue m_gossip_queue;
   ByteBudget m_gossip_budget;
@@ -178,10 +177,7 @@
   TimePoint m_next_gossip{};
   TimePoint m_next_wide_gossip{};
   TimePoint m_next_version_query{};
-  TimePoint m_started{};
-  std::optional<TimePoint> m_store_unreachable_until;  // Set while this node states it.
-  bool m_readers_changed = false;                      // A node has stated whether its reads fail.
-  bool m_is_listed = false;  // Whether the live inventory lists this node.
+  bool m_readers_changed = false;  // A node has stated whether its reads fail.
   std::uint64_t m_refresh_id = 0;
   TimePoint m_refresh_until{};
   bool m_refresh_answered = false;
