--- a/src/libs/configuration/readerduty.cpp
+++ b/src/libs/configuration/readerduty.cpp
@@ -26,9 +26,21 @@
   const bool watches = now - m_started > kUnlistedPause && IsIsolated(surroundings);
   assignment.role = watches ? ReaderRole::kWatcher : ReaderRole::kFollower;
   assignment.pause = kUnlistedPause;
+  assignment.region_readers.push_back(m_self.id);
   return assignment;
 }
 
+std::vector<BackendServerId> ReaderDuty::PeersToAsk(std::span<const FleetNode> connected) const {
+  std::vector<BackendServerId> near;
+  std::vector<BackendServerId> all;
+  for (const FleetNode& node : connected) {
+    if (node.id == m_self.id) continue;
+    all.push_back(node.id);
+    if (node.region == m_self.region) near.push_back(node.id);
+  }
+  return near.empty() ? all : near;
+}
+
 bool ReaderDuty::IsIsolated(const ReaderSurroundings& surroundings) const {
   const std::vector<BackendServerId> readers =
       RegionReaders(surroundings.live, m_self.region, m_store_region, surroundings.is_unable);
--- a/src/libs/configuration/readerduty.h
+++ b/src/libs/configuration/readerduty.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "base/time.h"
 #include "configuration/readerelection.h"
@@ -37,6 +38,8 @@
   // elected, and no peer dials it: it learns of changes from a reader that it dials, and watches
   // the service itself only without a link to one. The links of a node that has just started need
   // some time.
+  // Such a node may use the paid link, and read the service, after the readers of its region, so
+  // that it does not depend on what they pass on.
   ReaderAssignment Assign(const ReaderSurroundings& surroundings, TimePoint now);
 
   // Updates whether this node is unable to read, given its consecutive failed reads. Returns true
@@ -52,6 +55,10 @@
   // Whether this node has to ask peers for their versions, as none tells it of changes.
   bool HasToAskPeers() const { return m_has_live_inventory && !m_is_listed; }
 
+  // Returns the peers to ask: those of this node's region, from which it can also fetch what is new
+  // without the paid link, or all of `connected` if there are none.
+  std::vector<BackendServerId> PeersToAsk(std::span<const FleetNode> connected) const;
+
  private:
   bool IsIsolated(const ReaderSurroundings& surroundings) const;
 
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -280,7 +280,9 @@
 }
 
 void ControlService::QueryVersions(TimePoint now) {
-  const std::vector<BackendServerId> peers = m_links.Connected(now);
+  std::vector<FleetNode> connected;
+  for (const BackendServerId& peer : m_links.Connected(now)) connected.push_back(PeerNode(peer));
+  const std::vector<BackendServerId> peers = m_reader_duty.PeersToAsk(connected);
   if (peers.empty()) return;
   m_next_version_query = now + kVersionQueryInterval;
   wire::Gossip gossip = OwnGossip();
--- a/tests/auto/configuration/tst_readerduty.cpp
+++ b/tests/auto/configuration/tst_readerduty.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "auto/fleet/testfleet.h"
+#include "configuration/fetchplan.h"
 #include "configuration/readerduty.h"
 
 namespace damaskhollow {
@@ -27,6 +28,7 @@
   CPPUNIT_TEST_SUITE(ReaderDutyTest);
   CPPUNIT_TEST(StartingFleetLeavesTheWatchToItsReaders);
   CPPUNIT_TEST(UnlistedNodeWatchesOnlyWithoutALinkToAReader);
+  CPPUNIT_TEST(UnlistedNodeFetchesWhatPeersOfItsRegionHold);
   CPPUNIT_TEST(FailingReaderGivesWayAndComesBack);
   CPPUNIT_TEST(NodeThatIsNotListedDoesNotGiveWay);
   CPPUNIT_TEST_SUITE_END();
@@ -79,6 +81,35 @@
     }
   }
 
+  // Guards against a node that goes on with old rules while its backend server leaves: it asked
+  // peers of both regions alike, but may fetch only from its own one, and never read the service.
+  void UnlistedNodeFetchesWhatPeersOfItsRegionHold() {
+    const std::vector<FleetNode> fleet = test::MakeFleet(20);
+    const FleetNode leaving{BackendServerId("leaving"), near_region, DataCentreId("near-1")};
+    ReaderDuty duty(leaving, near_region, true);
+    for (const BackendServerId& peer : duty.PeersToAsk(fleet)) {
+      const auto node = std::find_if(fleet.begin(), fleet.end(),
+                                     [&](const FleetNode& other) { return other.id == peer; });
+      CPPUNIT_ASSERT(node->region == near_region);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, duty.PeersToAsk(fleet).size());
+    // Of peers in the other region only, all are asked.
+    std::vector<FleetNode> far = fleet;
+    std::erase_if(far, [](const FleetNode& node) { return node.region == near_region; });
+    CPPUNIT_ASSERT_EQUAL(far.size(), duty.PeersToAsk(far).size());
+
+    // What a far peer has reported is read from the service within the bound of the platform, even
+    // if no peer of the region has it.
+    const auto is_linked = [](const auto&) { return true; };
+    FetchPlan plan(leaving);
+    plan.RecordHeld(1);
+    plan.SetAssignment(duty.Assign(ReaderSurroundings{fleet, nullptr, is_linked}, At(seconds(2))),
+                       At(seconds(2)));
+    plan.RecordPeerVersion(far.front(), 2, At(seconds(3)));
+    CPPUNIT_ASSERT(!plan.StoreReadDue(At(seconds(3))));
+    CPPUNIT_ASSERT(plan.StoreReadDue(At(seconds(3) + milliseconds(1500))));
+  }
+
   // Guards against a fleet whose readers are turned away by the service while others are not.
   void FailingReaderGivesWayAndComesBack() {
     const std::vector<FleetNode> fleet = test::MakeFleet(20);
