--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -225,7 +225,8 @@
   if (choice.refusal != Reason::kQueueFullTime) return RouteTo(exchange, call, choice, now);
   // All owners that were asked would refuse the call. Others may have room.
   for (const LoadEstimate& estimate : call.estimates) call.tried.push_back(estimate.server);
-  ++call.refusals;
+  // Each of them counts, which bounds the questions that one call causes.
+  call.refusals += call.estimates.size();
   m_log.Failure("all_refuse", call.log_id, choice.refusal)
       .With("asked", static_cast<std::int64_t>(call.estimates.size()));
   RetryOrAnswer(exchange, call, choice.refusal, true);
