--- a/tests/support/standinstore.h
+++ b/tests/support/standinstore.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -33,6 +34,17 @@
   // get status 410.
   void CompactHistory();
 
+  // Remembers the present state, which Restore() brings back.
+  void SaveCopy();
+  // Replaces the state by the saved copy: its items and revision, without the changes since. Begins
+  // a new epoch and closes all waiting watches; a watch from a revision that the copy does not have
+  // gets status 410.
+  void Restore();
+  // Calls Restore() after the next page of a range has been sent.
+  void RestoreAfterNextPage() { m_restores_after_page = true; }
+  // Sets the epoch that responses name, for responses that come late.
+  void SetEpoch(std::uint64_t epoch) { m_epoch = epoch; }
+
   // Reads that allow a stale state return the present one from now on, whatever changes later.
   void FreezeStaleState() { m_stale_items = m_items; }
   // Returns the first page of a range again in place of the next one.
@@ -52,6 +64,11 @@
     std::uint64_t revision = 0;
     std::string key;
   };
+  struct Copy {
+    std::map<std::string, Item> items;
+    std::vector<Change> changes;
+    std::uint64_t revision = 0;
+  };
   struct PendingWatch {
     ConnectionId connection;
     std::string prefix;
@@ -59,6 +76,9 @@
   };
 
   void Handle(ConnectionId connection, const HttpRequest& request);
+  // Sends a response that names the epoch.
+  void SendResponse(ConnectionId connection, int status, std::string_view body);
+  void AbortWatches();
   void SendRange(ConnectionId connection, const std::map<std::string, Item>& state,
                  const std::string& prefix, const std::string& after);
   void SendWatchEvents(const PendingWatch& watch);
@@ -76,6 +96,9 @@
   std::map<std::string, Item> m_items;
   std::optional<std::map<std::string, Item>> m_stale_items;
   bool m_repeats_first_page = false;
+  bool m_restores_after_page = false;
+  std::uint64_t m_epoch = 1;
+  Copy m_copy;
   std::vector<Change> m_changes;
   std::vector<PendingWatch> m_pending;
   std::size_t m_ranges = 0;
