Identify the base of a change by the hash of its text

What callers saw: nothing yet; found while looking for the same cause elsewhere. Cause: a node that asks for a change named the text that it holds by its version. A version of the list is a place in the store's history, and readers may give different versions to the same text: a stale first list has one in epoch 0, and a restored store gives out new ones. Each such node was sent the whole list, or a change of another text, which it refused. Change: the query carries the hash of the held text, and the answering node looks the base up by it. A query without a hash, as of an older node, is answered with the whole text.

--- a/src/libs/configuration/textchange.cpp
+++ b/src/libs/configuration/textchange.cpp
@@ -20,10 +20,10 @@
   return lines;
 }
 
-std::uint64_t HashOf(std::string_view text) { return StableHash("text", text); }
-
 }  // namespace
 
+std::uint64_t HashOfText(std::string_view text) { return StableHash("text", text); }
+
 TextChange DescribeChange(std::string_view base, std::string_view text) {
   std::unordered_map<std::string_view, std::size_t> positions;
   const std::vector<std::string_view> base_lines = LinesOf(base);
@@ -47,7 +47,7 @@
       change.segments.push_back({found->second, 1, {}});
     }
   }
-  change.result_hash = HashOf(text);
+  change.result_hash = HashOfText(text);
   return change;
 }
 
@@ -66,7 +66,7 @@
     text += segment.added;
     if (text.size() > max_bytes) return std::nullopt;
   }
-  if (HashOf(text) != change.result_hash) return std::nullopt;
+  if (HashOfText(text) != change.result_hash) return std::nullopt;
   return text;
 }
 
--- a/src/libs/configuration/textchange.h
+++ b/src/libs/configuration/textchange.h
@@ -24,6 +24,9 @@
   std::uint64_t result_hash = 0;  // Of the complete new text.
 };
 
+// Returns the hash that identifies a text in changes and in requests for them.
+std::uint64_t HashOfText(std::string_view text);
+
 // Returns `text` as a change of `base`.
 TextChange DescribeChange(std::string_view base, std::string_view text);
 
--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -81,29 +81,32 @@
   query.set_version(m_transfer->Version());
   query.set_offset(m_transfer->NextOffset());
   query.set_document(m_document);
-  if (!m_requests_whole) query.set_base_version(m_holder.HeldVersion());
+  if (!m_requests_whole) {
+    RememberHeld();
+    query.set_base_version(m_holder.HeldVersion());
+    query.set_base_hash(m_texts.empty() ? 0 : m_texts.back().hash);
+  }
   m_send(m_transfer->Peer(), std::move(message));
 }
 
 void DocumentSync::RememberHeld() {
   const std::uint64_t version = m_holder.HeldVersion();
   if (version == 0 || (!m_texts.empty() && m_texts.back().version == version)) return;
-  m_texts.push_back({version, std::string(m_holder.HeldText())});
+  m_texts.push_back({version, HashOfText(m_holder.HeldText()), std::string(m_holder.HeldText())});
   if (m_texts.size() > kRememberedTexts) m_texts.pop_front();
   m_changes.clear();
 }
 
-const wire::TextChange* DocumentSync::FindChange(std::uint64_t base_version) {
+const wire::TextChange* DocumentSync::FindChange(std::uint64_t base_hash) {
   RememberHeld();
-  const auto known = m_changes.find(base_version);
+  const auto known = m_changes.find(base_hash);
   if (known != m_changes.end()) return &known->second;
-  const auto base = std::find_if(m_texts.begin(), m_texts.end(), [&](const HeldText& held) {
-    return held.version == base_version;
-  });
-  if (base == m_texts.end() || base_version >= m_holder.HeldVersion()) return nullptr;
+  const auto base = std::find_if(m_texts.begin(), m_texts.end(),
+                                 [&](const HeldText& held) { return held.hash == base_hash; });
+  if (base == m_texts.end()) return nullptr;
   wire::TextChange change = ToMessage(DescribeChange(base->text, m_holder.HeldText()));
   if (change.ByteSizeLong() * kMinShortening > m_holder.HeldText().size()) return nullptr;
-  return &m_changes.emplace(base_version, std::move(change)).first->second;
+  return &m_changes.emplace(base_hash, std::move(change)).first->second;
 }
 
 wire::Envelope DocumentSync::AnswerQuery(const wire::ConfigurationQuery& query) {
@@ -111,7 +114,7 @@
   wire::ConfigurationPart& part = *message.mutable_configuration_part();
   part.set_document(m_document);
   const wire::TextChange* change =
-      query.base_version() > 0 && query.offset() == 0 ? FindChange(query.base_version()) : nullptr;
+      query.base_version() > 0 && query.offset() == 0 ? FindChange(query.base_hash()) : nullptr;
   if (change != nullptr) {
     part.set_version(m_holder.HeldVersion());
     part.set_base_version(query.base_version());
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -74,15 +74,17 @@
   // A version that this node holds or held before.
   struct HeldText {
     std::uint64_t version = 0;
+    std::uint64_t hash = 0;
     std::string text;
   };
 
   std::string_view DocumentName() const;
   // Keeps the held version, so that peers which still hold it can be sent later changes of it.
   void RememberHeld();
-  // Returns the held text as a change of `base_version`; null if that version is not known or the
-  // change is not much shorter than the text.
-  const wire::TextChange* FindChange(std::uint64_t base_version);
+  // Returns the held text as a change of the text with the given hash; null if that text is not
+  // known or the change is not much shorter than the text. The hash identifies a base, because
+  // readers may give different versions to the same text.
+  const wire::TextChange* FindChange(std::uint64_t base_hash);
   // Applies a change to the held text and offers the result to the holder.
   void HandleChange(const BackendServerId& peer, const wire::ConfigurationPart& part,
                     TimePoint now);
@@ -102,7 +104,8 @@
   std::optional<PartTransfer> m_transfer;
   bool m_requests_whole = false;  // Whether the running transfer must not be answered by a change.
   std::deque<HeldText> m_texts;   // Oldest first.
-  // Changes of earlier versions to the held one, in the form in which they are sent.
+  // Changes of remembered texts to the held one by the hash of the base, in the form in which they
+  // are sent.
   std::map<std::uint64_t, wire::TextChange> m_changes;
   std::uint64_t m_store_version = 0;  // Highest version read from the service.
   bool m_is_store_across_paid_link = false;
--- a/tests/auto/control/tst_documentsync.cpp
+++ b/tests/auto/control/tst_documentsync.cpp
@@ -67,6 +67,8 @@
   CPPUNIT_TEST(UnknownBaseIsSentWhole);
   CPPUNIT_TEST(ChangeThatDoesNotApplyIsFollowedByTheWhole);
   CPPUNIT_TEST(ChangesInARowAreAppliedInOrder);
+  CPPUNIT_TEST(TextThatIsHeldIsNotSentAgain);
+  CPPUNIT_TEST(VersionOfAnotherTextIsNoBase);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -134,6 +136,35 @@
     }
   }
 
+  // Guards against sending the whole list to each node whose copy has the same text but another
+  // version, as after a restoration of the store.
+  void TextThatIsHeldIsNotSentAgain() {
+    Node holder(holder_node);
+    Node asking(asking_node);
+    Hold(holder, 8, ListOf(50, ""));
+    Hold(asking, 3, ListOf(50, ""));
+    CPPUNIT_ASSERT(Fetch(asking, holder) < 200);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, asking.holder.HeldVersion());
+    CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+  }
+
+  // Guards against a change of a text that the asking node does not hold, because both nodes give
+  // the same version to different texts.
+  void VersionOfAnotherTextIsNoBase() {
+    Node holder(holder_node);
+    Node asking(asking_node);
+    Hold(holder, 3, ListOf(50, "a"));
+    Hold(holder, 4, ListOf(50, "b"));
+    Hold(asking, 3, ListOf(50, "c"));
+    asking.sync.Plan().RecordPeerVersion(holder_node, 4, kTime);
+    asking.sync.Tick(kTime);
+    const wire::Envelope answer = holder.sync.AnswerQuery(asking.sent[0].configuration_query());
+    CPPUNIT_ASSERT(!answer.configuration_part().has_change());
+    Deliver(asking, holder);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, asking.holder.HeldVersion());
+    CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+  }
+
   void ChangesInARowAreAppliedInOrder() {
     Node holder(holder_node);
     Node asking(asking_node);
