--- a/src/libs/configuration/vmlist.cpp
+++ b/src/libs/configuration/vmlist.cpp
@@ -3,6 +3,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -33,6 +34,8 @@
   server.region = RegionId(TextOf(entry, "region"));
   server.data_centre = DataCentreId(TextOf(entry, "data_centre"));
   server.instance = TextOf(entry, "instance");
+  server.started_ms =
+      static_cast<std::uint64_t>(std::max<qint64>(entry.value("started_ms").toInteger(), 0));
   server.warming = entry.value("warming").toBool();
   const int slots = entry.value("slots").toInt();
   const Result<Endpoint> address = ParseEndpoint(server.address);
@@ -92,6 +95,9 @@
     entry.insert("data_centre", ToQString(server.data_centre.Value()));
     entry.insert("slots", static_cast<int>(server.slots));
     entry.insert("instance", ToQString(server.instance));
+    if (server.started_ms > 0) {
+      entry.insert("started_ms", static_cast<qint64>(server.started_ms));
+    }
     entry.insert("warming", server.warming);
     text += separator;
     text += QJsonDocument(entry).toJson(QJsonDocument::Compact).toStdString();
--- a/src/libs/configuration/vmlist.h
+++ b/src/libs/configuration/vmlist.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKHOLLOW_CONFIGURATION_VMLIST_H_
 #define DAMASKHOLLOW_CONFIGURATION_VMLIST_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
 struct VmList {
   std::vector<VmEntry> entries;
   std::optional<std::vector<BackendServer>> inventory;
+  // The epoch of the service that the list was read from.
+  std::uint64_t epoch = 0;
   // Ids of entries that were left out because a field is missing or out of range, or because an
   // earlier entry has the same id.
   std::vector<std::string> refused;
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <utility>
 
+#include "configuration/documentversion.h"
 #include "fleet/overlay.h"
 #include "logging/logger.h"
 
@@ -123,12 +124,14 @@
 
 void ControlService::LogInventoryChange(std::span<const BackendServer> after) const {
   const std::vector<BackendServer> before = m_inventory.value_or(std::vector<BackendServer>());
-  const auto log = [this](std::string_view event, const BackendServer& server) {
+  const HistoryPosition position = PositionOf(m_vm_list.HeldVersion());
+  const auto log = [position](std::string_view event, const BackendServer& server) {
     EventLine(LogPart::kFleet, LogLevel::kInfo, event)
         .With("server", server.id.Value())
         .With("service", server.service.Value())
         .With("instance", server.instance)
-        .With("version", static_cast<std::int64_t>(m_vm_list.HeldVersion()));
+        .With("epoch", static_cast<std::int64_t>(position.epoch))
+        .With("version", static_cast<std::int64_t>(position.revision));
   };
   const auto find = [](std::span<const BackendServer> servers, const BackendServer& wanted) {
     return std::find_if(servers.begin(), servers.end(), [&](const BackendServer& server) {
@@ -629,7 +632,9 @@
                        QString::fromStdString(m_configuration_sync.StoreFailure()));
   status.insert("configuration", configuration);
   QJsonObject list;
-  list.insert("version", static_cast<qint64>(m_vm_list.HeldVersion()));
+  const HistoryPosition position = PositionOf(m_vm_list.HeldVersion());
+  list.insert("epoch", static_cast<qint64>(position.epoch));
+  list.insert("version", static_cast<qint64>(position.revision));
   list.insert("doubted", m_membership.IsListSuspect());
   list.insert("service_failure", QString::fromStdString(m_vm_list_sync.StoreFailure()));
   status.insert("vm_list", list);
--- a/src/libs/control/vmlistholder.cpp
+++ b/src/libs/control/vmlistholder.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "configuration/documentversion.h"
 #include "logging/logger.h"
 
 namespace damaskhollow {
@@ -30,6 +31,7 @@
   m_text = std::string(text);
   m_last_offer = MonotonicNow();
   if (list->inventory) {
+    list->epoch = PositionOf(version).epoch;
     m_on_inventory(std::move(*list));
   } else {
     m_entries = std::move(list->entries);
--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -98,7 +98,9 @@
   std::size_t connections = 0;  // Maximum number of connections that the server accepts.
   std::string peer_public_key;  // CURVE public key in Z85; empty if links are not encrypted.
   std::string instance;         // Incarnation of the server; empty if the inventory has none.
-  bool warming = false;         // Whether it started so recently that it is still slow.
+  std::uint64_t started_ms =
+      0;                 // Wall-clock start of the incarnation, in ms since the epoch; or 0.
+  bool warming = false;  // Whether it started so recently that it is still slow.
 };
 
 // Limits of the traffic and load that nodes cause.
