Let a silent connection to the store break by keep-alive

Callers saw routes refused with 404 by nodes that learned of a version too late. When the open connections to the store went silent while new ones worked, every watch hung until its time-out: up to 10 s of wait and 1.5 s more. No reader learned of a change until then.

Ruled out: shorter watches, as each call to the store is priced. Each call opens a connection of its own already, so that only the one that waits can be silent.

The time-out of a watch stays for a store that holds its connection and never answers. The stand-in store makes its open connections silent with a socket filter, since the kernel behind a proxy would answer the probes.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -94,6 +94,10 @@
 
 void BackendConnection::OnConnected() {
   m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  const int descriptor = static_cast<int>(m_socket.socketDescriptor());
+  if (m_keep_alive && !EnableKeepAlive(descriptor, *m_keep_alive)) {
+    return Fail(Reason::kBackendUnreachable);
+  }
   WriteRequest();
 }
 
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -15,6 +15,7 @@
 
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "base/keepalive.h"
 #include "base/reason.h"
 #include "base/time.h"
 #include "http/message.h"
@@ -98,6 +99,11 @@
   BackendConnection(ConnectionId id, const Endpoint& server, BackendEvents& events);
   ~BackendConnection() override;
 
+  // Lets the connection break, and its request fail, when the server stops responding on the TCP
+  // level while a response is awaited. Takes effect when the connection is established; a socket
+  // that does not support it fails the request with kBackendUnreachable.
+  void SetKeepAlive(const KeepAlive& keep_alive) { m_keep_alive = keep_alive; }
+
   // Sends a request, connecting first if needed. At most `credit` bytes of the response body are
   // read. After `timeout` the request fails with kBackendTimeout and the connection closes. A
   // response with the id of another request is skipped; a success that lacks the id or the success
@@ -144,6 +150,7 @@
   BackendEvents& m_events;
   QTcpSocket m_socket;
   QTimer m_timer;
+  std::optional<KeepAlive> m_keep_alive;  // Empty: off.
   State m_state = State::kNew;
   std::string m_output;  // Serialized request; empty once written.
   std::string m_method;
--- a/tests/auto/platform/tst_storereader.cpp
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(CancelledReadHasNoEvent);
   CPPUNIT_TEST(PageThatDoesNotGoOnFails);
   CPPUNIT_TEST(ResponseOverTheLimitFailsAtOnce);
+  CPPUNIT_TEST(WatchOnASilentConnectionBreaks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -245,6 +246,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("response is longer than 4 MB"), m_events.Failure());
   }
 
+  // Guards against a node that learns of a change only when its watch has timed out, because the
+  // open connection has gone silent while new ones work.
+  void WatchOnASilentConnectionBreaks() {
+    m_store.Put("servers/a", "A");
+    Start(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("A"), WaitForText());
+    Start(m_events.Version());
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return m_store.Watches() == 1; }));
+    m_store.MakeOpenConnectionsUnresponsive();
+    m_store.Put("servers/b", "B");
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return !m_events.Failure().empty(); }));
+    // The connection broke before the watch timed out.
+    CPPUNIT_ASSERT_EQUAL(std::string("backend_closed"), m_events.Failure());
+    Start(m_events.Version());
+    CPPUNIT_ASSERT_EQUAL(std::string("AB"), WaitForText());
+  }
+
   void InvalidValueAffectsNoOtherItem() {
     m_store.Put("servers/a", "A");
     m_store.PutEncoded("servers/b", "*no base64*");
--- a/tests/support/httpserver.cpp
+++ b/tests/support/httpserver.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "support/unresponsive.h"
+
 namespace damaskhollow::test {
 
 namespace {
@@ -61,6 +63,10 @@
   caller->FinishResponse(number);
 }
 
+void HttpServer::MakeOpenConnectionsUnresponsive() {
+  for (const auto& [id, descriptor] : m_descriptors) MakeUnresponsive(static_cast<int>(descriptor));
+}
+
 void HttpServer::Abort(ConnectionId connection) {
   if (CallerConnection* caller = Find(connection); caller != nullptr) caller->Abort();
   Remove(connection);
@@ -90,10 +96,12 @@
   if (found == m_connections.end()) return;
   found->second.release()->deleteLater();  // It may be the source of the current event.
   m_connections.erase(found);
+  m_descriptors.erase(connection);
 }
 
 void HttpServer::incomingConnection(qintptr descriptor) {
   const ConnectionId id{m_next_connection++};
+  m_descriptors[id] = descriptor;
   CallerLimits limits;
   limits.idle_timeout_ms = kIdleTimeoutMs;
   m_connections.emplace(
--- a/tests/support/httpserver.h
+++ b/tests/support/httpserver.h
@@ -42,6 +42,10 @@
   void SendChunkedResponse(ConnectionId connection, int status, std::string_view body,
                            std::size_t chunk_bytes, std::vector<HttpHeader> headers = {});
 
+  // Makes all open connections silent for their clients, as described for MakeUnresponsive(). New
+  // connections work.
+  void MakeOpenConnectionsUnresponsive();
+
   // Closes the connection without a response.
   void Abort(ConnectionId connection);
 
@@ -62,6 +66,7 @@
   BodyBudget m_budget;
   std::uint64_t m_next_connection = 1;
   std::unordered_map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
+  std::unordered_map<ConnectionId, qintptr> m_descriptors;  // Of the open connections.
 };
 
 }  // namespace damaskhollow::test
--- a/tests/support/standinstore.cpp
+++ b/tests/support/standinstore.cpp
@@ -53,6 +53,11 @@
   for (const PendingWatch& watch : std::exchange(m_pending, {})) m_server.Abort(watch.connection);
 }
 
+void StandInStore::MakeOpenConnectionsUnresponsive() {
+  m_server.MakeOpenConnectionsUnresponsive();
+  m_pending.clear();
+}
+
 void StandInStore::Handle(ConnectionId connection, const HttpRequest& request) {
   switch (m_mode) {
     case Mode::kBusy:
--- a/tests/support/standinstore.h
+++ b/tests/support/standinstore.h
@@ -33,6 +33,10 @@
   // get status 410.
   void CompactHistory();
 
+  // Makes all open connections silent for their clients; pending watches are never answered. New
+  // connections work.
+  void MakeOpenConnectionsUnresponsive();
+
   // Reads that allow a stale state return the present one from now on, whatever changes later.
   void FreezeStaleState() { m_stale_items = m_items; }
   // Returns the first page of a range again in place of the next one.
