Poll the configuration service in short requests within one read

A long poll of the product's protocol hung for up to 33 s when its connection went silent while new ones worked, so that a reader learned of changes half a minute late. QNetworkAccessManager offers no keep-alive options.

A read still lasts as long as its wait and ends with one event, but consists of requests that the service may hold for at most 1.5 s, each on a new connection. The head of a response is due 1.5 s after that; the body has 3 s, as before. A service that does not hold requests is asked no more often. A service that takes between 1.5 and 3 s to begin its response to a request that waits now counts as failed; before, 3 s were allowed.

--- a/src/libs/configuration/platformreader.h
+++ b/src/libs/configuration/platformreader.h
@@ -47,8 +47,9 @@
 // Creates the reader of a document; `events` must outlive it.
 using MakeDocumentReader = std::function<std::unique_ptr<DocumentReader>(PlatformEvents& events)>;
 
-// Reads one of the platform's services over HTTP, as described in docs/platform.md. Used by
-// DocumentSync on the main thread.
+// Reads one of the platform's services over HTTP, as described in docs/platform.md. A read that may
+// wait consists of several shorter requests, each on a new connection, so that a connection that
+// goes silent is noticed early. Used by DocumentSync on the main thread.
 class PlatformReader : public QObject, public DocumentReader {
  public:
   // `url` is the address of the service; `default_path` is used if it has no path.
@@ -59,6 +60,15 @@
   void Cancel() override;
 
  private:
+  // Sends the next request of the read that runs.
+  void SendRequest();
+  void OnTimeout();
+  // Handles a response that says that there is no newer version.
+  void OnUnchanged();
+  // Sends the next request, or ends the read if its wait is over.
+  void EndOrGoOn();
+  // Allows more time once the response has begun.
+  void OnHead();
   void CheckSize();
   void Finish();
   void Fail(std::string_view detail);
@@ -67,7 +77,10 @@
   PlatformEvents& m_events;
   QNetworkAccessManager m_network;
   QNetworkReply* m_reply = nullptr;
-  QTimer m_timer;
+  QTimer m_timer;  // Limits the running request, or delays the next one.
+  StoreRead m_read;
+  TimePoint m_read_deadline{};  // When the read ends without a change.
+  TimePoint m_next_request{};   // Earliest time of the next request.
 };
 
 }  // namespace damaskhollow
