Replace idle links whose connection went silent

An idle link whose connection went silent lost the gossip that was sent on it until the idle ping: 5 s without a message and 0.4 s more, and up to a second until the next check. A version that a reader had read reached the nodes behind such links only then.

Ruled out: a shorter idle ping, as pings count against the control budget and cross regions; keep-alive on accepted links, as the dialling side replaces a link, and probes of both sides would double the packets.

DialledLink sets keep-alive on its socket (a probe without payload after 1 s without a segment, broken after 3 s) and the same limit for sent data that is not acknowledged, as gossip on the silent link keeps the kernel from probing. The faultproxy and the stand-in of the platform can make their open connections unresponsive at the TCP level; `silence=1` stays for peers whose kernel still answers.

--- a/src/libs/wire/dialledlink.cpp
+++ b/src/libs/wire/dialledlink.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/keepalive.h"
+
 namespace damaskhollow {
 
 namespace {
@@ -16,6 +18,18 @@
 constexpr int kHighWaterMark = 1000;
 constexpr std::int64_t kMaxMessageBytes = 9LL * 1024LL * 1024LL;
 
+// Lets a connection that has gone silent break although nothing is due on it. Only the dialling
+// side probes, since it replaces the link, and a probe for each side would double the packets.
+void EnableKeepAlive(zmq::socket_t& socket) {
+  const KeepAlive keep_alive;
+  socket.set(zmq::sockopt::tcp_keepalive, 1);
+  socket.set(zmq::sockopt::tcp_keepalive_idle, static_cast<int>(keep_alive.probe_delay.count()));
+  socket.set(zmq::sockopt::tcp_keepalive_intvl,
+             static_cast<int>(keep_alive.probe_interval.count()));
+  socket.set(zmq::sockopt::tcp_keepalive_cnt, keep_alive.max_lost_probes);
+  socket.set(zmq::sockopt::tcp_maxrt, static_cast<int>(keep_alive.BreaksAfter().count()));
+}
+
 Duration ConnectTimeout(std::uint32_t attempts) {
   return kFirstConnectTimeout * (1U << std::min(attempts, kMaxConnectDoublings));
 }
@@ -37,6 +51,7 @@
   m_socket->set(zmq::sockopt::rcvhwm, kHighWaterMark);
   m_socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   m_socket->set(zmq::sockopt::routing_id, routing_id);
+  EnableKeepAlive(*m_socket);
   if (keys.IsSet() && !m_public_key.empty()) {
     m_socket->set(zmq::sockopt::curve_serverkey, m_public_key);
     m_socket->set(zmq::sockopt::curve_publickey, keys.public_key);
--- a/tests/support/faultproxy/proxypair.cpp
+++ b/tests/support/faultproxy/proxypair.cpp
@@ -3,6 +3,8 @@
 #include <QHostAddress>
 #include <utility>
 
+#include "support/unresponsive.h"
+
 namespace damaskhollow::test {
 
 namespace {
@@ -120,6 +122,15 @@
   }
 }
 
+void ProxyPair::MakeAllUnresponsive() {
+  SilenceAll();
+  for (auto& [id, connection] : m_connections) {
+    for (QTcpSocket* socket : {connection.client.get(), connection.server.get()}) {
+      MakeUnresponsive(static_cast<int>(socket->socketDescriptor()));
+    }
+  }
+}
+
 void ProxyPair::ApplyOptions(const QueryOptions& options) {
   if (options.Has("delay_ms")) {
     const auto delay_ms = static_cast<std::int64_t>(options.Number("delay_ms", 0.0));
@@ -134,6 +145,7 @@
   apply("freeze", &DirectionFaults::freeze);
   apply("hold", &DirectionFaults::hold);
   if (options.Has("blackhole")) m_blackhole = options.IsOn("blackhole");
+  if (options.IsOn("unresponsive")) MakeAllUnresponsive();
   if (options.IsOn("silence") || options.IsOn("blackhole")) SilenceAll();
   if (options.Has("cut")) SetCut(options.IsOn("cut"));
   for (auto& [id, connection] : m_connections) {
--- a/tests/support/faultproxy/proxypair.h
+++ b/tests/support/faultproxy/proxypair.h
@@ -28,7 +28,8 @@
 
   // Applies the options that are set: `delay_ms` delays bytes; `freeze` and `hold` (up, down, both
   // or none) stop reading or delivery in a direction; `silence` discards all bytes of existing
-  // connections, and `blackhole` also those of new ones; `cut` closes all connections and refuses
+  // connections, and `blackhole` also those of new ones; `unresponsive` discards them and also
+  // leaves existing connections without acknowledgements; `cut` closes all connections and refuses
   // new ones.
   void ApplyOptions(const QueryOptions& options);
 
@@ -49,6 +50,7 @@
   void Remove(int connection);
   void SetCut(bool cut);
   void SilenceAll();
+  void MakeAllUnresponsive();
 
   const Endpoint m_listen;
   const Endpoint m_target;
--- a/tests/support/standin-platform/platform.cpp
+++ b/tests/support/standin-platform/platform.cpp
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "support/unresponsive.h"
+
 namespace damaskhollow::test {
 
 namespace {
@@ -34,6 +36,7 @@
 
 void Platform::incomingConnection(qintptr descriptor) {
   const ConnectionId id{++m_last_connection};
+  m_descriptors[id] = descriptor;
   m_connections.emplace(
       id, std::make_unique<CallerConnection>(id, descriptor, CallerLimits{}, m_budget, *this));
 }
@@ -60,6 +63,7 @@
 void Platform::OnCallerDisconnected(ConnectionId connection) {
   std::erase_if(m_pending_reads,
                 [&](const auto& entry) { return entry.second.connection == connection; });
+  m_descriptors.erase(connection);
   auto found = m_connections.extract(connection);
   if (!found.empty()) found.mapped().release()->deleteLater();
 }
@@ -104,6 +108,8 @@
     SetDown(IsOn(url));
   } else if (path == "/control/frozen") {
     SetFrozen(IsOn(url));
+  } else if (path == "/control/unresponsive") {
+    MakeOthersUnresponsive(connection);
   } else {
     return SendResponse(connection, 404, "");
   }
@@ -141,6 +147,13 @@
   CompletePendingReads();
 }
 
+void Platform::MakeOthersUnresponsive(ConnectionId controller) {
+  for (const auto& [id, descriptor] : m_descriptors) {
+    if (id != controller) MakeUnresponsive(static_cast<int>(descriptor));
+  }
+  m_pending_reads.clear();
+}
+
 void Platform::SendValue(ConnectionId connection, Resource resource) {
   const Value& value = Served(resource);
   HttpResponseHead head;
--- a/tests/support/standin-platform/platform.h
+++ b/tests/support/standin-platform/platform.h
@@ -21,7 +21,9 @@
 // read with `after` is a long poll: it waits up to `wait_ms` for a version newer than `after`.
 // Tests set the documents with /control/configuration and /control/vms. With /control/down?on=1 all
 // reads are aborted; with /control/frozen?on=1 reads return the documents as of that time.
-// /control/reads returns the number of configuration reads.
+// With /control/unresponsive all open connections but the one of this request become silent for
+// their clients, and the reads on them are never answered; new connections work. /control/reads
+// returns the number of configuration reads.
 class Platform : public QTcpServer, public CallerEvents {
  public:
   Platform();
@@ -63,12 +65,14 @@
   void PutVms(ConnectionId connection, const HttpRequest& request);
   void SetDown(bool is_down);
   void SetFrozen(bool is_frozen);
+  void MakeOthersUnresponsive(ConnectionId controller);
   void SendValue(ConnectionId connection, Resource resource);
   void SendNotModified(ConnectionId connection, Resource resource);
   void SendResponse(ConnectionId connection, int status, std::string_view body);
   const Value& Served(Resource resource) const;
 
   std::map<ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
+  std::map<ConnectionId, qintptr> m_descriptors;  // Of the open connections.
   std::map<std::uint64_t, PendingRead> m_pending_reads;
   std::uint64_t m_last_connection = 0;
   std::uint64_t m_last_read_id = 0;
