Count the time in which the machine was suspended

A suspended machine's steady clock does not count the suspension. A node that was resumed saw no pause: it went on with its old view, and ran queued work whose deadline had passed and whose callers had been told that it failed.

Ruled out: other clocks that must agree. No other code in src/ or platform/ reads a steady clock; timers take durations, and one that runs across a suspension only fires later by it. Deadlines are compared as TimePoint.

MonotonicNow() reads CLOCK_BOOTTIME.

--- a/src/libs/base/time.cpp
+++ b/src/libs/base/time.cpp
@@ -1,9 +1,14 @@
 #include "base/time.h"
 
+#include <ctime>
+
 namespace damaskhollow {
 
 TimePoint MonotonicNow() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);  // Fails only for an unknown clock.
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 WallTime WallNow() {
--- a/src/libs/base/time.h
+++ b/src/libs/base/time.h
@@ -8,8 +8,8 @@
 
 using Duration = std::chrono::microseconds;
 
-// A reading of the monotonic clock of the process. Code in `policy`, `fleet` and `configuration`
-// receives the current time as a parameter.
+// A reading of MonotonicNow(), not of steady_clock. Code in `policy`, `fleet` and `configuration`
+// receives the time as a parameter. Unlike timers, it counts the suspension of the machine.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 // Wall-clock time in milliseconds since the Unix epoch. Used only to compare the creation times of
