Don't give way again for reads that failed before the rest

A reader that keeps its role during its rest, as others were unable too, has a watch that waits in good order. The count of failed reads is reset only when a read ends well, so that the failures of before the rest made it unable again in the next tick, for 10 s more.

ReaderDuty forgets the failures of before the end of a rest: it gives way again after two new ones.

On the code before: FAILED ReaderDutyTest::FailuresBeforeTheRestEndedDoNotCount - Expected: 0 - Actual : 1 With the change ReaderDutyTest passes (6 tests).

--- a/src/libs/configuration/readerduty.cpp
+++ b/src/libs/configuration/readerduty.cpp
@@ -51,9 +51,12 @@
   if (m_unable_until) {
     if (now < *m_unable_until) return false;
     m_unable_until.reset();
+    m_failures_before_return = failed_reads;
     return true;
   }
-  if (!m_is_listed || failed_reads < kFailedReadsToGiveWay) return false;
+  m_failures_before_return = std::min(m_failures_before_return, failed_reads);
+  const unsigned new_failures = failed_reads - m_failures_before_return;
+  if (!m_is_listed || new_failures < kFailedReadsToGiveWay) return false;
   m_unable_until = now + kReaderRest;
   return true;
 }
--- a/src/libs/configuration/readerduty.h
+++ b/src/libs/configuration/readerduty.h
@@ -42,8 +42,9 @@
   // that it does not depend on what they pass on.
   ReaderAssignment Assign(const ReaderSurroundings& surroundings, TimePoint now);
 
-  // Updates whether this node is unable to read, given its consecutive failed reads. Returns true
-  // if that has changed, so that peers must be told.
+  // Updates whether this node is unable to read, given its consecutive failed reads. Reads that
+  // failed before the end of a rest no longer count, because a read that now waits may well
+  // succeed. Returns true if the state has changed, so that peers must be told.
   bool UpdateFailures(unsigned failed_reads, TimePoint now);
 
   // Whether the reads of this node fail, so that others are to read in its place.
@@ -68,6 +69,8 @@
   TimePoint m_started{};
   bool m_is_listed = false;
   std::optional<TimePoint> m_unable_until;
+  unsigned m_failures_before_return = 0;  // Of the present failed reads, those before the last
+                                          // rest ended.
 };
 
 }  // namespace damaskhollow
--- a/tests/auto/configuration/tst_readerduty.cpp
+++ b/tests/auto/configuration/tst_readerduty.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(UnlistedNodeWatchesOnlyWithoutALinkToAReader);
   CPPUNIT_TEST(UnlistedNodeFetchesWhatPeersOfItsRegionHold);
   CPPUNIT_TEST(FailingReaderGivesWayAndComesBack);
+  CPPUNIT_TEST(FailuresBeforeTheRestEndedDoNotCount);
   CPPUNIT_TEST(NodeThatIsNotListedDoesNotGiveWay);
   CPPUNIT_TEST_SUITE_END();
 
@@ -129,6 +130,33 @@
     CPPUNIT_ASSERT(duty.Assign(surroundings, At(seconds(13))).role == ReaderRole::kWatcher);
   }
 
+  // Guards against a reader that gives way again as soon as its rest is over, although its watch
+  // waits in good order and no read has failed since.
+  void FailuresBeforeTheRestEndedDoNotCount() {
+    struct Row {
+      unsigned failed_reads;
+      bool gives_way;
+    };
+    const std::array<std::vector<Row>, 3> sequences{
+        std::vector<Row>{{3, false}, {4, false}, {5, true}},
+        std::vector<Row>{{3, false}, {0, false}, {1, false}, {2, true}},
+        std::vector<Row>{{3, false}, {1, false}, {2, false}, {3, true}}};
+    const std::vector<FleetNode> fleet = test::MakeFleet(20);
+    for (const std::vector<Row>& rows : sequences) {
+      ReaderDuty duty(fleet.front(), near_region, true);
+      duty.Assign(ReaderSurroundings{fleet, nullptr, [](const auto&) { return true; }},
+                  At(seconds(1)));
+      CPPUNIT_ASSERT(duty.UpdateFailures(2, At(seconds(2))));
+      milliseconds time = seconds(2) + kReaderRest;
+      CPPUNIT_ASSERT(duty.UpdateFailures(3, At(time)));
+      for (const Row& row : rows) {
+        time += milliseconds(20);
+        CPPUNIT_ASSERT_EQUAL(row.gives_way, duty.UpdateFailures(row.failed_reads, At(time)));
+        CPPUNIT_ASSERT_EQUAL(row.gives_way, duty.IsUnable());
+      }
+    }
+  }
+
   void NodeThatIsNotListedDoesNotGiveWay() {
     const std::vector<FleetNode> fleet = test::MakeFleet(20);
     const FleetNode unlisted{BackendServerId("new"), near_region, DataCentreId("near-1")};
