--- a/tests/support/standinstore.cpp
+++ b/tests/support/standinstore.cpp
@@ -71,6 +71,11 @@
   m_server.SendResponse(connection, status, body, {{"Store-Era", std::to_string(m_epoch)}});
 }
 
+void StandInStore::MakeOpenConnectionsUnresponsive() {
+  m_server.MakeOpenConnectionsUnresponsive();
+  m_pending.clear();
+}
+
 void StandInStore::Handle(ConnectionId connection, const HttpRequest& request) {
   switch (m_mode) {
     case Mode::kBusy:
--- a/tests/support/standinstore.h
+++ b/tests/support/standinstore.h
@@ -45,6 +45,10 @@
   // Sets the epoch that responses name, for responses that come late.
   void SetEpoch(std::uint64_t epoch) { m_epoch = epoch; }
 
+  // Makes all open connections silent for their clients; pending watches are never answered. New
+  // connections work.
+  void MakeOpenConnectionsUnresponsive();
+
   // Reads that allow a stale state return the present one from now on, whatever changes later.
   void FreezeStaleState() { m_stale_items = m_items; }
   // Returns the first page of a range again in place of the next one.
