Read a caller's request before its connection makes room

A shard closes the connections that have waited longest for a head when the node holds too many. The tasks that accept and close connections run before the event loop reads the sockets, so a connection could be closed whose complete request was in the kernel's buffer, and also one whose finished response was still in the socket's buffer. Both are lost without a trace for the caller. A connection that is to be closed now reads first what has arrived, and one with an unsent response is not a candidate. The shard takes the next one instead.

CallerMakeRoom failed before in four of its eight rows, the same way each: FAILED CallerMakeRoom::complete request arrived - Expected: 0 - Actual : 1 ("rest of a request arrived", "complete head arrived", "response not handed to the network"), and passes now.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -379,12 +379,18 @@
   if (m_input.empty()) m_socket.disconnectFromHost();
 }
 
-void CallerConnection::CloseIfAwaitingHead() {
-  if (AwaitingHeadSince()) m_socket.abort();
+bool CallerConnection::CloseIfAwaitingHead() {
+  if (!AwaitingHeadSince()) return false;
+  // Reads what the kernel has received before the event loop does: it may complete a request.
+  m_socket.waitForReadyRead(0);
+  if (m_state != State::kClosed && !AwaitingHeadSince()) return false;
+  m_socket.abort();
+  return true;
 }
 
 std::optional<TimePoint> CallerConnection::AwaitingHeadSince() const {
-  if (m_state != State::kReadingHead || !m_exchanges.empty()) return std::nullopt;
+  const bool is_idle = m_state == State::kReadingHead && m_exchanges.empty();
+  if (!is_idle || m_socket.bytesToWrite() > 0) return std::nullopt;
   return m_awaiting_head_since;
 }
 
--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -101,10 +101,13 @@
   // Closes the connection after the pending responses, at once if there are none.
   void CloseWhenIdle();
 
-  // Closes the connection if it awaits the head of a request; a partial head is discarded.
-  void CloseIfAwaitingHead();
+  // Closes the connection if it awaits the head of a request; a partial head is discarded. A head
+  // that has arrived without having been read yet is read first and keeps the connection open.
+  // Returns whether the connection was closed.
+  bool CloseIfAwaitingHead();
 
-  // The time since which the head of a request has been awaited; empty if none is awaited.
+  // The time since which the head of a request has been awaited; empty if none is awaited or the
+  // last response has not been handed to the network.
   std::optional<TimePoint> AwaitingHeadSince() const;
 
  private:
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -667,13 +667,13 @@
   for (const auto& [id, connection] : m_connections) {
     if (const auto since = connection->AwaitingHeadSince()) awaiting_head.emplace_back(*since, id);
   }
-  const auto end =
-      awaiting_head.begin() + static_cast<std::ptrdiff_t>(std::min(count, awaiting_head.size()));
-  std::partial_sort(awaiting_head.begin(), end, awaiting_head.end());
-  for (auto entry = awaiting_head.begin(); entry != end; ++entry) {
-    m_context.metrics.Add(Metric::kUnreadConnectionsClosed);
-    m_connections.at(entry->second)->CloseIfAwaitingHead();
+  std::sort(awaiting_head.begin(), awaiting_head.end());
+  std::size_t closed = 0;
+  for (const auto& [since, id] : awaiting_head) {
+    if (closed == count) break;
+    if (m_connections.at(id)->CloseIfAwaitingHead()) ++closed;
   }
+  m_context.metrics.Add(Metric::kUnreadConnectionsClosed, closed);
 }
 
 void IngressShard::CloseConnections() {
--- a/tests/auto/http/tst_callerconnection.cpp
+++ b/tests/auto/http/tst_callerconnection.cpp
@@ -26,6 +26,7 @@
 
   Endpoint Address() const { return Endpoint{"127.0.0.1", serverPort()}; }
   CallerConnection& Connection() { return *m_connection; }
+  bool HasConnection() const { return m_connection != nullptr; }
   // The targets of the requests that were dispatched and not rejected, in order.
   const std::vector<std::string>& Targets() const { return m_targets; }
   bool IsCallerDisconnected() const { return m_disconnected; }
@@ -210,6 +211,52 @@
 const test::TableTest<TwoPendingRow> two_pending_test("CallerTwoDue", kTwoPendingRows,
                                                       TestTwoPending);
 
+// What a caller has sent when the server closes a connection to make room for others.
+struct MakeRoomRow {
+  std::string_view name;
+  std::string read;      // Read by the server before.
+  std::string arrived;   // In the kernel's buffer; the server's event loop has not read it.
+  std::size_t requests;  // Dispatched before the server closes.
+  std::size_t answered;  // Responded to immediately before the server closes.
+  bool is_closed;
+};
+
+const std::array make_room_rows{
+    MakeRoomRow{"nothing sent", "", "", 0, 0, true},
+    MakeRoomRow{"part of a head read", "GET /1 HT", "", 0, 0, true},
+    MakeRoomRow{"part of a head arrived", "", "GET /1 HT", 0, 0, true},
+    MakeRoomRow{"complete request arrived", "", Get("/1"), 0, 0, false},
+    MakeRoomRow{"rest of a request arrived", "GET /1 HT", "TP/1.1\r\nHost: h\r\n\r\n", 0, 0, false},
+    MakeRoomRow{"complete head arrived", "",
+                "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", 0, 0, false},
+    MakeRoomRow{"response due", Get("/1"), "", 1, 0, false},
+    MakeRoomRow{"response not handed to the network", Get("/1"), "", 1, 1, false},
+};
+
+// Guards against a complete request that ends without a response because its connection is closed
+// to make room while the request is unread or its response is unsent.
+void TestMakeRoom(const MakeRoomRow& row) {
+  RecordingServer server;
+  test::RawClient client(server.Address());
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return server.HasConnection(); }));
+  client.Send(row.read);
+  client.Flush();
+  CPPUNIT_ASSERT(server.WaitForTargets(row.requests));
+  test::RunFor(std::chrono::milliseconds(50));
+  client.Send(row.arrived);
+  CPPUNIT_ASSERT(client.FlushNow());
+  for (std::size_t number = 1; number <= row.answered; ++number) server.Respond(number);
+  server.Connection().CloseIfAwaitingHead();
+  CPPUNIT_ASSERT_EQUAL(row.is_closed, server.IsCallerDisconnected());
+  if (row.is_closed) return;
+  if (server.Targets().empty() && row.arrived.starts_with("POST")) client.Send("ab");
+  CPPUNIT_ASSERT(server.WaitForTargets(1));
+  if (row.answered == 0) server.Respond(1);
+  CPPUNIT_ASSERT(client.WaitFor("answer-1"));
+}
+
+const test::TableTest<MakeRoomRow> make_room_test("CallerMakeRoom", make_room_rows, TestMakeRoom);
+
 }  // namespace
 
 }  // namespace damaskhollow
--- a/tests/support/rawclient.cpp
+++ b/tests/support/rawclient.cpp
@@ -15,6 +15,11 @@
   WaitUntil([this] { return m_socket.bytesToWrite() == 0 || !IsOpen(); });
 }
 
+bool RawClient::FlushNow() {
+  m_socket.flush();
+  return m_socket.bytesToWrite() == 0;
+}
+
 const std::string& RawClient::Received() {
   m_received += m_socket.readAll().toStdString();
   return m_received;
--- a/tests/support/rawclient.h
+++ b/tests/support/rawclient.h
@@ -26,6 +26,10 @@
   // Waits until all bytes have been passed to the kernel or the connection is closed.
   void Flush();
 
+  // Passes the bytes to the kernel without running the event loop, so that a server on the same
+  // thread has not read them yet. Returns whether all bytes have been passed.
+  bool FlushNow();
+
   // Closes the connection immediately, like a caller that disconnects.
   void Abort() { m_socket.abort(); }
 
