Tell the refusal of another send from the response of a request

Callers could be told "not run" for a request that had run or was running, when a backend server wrote an earlier refusal once more on a kept connection.

Causes: A refusal with the request's id was believed, also if it was the refusal of an earlier send of the same request on the connection. Bytes that had arrived on an idle connection but were unread when the next request was written became part of its response. A head that was cut and followed by another one, or that another one was written into, passed as one head: a status line is allowed in a field value, and only the first of two ids was read. The mark of a refusal was believed on any status. The statuses 408, 429 and 503 were passed on without the mark, and callers take them as a promise.

Ruled out by rows that passed before: a refusal with another request's id before the response, together with the own refusal, in halves and after an interim response is skipped; status 421 with mark and id is believed.

A connection now carries no request id that was refused on it, and is replaced after 64 of them. It is not used if it has unread input; the same holds for the load probe. A head with two ids or with a status line in a value or in the reason fails the request with an unknown outcome. So do the mark with a status other than 4xx and 503, and, where the status is a promise to callers, 408, 429 and 503 without mark and 421 without id.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -28,8 +28,35 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
+// Requests refused on one connection, after which it is replaced.
+constexpr std::size_t kMaxRefusedIds = 64;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+constexpr int kServiceUnavailable = 503;
+constexpr int kMisdirected = 421;
+constexpr std::array kNotRunStatuses{408, 429, kServiceUnavailable};
+
+bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
+
+// Whether a status line begins in the text.
+bool HasStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  for (std::size_t start = text.find(kVersion); start != std::string_view::npos;
+       start = text.find(kVersion, start + 1)) {
+    const std::string_view rest = text.substr(start + kVersion.size());
+    if (rest.size() >= 3 && IsDigit(rest[0]) && rest[1] == ' ' && IsDigit(rest[2])) return true;
+  }
+  return false;
+}
+
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
 
+// Whether a server may answer a request that it did not run with this status.
+bool IsRefusal(int status) {
+  return (status >= kFirstClientError && status < kFirstServerError) ||
+         status == kServiceUnavailable;
+}
+
 // The `timeout` parameter of a Keep-Alive field, which is in whole seconds.
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view field) {
   constexpr std::string_view kName = "timeout=";
@@ -92,6 +119,14 @@
   m_socket.connectToHost(QString::fromStdString(m_server.address), m_server.port);
 }
 
+bool BackendConnection::HasUnreadInput() const {
+  if (m_socket.bytesAvailable() > 0) return true;
+  char byte = 0;
+  const ssize_t count =
+      ::recv(static_cast<int>(m_socket.socketDescriptor()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void BackendConnection::OnConnected() {
   m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
   WriteRequest();
@@ -168,25 +203,43 @@
 
 void BackendConnection::AcceptHead() {
   const auto& message = m_parser->get();
-  if (message.result_int() >= 100 && message.result_int() < 200) {
-    ++m_interim_responses;
-    StartParser();  // The final response follows.
-    return;
-  }
   HttpResponseHead head;
   head.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
+  if (HasStatusLine(message.reason()) || HoldsTwoHeads(head)) {
+    return Fail(Reason::kBackendMalformed);
+  }
+  if (message.result_int() >= 100 && message.result_int() < 200) {
+    ++m_interim_responses;
+    StartParser();  // The final response follows.
+    return;
+  }
   if (const auto length = m_parser->content_length()) head.content_length = *length;
   m_skipping_response = BelongsToOtherRequest(head);
   if (!m_skipping_response && !IsValidResponse(head)) return Fail(Reason::kBackendMalformed);
   m_keep_alive_timeout = ParseKeepAliveTimeout(FindHeader(head.headers, "Keep-Alive"));
+  const bool is_refusal =
+      HasHeader(head.headers, m_check.not_run_field) || head.status == kMisdirected;
+  if (!m_skipping_response && is_refusal && !m_check.id.empty()) m_refused_ids.insert(m_check.id);
   if (!m_skipping_response) m_part.head = std::move(head);
   m_head_parsed = true;
   m_state = State::kReading;
 }
 
+bool BackendConnection::HoldsTwoHeads(const HttpResponseHead& head) const {
+  // The server broke off one head and went on with another, or wrote one into the other.
+  std::size_t ids = 0;
+  for (const HttpHeader& header : head.headers) {
+    if (HasStatusLine(header.value)) return true;
+    const bool is_id =
+        !m_check.id_field.empty() && boost::beast::iequals(header.name, m_check.id_field);
+    if (is_id) ++ids;
+  }
+  return ids > 1;
+}
+
 bool BackendConnection::BelongsToOtherRequest(const HttpResponseHead& head) const {
   if (m_check.id_field.empty() || m_check.id.empty()) return false;
   const std::string_view id = FindHeader(head.headers, m_check.id_field);
@@ -196,13 +249,18 @@
 bool BackendConnection::IsValidResponse(const HttpResponseHead& head) const {
   const bool needs_id = !m_check.id_field.empty() && !m_check.id.empty();
   const bool lacks_id = needs_id && !HasHeader(head.headers, m_check.id_field);
+  const bool is_marked =
+      !m_check.not_run_field.empty() && HasHeader(head.headers, m_check.not_run_field);
   if (!IsSuccess(head.status)) {
-    // Without an id, it may be a late copy of the response to an earlier request.
+    const bool is_promise =
+        std::ranges::find(kNotRunStatuses, head.status) != kNotRunStatuses.end();
+    if (m_check.status_means_not_run && is_promise && !is_marked) return false;
     const bool means_not_run =
-        !m_check.not_run_field.empty() && HasHeader(head.headers, m_check.not_run_field);
-    return !lacks_id || !means_not_run;
+        is_marked || (m_check.status_means_not_run && head.status == kMisdirected);
+    // Without an id, it may be a late copy of the response to an earlier request.
+    return !means_not_run || (!lacks_id && IsRefusal(head.status));
   }
-  if (lacks_id) return false;
+  if (lacks_id || is_marked) return false;
   if (m_check.success_marker_field.empty()) return true;
   // Callers request no content encoding, so the success marker does not vouch for an encoded body.
   return HasHeader(head.headers, m_check.success_marker_field) &&
@@ -268,7 +326,7 @@
 
 void BackendConnection::Finish() {
   m_timer.stop();
-  m_reusable = m_parser->keep_alive() && m_input.empty() &&
+  m_reusable = m_parser->keep_alive() && m_input.empty() && m_refused_ids.size() < kMaxRefusedIds &&
                m_socket.state() == QAbstractSocket::ConnectedState;
   m_parser.reset();
   EndCloseDelimitedBody();
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -9,9 +9,12 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "base/endpoint.h"
 #include "base/ids.h"
@@ -37,6 +40,9 @@
   std::string id;                    // Id of the request; empty if it has none.
   std::string success_marker_field;  // Field present in every success response.
   std::string not_run_field;         // Field of a response that says the request was not run.
+  // Callers take the statuses 408, 429 and 503 to say that the request was not run, so a response
+  // may have them only together with `not_run_field`.
+  bool status_means_not_run = false;
 };
 
 // Receives the events of connections to the backend server. Members are called on the connection's
@@ -100,8 +106,10 @@
 
   // Sends a request, connecting first if needed. At most `credit` bytes of the response body are
   // read. After `timeout` the request fails with kBackendTimeout and the connection closes. A
-  // response with the id of another request is skipped; a success that lacks the id or the success
-  // marker, and a not-run response that lacks the id, fail the request with kBackendMalformed.
+  // response with the id of another request is skipped. A success that lacks the id or the success
+  // marker or is marked as not run, a not-run response that lacks the id or has the status of a
+  // server error, and a head that another one was written into fail the request with
+  // kBackendMalformed.
   void Send(const HttpRequest& request, std::size_t credit, std::chrono::milliseconds timeout,
             ResponseCheck check = {});
 
@@ -114,6 +122,14 @@
   bool IsIdle() const { return m_state == State::kIdle; }
   TimePoint IdleSince() const { return m_idle_since; }
 
+  // Whether bytes or an end have arrived on the idle connection. They belong to no request, so it
+  // must not carry another one.
+  bool HasUnreadInput() const;
+
+  // Whether the server refused a request with this id on the connection. It may repeat the refusal,
+  // which could not be told from the response to another request with the id.
+  bool HasRefused(std::string_view request_id) const { return m_refused_ids.contains(request_id); }
+
   // How long the backend server keeps the idle connection open, as given by the Keep-Alive field of
   // its last response; empty if not given.
   std::optional<Duration> KeepAliveTimeout() const { return m_keep_alive_timeout; }
@@ -128,6 +144,7 @@
   void Parse();
   void StartParser();
   void AcceptHead();
+  bool HoldsTwoHeads(const HttpResponseHead& head) const;
   bool BelongsToOtherRequest(const HttpResponseHead& head) const;
   bool IsValidResponse(const HttpResponseHead& head) const;
   void StartCloseDelimitedBody();
@@ -152,6 +169,7 @@
   bool m_skipping_response = false;  // The response belongs to another request.
   std::size_t m_skipped_bytes = 0;   // Of such responses, for the current request.
   unsigned m_interim_responses = 0;
+  std::set<std::string, std::less<>> m_refused_ids;
   std::optional<Duration> m_keep_alive_timeout;
   // A close-delimited body (RFC 9112, 6.3) is read from a duplicate of the socket's descriptor, as
   // Qt does not distinguish a reset from an orderly close. -1 unless such a body is being read.
--- a/src/libs/owner/backendpool.cpp
+++ b/src/libs/owner/backendpool.cpp
@@ -32,7 +32,7 @@
   }
 
   void SendRequest(OwnedCallId call, const BackendRequest& request) {
-    const ConnectionId id = AcquireConnection(request.idempotent);
+    const ConnectionId id = AcquireConnection(request);
     m_active_calls[id] = call;
     m_connection_by_call[call] = id;
     m_connections.at(id)->Send(request.request, request.credit, request.timeout, request.check);
@@ -82,19 +82,17 @@
   }
 
  private:
-  // Returns the idle connection that was used last if it is fresh enough, else a new connection.
-  ConnectionId AcquireConnection(bool idempotent) {
+  // Returns the idle connection that was used last among those that can carry the request, else a
+  // new connection. Those that are not fresh enough are closed.
+  ConnectionId AcquireConnection(const BackendRequest& request) {
     const TimePoint now = MonotonicNow();
-    while (!m_idle.empty()) {
-      const ConnectionId id = m_idle.back();  // The most recently used one.
-      m_idle.pop_back();
+    // From the most recently used one on.
+    for (std::size_t index = m_idle.size(); index-- > 0;) {
+      const ConnectionId id = m_idle[index];
       const BackendConnection& connection = *m_connections.at(id);
-      const Duration idle = now - connection.IdleSince();
-      Duration max_idle = idempotent ? Duration(kMaxIdle) : Duration(kMaxIdleNotIdempotent);
-      if (const std::optional<Duration> keep_alive = connection.KeepAliveTimeout()) {
-        max_idle = std::min<Duration>(max_idle, *keep_alive - kKeepAliveMargin);
-      }
-      if (idle < max_idle) return id;
+      if (connection.HasRefused(request.check.id)) continue;
+      m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(index));
+      if (IsFresh(connection, request.idempotent, now)) return id;
       DiscardConnection(id);
     }
     const ConnectionId id{m_next_connection++};
@@ -102,6 +100,14 @@
     return id;
   }
 
+  static bool IsFresh(const BackendConnection& connection, bool idempotent, TimePoint now) {
+    Duration max_idle = idempotent ? Duration(kMaxIdle) : Duration(kMaxIdleNotIdempotent);
+    if (const std::optional<Duration> keep_alive = connection.KeepAliveTimeout()) {
+      max_idle = std::min<Duration>(max_idle, *keep_alive - kKeepAliveMargin);
+    }
+    return now - connection.IdleSince() < max_idle && !connection.HasUnreadInput();
+  }
+
   // Removes the call that runs on a connection, and returns its id.
   OwnedCallId RemoveCall(ConnectionId connection) {
     const OwnedCallId call = m_active_calls.at(connection);
--- a/src/libs/owner/loadprobe.cpp
+++ b/src/libs/owner/loadprobe.cpp
@@ -41,7 +41,7 @@
   m_metrics.Add(Metric::kProbes);
   m_is_running = true;
   m_load.clear();
-  if (!m_connection || !m_connection->IsIdle()) {
+  if (!m_connection || !m_connection->IsIdle() || m_connection->HasUnreadInput()) {
     DiscardConnection();
     m_connection =
         std::make_unique<BackendConnection>(ConnectionId{m_next_connection++}, m_server, *this);
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -322,6 +322,8 @@
   request.check.id = FindHeader(request.request.headers, m_convention.call_id);
   request.check.success_marker_field = m_convention.success_marker;
   request.check.not_run_field = m_convention.not_run;
+  request.check.status_means_not_run =
+      m_convention.status_guarantees_not_run && !m_convention.not_run.empty();
   call.request.clear_body();
   m_metrics.Add(Metric::kCallsDispatched);
   m_pool->SendRequest(id, std::move(request));
--- a/tests/auto/http/tst_answerfuzz.cpp
+++ b/tests/auto/http/tst_answerfuzz.cpp
@@ -27,7 +27,16 @@
 constexpr std::array kFramings{Framing::kLength, Framing::kChunks, Framing::kNone};
 
 // The fault in the bytes that a server sends.
-enum class Damage { kNone, kTruncated, kCorruptHead, kTrailingBytes };
+// kInsertedRefusal is a refusal of another request inside the head; kCutRefusal one that is cut in
+// its head and followed by the response.
+enum class Damage {
+  kNone,
+  kTruncated,
+  kCorruptHead,
+  kTrailingBytes,
+  kInsertedRefusal,
+  kCutRefusal
+};
 
 std::string RandomBody(RandomSource& random) {
   std::string body(random.Below(kMaxBodyBytes + 1), ' ');
@@ -51,6 +60,19 @@
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) + "\r\nSeal: s\r\n";
 }
 
+// A refusal of another request, with its fields in random order.
+std::string MakeRefusal(RandomSource& random) {
+  std::vector<std::string> fields{"Request-Id: other\r\n", "Not-Run: 1\r\n",
+                                  "Content-Length: 0\r\n", "Retry-After: 0.3\r\n"};
+  std::string text = "HTTP/1.1 503 Busy\r\n";
+  while (!fields.empty()) {
+    const auto field = fields.begin() + static_cast<std::ptrdiff_t>(random.Below(fields.size()));
+    text += *field;
+    fields.erase(field);
+  }
+  return text + "\r\n";
+}
+
 std::string MakeResponse(RandomSource& random, std::string_view id, Framing framing,
                          std::string_view body) {
   switch (framing) {
@@ -90,6 +112,10 @@
     FuzzRow{"spoiled head, 5", Damage::kCorruptHead, 5},
     FuzzRow{"spoiled head, 6", Damage::kCorruptHead, 6},
     FuzzRow{"bytes behind, 7", Damage::kTrailingBytes, 7},
+    FuzzRow{"refusal inside, 8", Damage::kInsertedRefusal, 8},
+    FuzzRow{"refusal inside, 9", Damage::kInsertedRefusal, 9},
+    FuzzRow{"cut refusal before, 10", Damage::kCutRefusal, 10},
+    FuzzRow{"cut refusal before, 11", Damage::kCutRefusal, 11},
 };
 
 // The bytes that a faulty server sends and the body of the response that belongs to the request.
@@ -118,6 +144,13 @@
     own[random.Below(Head("mine").size())] = static_cast<char>(random.Below(256));
   } else if (damage == Damage::kTrailingBytes) {
     own += MakeResponse(random, "other", Framing::kLength, RandomBody(random));
+  } else if (damage == Damage::kInsertedRefusal) {
+    const std::size_t head = own.find("\r\n\r\n");
+    own.insert(1 + random.Below(head), MakeRefusal(random));
+  } else if (damage == Damage::kCutRefusal) {
+    std::string refusal = MakeRefusal(random);
+    refusal.resize(1 + random.Below(refusal.size() - 1));
+    own.insert(0, refusal);
   }
   script.bytes += own;
   return script;
@@ -129,12 +162,18 @@
   // Only bytes of the request's own response may be passed on.
   const bool is_own = script.own_body.compare(0, answer.body.size(), answer.body) == 0;
   CPPUNIT_ASSERT(is_own || (damage == Damage::kCorruptHead && !IsSuccess(answer.status)));
+  // The server refused no request but another one.
+  CPPUNIT_ASSERT(!answer.refused);
   const bool is_whole = answer.complete && answer.body == script.own_body;
   switch (damage) {
     case Damage::kNone:
     case Damage::kTrailingBytes:
       CPPUNIT_ASSERT(is_whole && IsSuccess(answer.status));
       return;
+    case Damage::kInsertedRefusal:
+    case Damage::kCutRefusal:
+      CPPUNIT_ASSERT(answer.failure || is_whole);
+      return;
     case Damage::kTruncated:
       CPPUNIT_ASSERT(!answer.complete && answer.failure);
       return;
--- a/tests/auto/http/tst_backendconnection.cpp
+++ b/tests/auto/http/tst_backendconnection.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "support/scriptedserver.h"
 #include "support/tabletest.h"
@@ -75,6 +77,95 @@
 
 const test::TableTest<AnswerRow> answer_test("BackendAnswer", answer_rows, TestAnswer);
 
+struct RefusalRow {
+  std::string_view name;
+  std::vector<std::string> pieces;
+  std::optional<Reason> failure;
+  bool refused;
+  std::string_view body;
+};
+
+const std::string other_refusal =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n";
+const std::string own_refusal =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: mine\r\nContent-Length: 0\r\n\r\n";
+
+std::string StartOf(std::string_view text, std::string_view end) {
+  return std::string(text.substr(0, text.find(end) + end.size()));
+}
+
+std::string RestOf(std::string_view text, std::string_view end) {
+  return std::string(text.substr(text.find(end) + end.size()));
+}
+
+const std::array refusal_rows{
+    RefusalRow{
+        "of another request first", {other_refusal + own_answer}, std::nullopt, false, "abc"},
+    RefusalRow{
+        "together with the own refusal", {other_refusal + own_refusal}, std::nullopt, true, ""},
+    RefusalRow{"in two halves",
+               {StartOf(other_refusal, "Request-Id: o"),
+                RestOf(other_refusal, "Request-Id: o") + own_answer},
+               std::nullopt,
+               false,
+               "abc"},
+    RefusalRow{"after an interim response",
+               {"HTTP/1.1 103 Early Hints\r\n\r\n" + other_refusal, own_answer},
+               std::nullopt,
+               false,
+               "abc"},
+    RefusalRow{"inside a field of the own head",
+               {StartOf(own_answer, "Seal: s") + other_refusal, RestOf(own_answer, "Seal: s")},
+               Reason::kBackendMalformed,
+               false,
+               ""},
+    RefusalRow{"cut in a field, the own answer behind",
+               {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 0." + own_answer},
+               Reason::kBackendMalformed,
+               false,
+               ""},
+    RefusalRow{"cut in the reason, the own answer behind",
+               {"HTTP/1.1 500 Bus" + own_answer},
+               Reason::kBackendMalformed,
+               false,
+               ""},
+    RefusalRow{"two ids",
+               {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: mine\r\nRequest-Id: other\r\n"
+                "Content-Length: 0\r\n\r\n"},
+               Reason::kBackendMalformed,
+               false,
+               ""},
+    RefusalRow{"mark on a success",
+               {std::string(kOwnHead) + "Not-Run: 1\r\nContent-Length: 3\r\n\r\nabc"},
+               Reason::kBackendMalformed,
+               false,
+               ""},
+    RefusalRow{"mark on a server error",
+               {"HTTP/1.1 500 Failed\r\nNot-Run: 1\r\nRequest-Id: mine\r\n"
+                "Content-Length: 0\r\n\r\n"},
+               Reason::kBackendMalformed,
+               false,
+               ""},
+    RefusalRow{"own status 421",
+               {"HTTP/1.1 421 Misdirected\r\nNot-Run: 1\r\nRequest-Id: mine\r\n"
+                "Content-Length: 0\r\n\r\n"},
+               std::nullopt,
+               true,
+               ""},
+};
+
+// Guards against a repeated refusal of an earlier request that is taken for the response, and
+// against a request that was run and is reported as not run.
+void TestRefusal(const RefusalRow& row) {
+  const ScriptedServer server(row.pieces, ScriptedServer::End::kKeepOpen);
+  const test::CollectedResponse answer = test::FetchFrom(server);
+  CPPUNIT_ASSERT_EQUAL(row.refused, answer.refused);
+  CPPUNIT_ASSERT_EQUAL(std::string(row.body), answer.body);
+  CPPUNIT_ASSERT(row.failure == answer.failure);
+}
+
+const test::TableTest<RefusalRow> refusal_test("RepeatedRefusal", refusal_rows, TestRefusal);
+
 struct EndlessRow {
   std::string_view name;
   std::string start;
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -77,21 +79,51 @@
 
   OwnerService& Owner() { return m_owner; }
 
-  // Sends the owner a call for a service.
-  void Call(std::string_view service) {
+  // Sends the owner a call for a service. `header` is the request's only header field, unless its
+  // name is empty.
+  void Call(std::string_view service, std::uint64_t call_id = 1, const HttpHeader& header = {}) {
     wire::Envelope message;
     wire::CallRequest& request = *message.mutable_call_request();
-    request.set_call_id(1);
+    request.set_call_id(call_id);
     request.set_server_id("10.0.0.1");
     request.set_owner_incarnation(7);
     request.set_expires_at_us(ToClockMicroseconds(MonotonicNow() + std::chrono::seconds(5)));
     request.set_service(std::string(service));
     request.set_method("GET");
     request.set_target("/");
+    if (!header.name.empty()) {
+      wire::Header& field = *request.add_headers();
+      field.set_name(header.name);
+      field.set_value(header.value);
+    }
     m_owner.HandleMessage(ReplyRoute{BackendServerId("10.0.0.2"), "10.0.0.2#1#1"},
                           std::move(message));
   }
 
+  // Holds up the only worker until the returned function is called.
+  std::function<void()> HoldWorker() {
+    auto held = std::make_shared<std::promise<void>>();
+    auto released = std::make_shared<std::promise<void>>();
+    m_workers.front()->Post([held, future = released->get_future().share()] {
+      held->set_value();
+      future.wait();
+    });
+    held->get_future().wait();
+    return [released] { released->set_value(); };
+  }
+
+  // Returns how a call ended: "refused", "failed", or the body of its response; empty if it has
+  // not ended.
+  std::string ResultOf(std::uint64_t call_id) const {
+    std::string body;
+    for (const wire::Envelope& message : m_messenger.Messages()) {
+      if (message.refused().call_id() == call_id) return "refused";
+      if (message.call_failed().call_id() == call_id) return "failed";
+      if (message.response_chunk().call_id() == call_id) body += message.response_chunk().data();
+    }
+    return body;
+  }
+
   // Returns the reasons of the refusals so far, with kNone for each message of another kind.
   std::vector<Reason> Refusals() const {
     std::vector<Reason> reasons;
@@ -207,6 +239,104 @@
 const test::TableTest<RejectedRow> rejected_test("OwnerServiceTurnedAway", kRejectedRows,
                                                  TestLimitAfterRejection);
 
+const std::string refusal_of_first =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n";
+
+std::string AnswerTo(std::string_view id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) + "\r\nContent-Length: 3\r\n\r\nran";
+}
+
+struct RepeatedRefusalRow {
+  std::string_view name;
+  std::string_view second_id;  // Request id of the second call; that of the first one is "first".
+  std::string idle_bytes;      // Sent on the kept connection between the two calls.
+  std::vector<std::vector<std::string>> responses;
+};
+
+const std::array repeated_refusal_rows{
+    RepeatedRefusalRow{"of the same request id",
+                       "first",
+                       "",
+                       {{refusal_of_first, refusal_of_first}, {AnswerTo("first")}}},
+    RepeatedRefusalRow{"of the same request id, before the second call",
+                       "first",
+                       refusal_of_first,
+                       {{refusal_of_first, AnswerTo("first")}, {AnswerTo("first")}}},
+    RepeatedRefusalRow{"without id, before the second call",
+                       "second",
+                       "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                       {{refusal_of_first, AnswerTo("second")}, {AnswerTo("second")}}},
+    RepeatedRefusalRow{"half of it before the second call",
+                       "second",
+                       "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nReq",
+                       {{refusal_of_first, AnswerTo("second")}, {AnswerTo("second")}}},
+    RepeatedRefusalRow{"of another request id",
+                       "second",
+                       "",
+                       {{refusal_of_first, refusal_of_first + AnswerTo("second")}}},
+};
+
+// Guards against a call that runs and is reported as not run, because the server repeats the
+// refusal of an earlier call on a kept connection.
+void TestRepeatedRefusal(const RepeatedRefusalRow& row) {
+  test::ConversationServer server(row.responses);
+  CallConvention convention;
+  convention.call_id = "Request-Id";
+  convention.not_run = "Not-Run";
+  OwnerFixture fixture(1, convention);
+  fixture.Owner().ApplyDeclaration(DeclarationOf("portal", ToString(server.Address())), 1);
+  fixture.Call("portal", 1, {"Request-Id", "first"});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(1).empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string("refused"), fixture.ResultOf(1));
+  // The worker handles the second call before it reads the bytes.
+  const std::function<void()> release = fixture.HoldWorker();
+  if (!row.idle_bytes.empty()) server.SendNow(0, row.idle_bytes);
+  fixture.Call("portal", 2, {"Request-Id", std::string(row.second_id)});
+  release();
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(2).empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string("ran"), fixture.ResultOf(2));
+}
+
+const test::TableTest<RepeatedRefusalRow> repeated_refusal_test("OwnerServiceRepeatedRefusal",
+                                                                repeated_refusal_rows,
+                                                                TestRepeatedRefusal);
+
+struct UnmarkedRow {
+  std::string_view name;
+  std::string_view head;  // Without the length.
+  std::string_view result;
+};
+
+constexpr std::array kUnmarkedRows{
+    UnmarkedRow{"status 503", "HTTP/1.1 503 Busy\r\nRequest-Id: mine\r\n", "failed"},
+    UnmarkedRow{"status 429", "HTTP/1.1 429 Slow Down\r\nRequest-Id: mine\r\n", "failed"},
+    UnmarkedRow{"status 408", "HTTP/1.1 408 Time-out\r\nRequest-Id: mine\r\n", "failed"},
+    UnmarkedRow{"status 421 without id", "HTTP/1.1 421 Misdirected\r\n", "failed"},
+    UnmarkedRow{"status 421", "HTTP/1.1 421 Misdirected\r\nRequest-Id: mine\r\n", "ran"},
+    UnmarkedRow{"status 500", "HTTP/1.1 500 Failed\r\nRequest-Id: mine\r\n", "ran"},
+    UnmarkedRow{"status 503 with mark", "HTTP/1.1 503 Busy\r\nRequest-Id: mine\r\nNot-Run: 1\r\n",
+                "refused"},
+};
+
+// Guards against a status that promises callers that the request was not run, although the server
+// did not state that.
+void TestUnmarkedRefusal(const UnmarkedRow& row) {
+  const test::ScriptedServer server({std::string(row.head) + "Content-Length: 3\r\n\r\nran"},
+                                    test::ScriptedServer::End::kKeepOpen);
+  CallConvention convention;
+  convention.call_id = "Request-Id";
+  convention.not_run = "Not-Run";
+  convention.status_guarantees_not_run = true;
+  OwnerFixture fixture(1, convention);
+  fixture.Owner().ApplyDeclaration(DeclarationOf("portal", ToString(server.Address())), 1);
+  fixture.Call("portal", 1, {"Request-Id", "mine"});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(1).empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string(row.result), fixture.ResultOf(1));
+}
+
+const test::TableTest<UnmarkedRow> unmarked_test("OwnerServiceUnmarkedRefusal", kUnmarkedRows,
+                                                 TestUnmarkedRefusal);
+
 }  // namespace
 
 }  // namespace damaskhollow
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -5,6 +5,7 @@
 
 #include <QTimer>
 #include <chrono>
+#include <memory>
 #include <utility>
 
 #include "support/wait.h"
@@ -24,7 +25,10 @@
 class ResponseCollector : public BackendEvents {
  public:
   void OnBackendResponsePart(ConnectionId, ResponsePart part, bool) override {
-    if (part.head) m_response.status = part.head->status;
+    if (part.head) {
+      m_response.status = part.head->status;
+      m_response.refused = HasHeader(part.head->headers, "Not-Run");
+    }
     m_response.body += part.data;
     m_response.body_bytes += part.data.size();
     m_response.complete = part.last;
@@ -78,8 +82,9 @@
 void ScriptedServer::EndConnection(QTcpSocket& socket) {
   if (m_end == End::kKeepOpen) return;
   if (m_end == End::kRepeatLast) return RepeatLast(socket);
-  QTimer::singleShot(kEndDelay, &socket, [this, &socket] {
-    if (m_end == End::kReset) {
+  const milliseconds delay = m_end == End::kResetAtOnce ? milliseconds(0) : kEndDelay;
+  QTimer::singleShot(delay, &socket, [this, &socket] {
+    if (m_end != End::kClose) {
       const linger reset_on_close{1, 0};
       ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER,
                    &reset_on_close, sizeof(reset_on_close));
@@ -88,6 +93,31 @@
   });
 }
 
+ConversationServer::ConversationServer(std::vector<std::vector<std::string>> responses)
+    : m_responses(std::move(responses)) {
+  listen(QHostAddress::LocalHost);
+}
+
+void ConversationServer::incomingConnection(qintptr descriptor) {
+  auto* socket = new QTcpSocket(this);
+  socket->setSocketDescriptor(descriptor);
+  const std::size_t connection = m_sockets.size();
+  m_sockets.push_back(socket);
+  const auto request = std::make_shared<std::size_t>(0);
+  connect(socket, &QTcpSocket::readyRead, socket, [this, socket, connection, request] {
+    if (!socket->readAll().contains("\r\n\r\n")) return;
+    const std::size_t index = (*request)++;
+    if (connection >= m_responses.size() || index >= m_responses[connection].size()) return;
+    SendNow(connection, m_responses[connection][index]);
+  });
+}
+
+void ConversationServer::SendNow(std::size_t connection, std::string_view bytes) {
+  QTcpSocket& socket = *m_sockets.at(connection);
+  socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  socket.flush();
+}
+
 CollectedResponse FetchFrom(const ScriptedServer& server) {
   return FetchFrom(server, kRequestTimeout, kCreditBytes);
 }
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -18,7 +19,8 @@
 class ScriptedServer : public QTcpServer {
  public:
   // kRepeatLast writes the last piece again and again until the client closes.
-  enum class End { kKeepOpen, kClose, kReset, kRepeatLast };
+  // kResetAtOnce leaves the client no time to read before the reset.
+  enum class End { kKeepOpen, kClose, kReset, kResetAtOnce, kRepeatLast };
 
   ScriptedServer(std::vector<std::string> pieces, End end);
 
@@ -42,17 +44,38 @@
   std::size_t m_open_connections = 0;
 };
 
+// A server with a response for each request of each connection. `responses[c][r]` answers the
+// request `r` of the connection `c`; requests beyond get no response.
+class ConversationServer : public QTcpServer {
+ public:
+  explicit ConversationServer(std::vector<std::vector<std::string>> responses);
+
+  Endpoint Address() const { return Endpoint{"127.0.0.1", serverPort()}; }
+
+  // Sends bytes on a connection now, regardless of requests. They have left this process on return.
+  void SendNow(std::size_t connection, std::string_view bytes);
+
+ protected:
+  void incomingConnection(qintptr descriptor) override;
+
+ private:
+  const std::vector<std::vector<std::string>> m_responses;
+  std::vector<QTcpSocket*> m_sockets;
+};
+
 // The response or failure that a BackendConnection reports for the server's bytes.
 struct CollectedResponse {
   bool complete = false;
-  int status = 0;  // 0: no response head was accepted.
+  int status = 0;        // 0: no response head was accepted.
+  bool refused = false;  // The head says that the request was not run.
   std::string body;
   std::optional<Reason> failure;
   std::size_t body_bytes = 0;
 };
 
 // Sends one request with the id "mine" and runs the event loop until the request has ended. The
-// connection only accepts a response that repeats the id in Request-Id and has the header Seal.
+// connection only accepts a response that repeats the id in Request-Id and has the header Seal; the
+// header Not-Run says that the request was not run.
 CollectedResponse FetchFrom(const ScriptedServer& server);
 
 // Like FetchFrom, but fails the request after `timeout` and grants no more credit than for `credit`
