Reset a response without length that breaks off

A caller of HTTP/1.0 that got a response without length took it as whole when it broke off: the end of the connection is the end of such a body, and the node closed the connection in an orderly way. The same happened when the node ended meanwhile.

While such a response is sent, the socket is set to reset on close, also by the kernel when the process is killed. The setting is taken back when the whole response has been handed to the network.

Ruled out by new rows that passed before the change: a response of a backend server whose head is cut, in 14 places, by FIN and by reset, alone and after an interim response or the response to another request, is a failure after dispatch and never a response; a body that is cut by reset, and chunks without the last one, are failures too.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -224,6 +224,8 @@
   exchange->has_body = !no_body;
   exchange->chunked = !no_body && !head.content_length && !exchange->is_http_10;
   if (!no_body && !head.content_length && exchange->is_http_10) exchange->closes_connection = true;
+  const bool is_close_delimited = !no_body && !head.content_length && !exchange->chunked;
+  if (is_close_delimited) SetResetOnClose(true);
   const ResponseFraming framing{exchange->chunked, !exchange->closes_connection};
   WriteOrBuffer(*exchange, SerializeResponseHead(head, framing), false);
 }
@@ -329,16 +331,24 @@
   // response, so the write side is shut down first and further input is discarded.
   m_state = State::kLingering;
   m_timer.start(kLingerMs);
-  if (m_socket.bytesToWrite() == 0) {
-    ::shutdown(static_cast<int>(m_socket.socketDescriptor()), SHUT_WR);
-  }
+  if (m_socket.bytesToWrite() == 0) ShutDownWriting();
   m_socket.readAll();
 }
 
+void CallerConnection::ShutDownWriting() {
+  if (m_resets_on_close) SetResetOnClose(false);
+  ::shutdown(static_cast<int>(m_socket.socketDescriptor()), SHUT_WR);
+}
+
+void CallerConnection::SetResetOnClose(bool resets) {
+  m_resets_on_close = resets;
+  const linger reset{resets ? 1 : 0, 0};
+  ::setsockopt(static_cast<int>(m_socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &reset,
+               sizeof(reset));
+}
+
 void CallerConnection::OnBytesWritten(qint64 bytes) {
-  if (m_state == State::kLingering && m_socket.bytesToWrite() == 0) {
-    ::shutdown(static_cast<int>(m_socket.socketDescriptor()), SHUT_WR);
-  }
+  if (m_state == State::kLingering && m_socket.bytesToWrite() == 0) ShutDownWriting();
   auto left = static_cast<std::size_t>(bytes);
   while (left > 0 && !m_unsent.empty()) {
     Segment& segment = m_unsent.front();
--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -171,6 +171,11 @@
 
   // Shuts down the write side and discards further input for a limited time before closing.
   void Linger();
+  void ShutDownWriting();
+
+  // Sets whether closing the connection resets it. While a response is sent whose end is the end of
+  // the connection, any other end must differ from an orderly one, even that of the process.
+  void SetResetOnClose(bool resets);
   void OnBytesWritten(qint64 bytes);
   void OnTimeout();
   void OnDisconnected();
@@ -197,6 +202,7 @@
   std::size_t m_discarded = 0;
   TimePoint m_awaiting_head_since{};
   bool m_closing = false;
+  bool m_resets_on_close = false;
 };
 
 }  // namespace damaskhollow
--- a/tests/auto/http/tst_backendconnection.cpp
+++ b/tests/auto/http/tst_backendconnection.cpp
@@ -64,6 +64,14 @@
               ScriptedServer::End::kClose, Reason::kBackendClosed, "abc"},
     AnswerRow{"without length, closed", std::string(kOwnHead) + "\r\nabc",
               ScriptedServer::End::kClose, std::nullopt, "abc"},
+    AnswerRow{"cut short, reset", std::string(kOwnHead) + "Content-Length: 9\r\n\r\nabc",
+              ScriptedServer::End::kReset, Reason::kBackendClosed, "abc"},
+    AnswerRow{"chunks, closed before the last one",
+              std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+              ScriptedServer::End::kClose, Reason::kBackendClosed, "abc"},
+    AnswerRow{"chunks, closed in the last one",
+              std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+              ScriptedServer::End::kClose, Reason::kBackendClosed, "abc"},
     AnswerRow{"without length, reset", std::string(kOwnHead) + "\r\nabc",
               ScriptedServer::End::kReset, Reason::kBackendClosed, "abc"},
 };
@@ -166,6 +174,49 @@
 
 const test::TableTest<RefusalRow> refusal_test("RepeatedRefusal", refusal_rows, TestRefusal);
 
+struct CutRow {
+  std::string_view name;
+  std::string head;  // As far as it was sent.
+};
+
+const std::array cut_rows{
+    CutRow{"nothing sent", ""},
+    CutRow{"in the version", "HTTP/1."},
+    CutRow{"in the status line", "HTTP/1.1 200 O"},
+    CutRow{"after the status line", "HTTP/1.1 200 OK\r\n"},
+    CutRow{"in a field name", "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nSea"},
+    CutRow{"in a field value", "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nSeal: s"},
+    CutRow{"in the digits of the length", std::string(kOwnHead) + "Content-Length: 1"},
+    CutRow{"after the digit 0 of the length", std::string(kOwnHead) + "Content-Length: 0"},
+    CutRow{"after the length", std::string(kOwnHead) + "Content-Length: 0\r\n"},
+    CutRow{"before the length", kOwnHead},
+    CutRow{"in the coding", std::string(kOwnHead) + "Transfer-Encoding: chunk"},
+    CutRow{"before the blank line", std::string(kOwnHead) + "Connection: close\r\n"},
+    CutRow{"in the blank line", std::string(kOwnHead) + "Connection: close\r\n\r"},
+    CutRow{"refusal before the blank line",
+           "HTTP/1.1 503 Busy\r\nRequest-Id: mine\r\nNot-Run: 1\r\n"},
+};
+
+// Bytes before the head that is cut.
+const std::array<std::string, 3> cut_prefixes{"", "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n",
+                                              other_answer};
+
+// Guards against a head that is cut by the end of the connection and taken for a whole one, with an
+// empty body or one without length.
+void TestCut(const CutRow& row) {
+  for (const std::string& prefix : cut_prefixes) {
+    for (const ScriptedServer::End end : {ScriptedServer::End::kClose, ScriptedServer::End::kReset,
+                                          ScriptedServer::End::kResetAtOnce}) {
+      const ScriptedServer server({prefix + row.head}, end);
+      const test::CollectedResponse answer = test::FetchFrom(server);
+      CPPUNIT_ASSERT_EQUAL(0, answer.status);
+      CPPUNIT_ASSERT(answer.failure == Reason::kBackendClosed && !answer.complete);
+    }
+  }
+}
+
+const test::TableTest<CutRow> cut_test("CutHead", cut_rows, TestCut);
+
 struct EndlessRow {
   std::string_view name;
   std::string start;
--- a/tests/auto/http/tst_callerconnection.cpp
+++ b/tests/auto/http/tst_callerconnection.cpp
@@ -1,9 +1,14 @@
+#include <arpa/inet.h>
 #include <cppunit/TestAssert.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <QTcpServer>
 #include <array>
+#include <cerrno>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +31,7 @@
 
   Endpoint Address() const { return Endpoint{"127.0.0.1", serverPort()}; }
   CallerConnection& Connection() { return *m_connection; }
+  void DeleteConnection() { m_connection.reset(); }
   // The targets of the requests that were dispatched and not rejected, in order.
   const std::vector<std::string>& Targets() const { return m_targets; }
   bool IsCallerDisconnected() const { return m_disconnected; }
@@ -210,6 +216,85 @@
 const test::TableTest<TwoPendingRow> two_pending_test("CallerTwoDue", kTwoPendingRows,
                                                       TestTwoPending);
 
+// Receives from a server as the kernel reports it, which tells a reset from an orderly end.
+class SystemClient {
+ public:
+  SystemClient(const Endpoint& server, std::string_view request)
+      : m_descriptor(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    ::inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+    CPPUNIT_ASSERT_EQUAL(
+        0, ::connect(m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+    ::send(m_descriptor, request.data(), request.size(), MSG_NOSIGNAL);
+  }
+  ~SystemClient() { ::close(m_descriptor); }
+  SystemClient(const SystemClient&) = delete;
+  SystemClient& operator=(const SystemClient&) = delete;
+
+  bool WaitFor(std::string_view text) {
+    return test::WaitUntil([&] { return Read() || m_received.find(text) != std::string::npos; });
+  }
+
+  // Waits for the end of the connection and returns its error; 0 for an orderly end.
+  int WaitForEnd() {
+    CPPUNIT_ASSERT(test::WaitUntil([this] { return Read(); }));
+    return *m_end;
+  }
+
+ private:
+  // Reads what has arrived. Returns whether the connection has ended.
+  bool Read() {
+    std::array<char, 4096> data{};
+    while (!m_end) {
+      const ssize_t count = ::recv(m_descriptor, data.data(), data.size(), MSG_DONTWAIT);
+      if (count < 0 && errno == EAGAIN) return false;
+      if (count > 0) m_received.append(data.data(), static_cast<std::size_t>(count));
+      if (count <= 0) m_end = count < 0 ? errno : 0;
+    }
+    return true;
+  }
+
+  const int m_descriptor;
+  std::string m_received;
+  std::optional<int> m_end;
+};
+
+struct CloseDelimitedRow {
+  std::string_view name;
+  void (*end)(RecordingServer& server);
+  int error;
+};
+
+constexpr std::array kCloseDelimitedRows{
+    CloseDelimitedRow{"whole",
+                      [](RecordingServer& server) { server.Connection().FinishResponse(1); }, 0},
+    CloseDelimitedRow{"broken off", [](RecordingServer& server) { server.Connection().Abort(); },
+                      ECONNRESET},
+    CloseDelimitedRow{"broken off at the end of the process",
+                      [](RecordingServer& server) { server.DeleteConnection(); }, ECONNRESET},
+};
+
+// Guards against a response without length that breaks off and looks complete to a caller of
+// HTTP/1.0, to which the end of the connection is the end of the body.
+void TestCloseDelimited(const CloseDelimitedRow& row) {
+  RecordingServer server;
+  SystemClient client(server.Address(), "GET /1 HTTP/1.0\r\n\r\n");
+  CPPUNIT_ASSERT(server.WaitForTargets(1));
+  HttpResponseHead head;
+  head.status = 200;
+  server.Connection().StartResponse(1, head);
+  server.Connection().SendBody(1, "half");
+  CPPUNIT_ASSERT(client.WaitFor("half"));
+  row.end(server);
+  CPPUNIT_ASSERT_EQUAL(row.error, client.WaitForEnd());
+}
+
+const test::TableTest<CloseDelimitedRow> close_delimited_test("CallerCloseDelimited",
+                                                              kCloseDelimitedRows,
+                                                              TestCloseDelimited);
+
 }  // namespace
 
 }  // namespace damaskhollow
