Refuse requests that come too late in a planned stop

After SIGTERM, callers lost requests without a response, among them ones that may not be repeated: a request whose body was still arriving when the caller port closed was forwarded as soon as it was whole, at any time up to the end of the drain, and cut when the node stopped. The same held for a complete request that waited for its turn on its connection.

The ingress now knows when the node stops. A request that is complete only after the close of the caller port is refused at once, as not run, with Retry-After and the end of the connection, unless its deadline lies before the stop. The owner's part was ruled out in the code: it refuses new calls from SIGTERM on.

--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -119,10 +119,10 @@
   }
 }
 
-void IngressService::StartClosing() {
+void IngressService::StartClosing(TimePoint end) {
   close();
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get()] { shard->CloseConnections(); });
+    slot.thread->Post([shard = slot.shard.get(), end] { shard->CloseConnections(end); });
   }
 }
 
--- a/src/libs/ingress/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -39,8 +39,10 @@
   void HandleLinkDown(const BackendServerId& owner);
   void HandleLinkUp(const BackendServerId& owner);
 
-  // Stops accepting connections and closes existing ones as they become idle.
-  void StartClosing();
+  // Stops accepting connections and closes existing ones as they become idle. Refuses requests that
+  // are complete only from now on and whose deadline is after `end`, when responses are no longer
+  // relayed.
+  void StartClosing(TimePoint end);
 
   // Deletes all shards and their connections. The worker threads must still be running.
   void Stop();
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -131,6 +131,10 @@
       .With("version", static_cast<std::int64_t>(m_context.version.load()));
   ReplaceOriginHeaders(call.request, m_context.convention, m_context.own_service);
   call.deadline = call.started + call.call_class.deadline;
+  // It would be cut at the end if it still ran, and it could not be sent again.
+  if (m_closing_end && call.deadline > *m_closing_end) {
+    return RespondWithReason(exchange, Reason::kDraining);
+  }
   call.digest = RequestDigest(call.call_class.service, call.request);
   if (const Reason reason = m_context.crash_guard.CheckBan(call.digest); reason != Reason::kNone) {
     return RespondWithReason(exchange, reason);
@@ -676,7 +680,8 @@
   }
 }
 
-void IngressShard::CloseConnections() {
+void IngressShard::CloseConnections(TimePoint end) {
+  m_closing_end = end;
   std::vector<ConnectionId> connections;
   connections.reserve(m_connections.size());
   for (const auto& entry : m_connections) connections.push_back(entry.first);
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -70,8 +70,9 @@
   // Queries `owner` for the state of attempts that are suspect since the link was lost.
   void HandleLinkUp(const BackendServerId& owner);
 
-  // Closes idle connections at once and the others after their pending responses.
-  void CloseConnections();
+  // Closes idle connections at once and the others after their pending responses. Requests that are
+  // complete only from now on are refused if their deadline is after `end`.
+  void CloseConnections(TimePoint end);
 
   // Closes up to `count` connections on which no complete request head has been received, longest
   // waiting first. Does nothing while the node is below its connection limit.
@@ -216,6 +217,7 @@
   RandomSource m_random;
   CallLog m_log;
   QTimer m_timer;
+  std::optional<TimePoint> m_closing_end;  // Set while the node stops.
 };
 
 }  // namespace damaskhollow
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -193,19 +193,20 @@
 }
 
 void Node::CheckDrained() {
-  const Duration elapsed = MonotonicNow() - m_drain_started;
-  if (elapsed < std::chrono::milliseconds(m_settings.drain_announce_ms)) return;
+  const TimePoint now = MonotonicNow();
+  const TimePoint closing =
+      m_drain_started + std::chrono::milliseconds(m_settings.drain_announce_ms);
+  const TimePoint end = closing + std::chrono::milliseconds(m_settings.drain_timeout_ms);
+  if (now < closing) return;
   if (!m_is_closing) {
     m_is_closing = true;
-    m_ingress->StartClosing();
+    m_ingress->StartClosing(end - kResponseFlushTime);
   }
-  const TimePoint now = MonotonicNow();
   const bool has_work = !m_owner.IsIdle() || m_ingress->CallerConnections() > 0;
   if (has_work) m_idle_since.reset();
   if (!has_work && !m_idle_since) m_idle_since = now;
   const bool is_idle = m_idle_since && now - *m_idle_since > kResponseFlushTime;
-  const bool is_timed_out = elapsed > std::chrono::milliseconds(m_settings.drain_announce_ms +
-                                                                m_settings.drain_timeout_ms);
+  const bool is_timed_out = now > end;
   if (!is_idle && !is_timed_out) return;
   EventLine(LogPart::kNode, LogLevel::kInfo, "stopped")
       .With("outcome", is_idle ? "drained" : "timeout");
--- a/tests/integration/tst_drain.cpp
+++ b/tests/integration/tst_drain.cpp
@@ -10,6 +10,7 @@
 #include "support/fleet.h"
 #include "support/loadgenerator.h"
 #include "support/patternbody.h"
+#include "support/rawclient.h"
 #include "support/tabletest.h"
 #include "support/wait.h"
 
@@ -107,6 +108,58 @@
 
 const TableTest<DrainCase> registration("Drain", kCases, &LeavesWithoutLosingCalls);
 
+struct LateRequestCase {
+  std::string_view name;
+  bool is_late;  // The second half of its body is sent after the caller port was closed.
+  std::string_view deadline_ms;
+  std::string_view run_ms;
+  std::string_view status_line;
+  int runs;
+};
+
+// The node stops 4 s after the signal at the latest.
+constexpr std::array kLateRequestCases{
+    LateRequestCase{"in time", false, "60000", "100", "HTTP/1.1 200", 1},
+    LateRequestCase{"late, ends before the stop", true, "1000", "100", "HTTP/1.1 200", 1},
+    LateRequestCase{"late, may outlast the stop", true, "60000", "30000", "HTTP/1.1 503", 0},
+};
+
+// Guards against a request of which half the body had arrived at the SIGTERM of the node, and that
+// is forwarded so late that the node cuts it when it stops.
+void TestLateRequest(const LateRequestCase& row) {
+  Fleet fleet({.servers = FleetWithIngressOnlyNode(3, 8),
+               .node_arguments = {"--drain-announce-ms=1000", "--drain-timeout-ms=3000"},
+               .deadline_ms = 60000,
+               .hedge_share = 0.0});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  RawClient client(fleet.Caller(0));
+  client.Send("POST /book?ms=" + std::string(row.run_ms) +
+              " HTTP/1.1\r\nHost: shop.test\r\nX-Test-Id: late\r\nDamaskhollow-Deadline-Ms: " +
+              std::string(row.deadline_ms) + "\r\nContent-Length: 8\r\n\r\nhalf");
+  client.Flush();
+  CPPUNIT_ASSERT(fleet.Call(0, "GET", "/read?ms=1").status == 200);
+  fleet.Node(0).Signal(SIGTERM);
+  if (row.is_late) {
+    CPPUNIT_ASSERT(WaitUntil([&] { return !RawClient(fleet.Caller(0)).IsOpen(); }));
+  }
+  client.Send("rest");
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), client.WaitFor("\r\n\r\n"));
+  const std::string& received = client.Received();
+  CPPUNIT_ASSERT_MESSAGE(received, received.starts_with(row.status_line));
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(received, row.is_late,
+                               received.find("Connection: close") != std::string::npos);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(received, row.runs == 0,
+                               received.find("Retry-After") != std::string::npos);
+  CPPUNIT_ASSERT(client.WaitForClose());
+  CPPUNIT_ASSERT_EQUAL(row.runs, fleet.RunsOf("late").ran);
+  CPPUNIT_ASSERT_EQUAL(0, fleet.RunsOf("late").cut);
+  CPPUNIT_ASSERT(fleet.Node(0).WaitForExit(kWaitLimit));
+  CPPUNIT_ASSERT_EQUAL(0, fleet.Node(0).ExitStatus());
+}
+
+const TableTest<LateRequestCase> late_registration("DrainLateRequest", kLateRequestCases,
+                                                   &TestLateRequest);
+
 }  // namespace
 
 }  // namespace damaskhollow::test
