Derive the drain timeout from the platform's grace

On the platform a node ended its drain 5.1 s after SIGTERM, by two constants in deploy/settings.json.in, whatever the grace. With a grace of 10 s, requests at work were cut 4.9 s before the platform would have killed the node, though they could have ended in time.

The settings now have the grace, and the drain timeout follows from it: eleven twelfths of the grace, less the announcement. With 6 s the end is 5.5 s after SIGTERM in place of 5.1 s, with 10 s it is 9.17 s.

The constants were read in the settings; the rows of PlatformGrace do not compile on the old code.

--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -204,7 +204,7 @@
 constexpr char kSettings[] =
     R"({"product":{"DAMASKHOLLOW_SERVER_ID":"10.1.0.9"},"store":"10.200.1.7:8142",)"
     R"("peer_port":7380,"service":"portail","zones":{"brest-a":"finistere"},)"
-    R"("retry_ratio":0.2,"retry_extra":58,"later":true})";
+    R"("retry_ratio":0.2,"retry_extra":58,"grace":"6s","later":true})";
 
 struct SettingsRow {
   std::string_view name;
@@ -222,6 +222,8 @@
     SettingsRow{"no service", "\"portail\"", "\"\"", "service"},
     SettingsRow{"no zones", "\"brest-a\":\"finistere\"", "", "zones"},
     SettingsRow{"negative ratio", ":0.2", ":-0.2", "retry_ratio"},
+    SettingsRow{"no grace", "\"grace\":\"6s\",", "", "grace"},
+    SettingsRow{"grace without unit", "\"6s\"", "\"6\"", "grace"},
     SettingsRow{"product setting of another type", "\"10.1.0.9\"", "9", "product"},
 };
 
@@ -234,6 +236,31 @@
 
 const test::TableTest<SettingsRow> settings_test("PlatformSettings", settings_rows, TestSettings);
 
+struct GraceRow {
+  std::string_view name;
+  std::string grace;
+  std::size_t announce_ms;
+  std::size_t drain_timeout_ms;
+};
+
+const std::array grace_rows{
+    GraceRow{"6 s", "6s", 2500, 3000},
+    GraceRow{"10 s", "10s", 2500, 6666},
+    GraceRow{"shorter than the announcement", "2400ms", 2500, 0},
+};
+
+// Guards against a node that cuts the requests at work long before the platform kills it, or is
+// killed before it has ended.
+void TestGrace(const GraceRow& row) {
+  const Result<platform::PlatformSettings> settings =
+      platform::ParsePlatformSettings(Replaced(kSettings, "\"6s\"", "\"" + row.grace + "\""));
+  CPPUNIT_ASSERT(settings);
+  CPPUNIT_ASSERT_EQUAL(row.drain_timeout_ms,
+                       platform::DrainTimeoutMs(settings.value(), row.announce_ms));
+}
+
+const test::TableTest<GraceRow> grace_test("PlatformGrace", grace_rows, TestGrace);
+
 }  // namespace
 
 class InventoryTranslatorTest : public CppUnit::TestFixture {
--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -78,7 +78,7 @@
          R"(","DAMASKHOLLOW_VM_LIST_URL":"http://)" + store +
          R"(","DAMASKHOLLOW_WORKERS":"1","DAMASKHOLLOW_DRAIN_ANNOUNCE_MS":"1000"},"store":")" +
          store + R"(","peer_port":)" + std::to_string(m_peer_port) +
-         R"(,"service":"portal","zones":{"west-1":"west"},"retry_ratio":0.2,"retry_extra":58})";
+         R"(,"service":"portal","zones":{"west-1":"west"},"retry_ratio":0.2,"retry_extra":58,"grace":"6s"})";
 }
 
 void PlatformFleet::PutConfiguration(int version, std::string_view more_routes) {
