Stamp expiries by the clock reading that was delayed least

An owner could end a run, with 504 to the caller, hundreds of milliseconds before the deadline of its call. The ingress computes the expiry from the owner's last state report, and each report replaced the one before; the time that it took to arrive was missing from the call. On a busy or held up link that is as much as the messages wait there.

The expiry is still not later than intended, except after the suspension of the owner's machine, until the reading is replaced; before, until the next report.

Ruled out: the bounds of the drain.

--- a/src/libs/policy/ownerclock.h
+++ b/src/libs/policy/ownerclock.h
@@ -17,9 +17,10 @@
   std::uint64_t expires_at_us = 0;
 };
 
-// Latest clock readings of the owners, kept by an ingress. A computed expiry is never later than
-// intended: the time that a reading took to arrive only makes it earlier, so the two clocks need
-// not agree.
+// Clock readings of the owners, kept by an ingress: of the recent ones of an owner, the one that
+// took the least time to arrive. A computed expiry is not later than intended: that time only makes
+// it earlier, so the two clocks need not agree. Only the suspension of the owner's machine makes it
+// later, until the reading is replaced.
 class OwnerClocks {
  public:
   // Records a reading that arrived at `received`. Returns true if the owner has a new incarnation.
