Fail a call to the store whose connection does not open

What callers saw: nothing shown; found by the review of the refused proper requests. Cause: the time-out of a watch, up to 11.5 s, also covered the opening of its connection, when keep-alive is not set yet. A cut drops the opening packets; the kernel sends them again after 1, 3 and 7 s, so that a reader may come back seconds after the cut has healed. A connection that opens so late may also reach a store that was restored meanwhile.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -93,7 +93,7 @@
   connect(&m_socket, &QTcpSocket::readyRead, this, &BackendConnection::ReadMore);
   connect(&m_socket, &QTcpSocket::disconnected, this, &BackendConnection::OnClosed);
   connect(&m_socket, &QTcpSocket::errorOccurred, this, &BackendConnection::OnClosed);
-  connect(&m_timer, &QTimer::timeout, this, [this] { Fail(Reason::kBackendTimeout); });
+  connect(&m_timer, &QTimer::timeout, this, &BackendConnection::OnTimeout);
 }
 
 BackendConnection::~BackendConnection() {
@@ -113,9 +113,11 @@
   m_head_parsed = false;
   m_written = false;
   StartParser();
-  m_timer.start(std::max(timeout, std::chrono::milliseconds(1)));
+  m_request_timeout = std::max(timeout, std::chrono::milliseconds(1));
+  m_timer.start(m_request_timeout);
   if (m_state == State::kIdle) return WriteRequest();
   m_state = State::kConnecting;
+  if (m_connect_timeout) m_timer.start(std::min(*m_connect_timeout, m_request_timeout));
   m_socket.connectToHost(QString::fromStdString(m_server.address), m_server.port);
 }
 
@@ -127,7 +129,13 @@
   return count >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
+void BackendConnection::OnTimeout() {
+  const bool is_connecting = m_state == State::kConnecting && m_connect_timeout;
+  Fail(is_connecting ? Reason::kBackendUnreachable : Reason::kBackendTimeout);
+}
+
 void BackendConnection::OnConnected() {
+  if (m_connect_timeout) m_timer.start(m_request_timeout);
   m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
   const int descriptor = static_cast<int>(m_socket.socketDescriptor());
   if (m_keep_alive && !EnableKeepAlive(descriptor, *m_keep_alive)) {
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -110,6 +110,10 @@
   // that does not support it fails the request with kBackendUnreachable.
   void SetKeepAlive(const KeepAlive& keep_alive) { m_keep_alive = keep_alive; }
 
+  // Lets a request fail with kBackendUnreachable if the connection is not established within
+  // `timeout`. Without it, only the timeout of the request bounds that time.
+  void SetConnectTimeout(std::chrono::milliseconds timeout) { m_connect_timeout = timeout; }
+
   // Sends a request, connecting first if needed. At most `credit` bytes of the response body are
   // read. After `timeout` the request fails with kBackendTimeout and the connection closes. A
   // response with the id of another request is skipped. A success that lacks the id or the success
@@ -145,6 +149,7 @@
   using Parser = boost::beast::http::response_parser<CollectedBody>;
 
   void OnConnected();
+  void OnTimeout();
   void WriteRequest();
   void ReadMore();
   void Parse();
@@ -168,6 +173,8 @@
   QTcpSocket m_socket;
   QTimer m_timer;
   std::optional<KeepAlive> m_keep_alive;  // Empty: off.
+  std::optional<std::chrono::milliseconds> m_connect_timeout;
+  std::chrono::milliseconds m_request_timeout{};
   State m_state = State::kNew;
   std::string m_output;  // Serialized request; empty once written.
   std::string m_method;
--- a/tests/auto/platform/tst_storereader.cpp
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "platform/storereader.h"
+#include "support/fulllistener.h"
 #include "support/standinstore.h"
 #include "support/tabletest.h"
 #include "support/wait.h"
@@ -146,6 +147,7 @@
   CPPUNIT_TEST(ResponseOverTheLimitFailsAtOnce);
   CPPUNIT_TEST(PagesOfTwoEpochsAreNotMixed);
   CPPUNIT_TEST(ResponseOfAnOlderEpochFails);
+  CPPUNIT_TEST(HangingConnectFailsBeforeTheCall);
   CPPUNIT_TEST(WatchOnASilentConnectionBreaks);
   CPPUNIT_TEST_SUITE_END();
 
@@ -338,6 +340,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("AB"), WaitForText());
   }
 
+  // Guards against a watch that lasts until its time-out because its connection was never opened,
+  // and against one that is opened late, when the store may have been restored.
+  void HangingConnectFailsBeforeTheCall() {
+    test::FullListener listener;
+    Events events;
+    StoreReader reader(listener.Address(), "servers/", FirstRead::kCurrent, JoinValues, events);
+    reader.Start(StoreRead{0, {}});
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return !events.Failure().empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("backend_unreachable"), events.Failure());
+  }
+
   void InvalidValueAffectsNoOtherItem() {
     m_store.Put("servers/a", "A");
     m_store.PutEncoded("servers/b", "*no base64*");
