Use an instance again that the new epoch lacked before it came

What callers saw: nothing shown; found by the review of the restored store. Cause: an instance whose entry had lapsed before the restoration, and that wrote itself again after it, was kept out of use for a minute as if it were the copy's. Change: a departure is forgotten once a list of a later epoch lacks the incarnation, and after 20 s: the copy is some seconds old, and an entry that nobody renews lapses within 5 s.

--- a/src/libs/configuration/inventoryretention.cpp
+++ b/src/libs/configuration/inventoryretention.cpp
@@ -54,6 +54,17 @@
   return believed;
 }
 
+void InventoryRetention::ForgetDepartures(const VmList& list, TimePoint now) {
+  std::set<IncarnationKey> present;
+  for (const BackendServer& server : list.inventory.value_or(std::vector<BackendServer>())) {
+    present.insert(KeyOf(server));
+  }
+  std::erase_if(m_departures, [&](const auto& entry) {
+    const bool is_lacking = list.epoch > entry.second.epoch && !present.contains(entry.first);
+    return is_lacking || entry.second.forget_at <= now;
+  });
+}
+
 void InventoryRetention::RecordDepartures(const VmList& list, TimePoint now) {
   if (!list.inventory) return;
   const std::set<BackendServerId> leaving = LeavingIn(list);
@@ -76,7 +87,7 @@
 }
 
 void InventoryRetention::Update(const VmList& read, TimePoint now) {
-  std::erase_if(m_departures, [now](const auto& entry) { return entry.second.forget_at <= now; });
+  ForgetDepartures(read, now);
   const VmList list = WithoutForgottenDepartures(read);
   RecordDepartures(list, now);
   const std::set<BackendServerId> present = ServersIn(list);
--- a/src/libs/configuration/inventoryretention.h
+++ b/src/libs/configuration/inventoryretention.h
@@ -24,7 +24,7 @@
 
 // How long an instance that has left is remembered. Covers the age of a copy that the service is
 // restored from, and the time after which the service removes an entry that nobody renews.
-inline constexpr std::chrono::seconds kDepartureMemory{60};
+inline constexpr std::chrono::seconds kDepartureMemory{20};
 
 // Retains servers that disappear from a live inventory without notice for a grace period. Each node
 // does so locally, from when it first sees the removal, so that a node never restores a server that
@@ -66,6 +66,9 @@
   }
   // Returns the departure in an epoch before that of `list`, or null if there is none.
   const Departure* EarlierDeparture(const BackendServer& server, std::uint64_t epoch) const;
+  // Forgets departures that are too long ago, and those of incarnations that `list`, as it was
+  // read, lacks in a later epoch: an entry that comes after that has been written again.
+  void ForgetDepartures(const VmList& list, TimePoint now);
   // Returns `list` without the instances that had left in an earlier epoch; those that were leaving
   // are leaving still.
   VmList WithoutForgottenDepartures(const VmList& list) const;
--- a/tests/auto/configuration/tst_restoredinventory.cpp
+++ b/tests/auto/configuration/tst_restoredinventory.cpp
@@ -58,7 +58,7 @@
 
 struct RestorationRow {
   std::string_view name;
-  std::array<ReadList, 3> lists;
+  std::array<ReadList, 4> lists;  // An epoch of 0 marks an unused place.
   milliseconds at;
   std::string_view expected;
 };
@@ -93,6 +93,11 @@
                    {{{kStart, 1, "ab"}, {kSoon, 1, "a"}, {kLater, 1, "ab"}}},
                    kLater,
                    "ab"},
+    RestorationRow{
+        "instance that lapsed and is written again in the new epoch is used",
+        {{{kStart, 1, "ab"}, {kSoon, 1, "a"}, {kLater, 2, "a"}, {kLater + kSoon, 2, "ab"}}},
+        kLater + kSoon,
+        "ab"},
     RestorationRow{"what the copy lacks is retained",
                    {{{kStart, 1, "abcdefgh"}, {kSoon, 1, "abcdefgh"}, {kLater, 2, "abcdefg"}}},
                    kLater + milliseconds(1900),
@@ -115,7 +120,9 @@
 // in which it is still there, and against the loss of one that the copy lacks.
 void TestRestoration(const RestorationRow& row) {
   InventoryRetention retention;
-  for (const ReadList& read : row.lists) retention.Update(ListOf(read), At(read.at));
+  for (const ReadList& read : row.lists) {
+    if (read.epoch > 0) retention.Update(ListOf(read), At(read.at));
+  }
   CPPUNIT_ASSERT_EQUAL(std::string(row.expected), NamesOf(retention.Current(At(row.at))));
 }
 
