Prefer a newer configuration of a peer to that of a restored store

What callers saw: nothing shown; found by the review of the restored store. Cause: a node without a configuration activated what a store with current reads returned, also where a peer had reported a newer version; a restored store returns an older one. Measured: NewerConfigurationOfAPeerComesFirst failed before and passes.

--- a/src/libs/configuration/configurationbootstrap.cpp
+++ b/src/libs/configuration/configurationbootstrap.cpp
@@ -29,11 +29,12 @@
 
 ConfigurationBootstrap::Step ConfigurationBootstrap::Next(const PeerResponses& peers,
                                                           TimePoint now) const {
-  if (m_candidate_since && m_store_is_current) return Step::kApplyCandidate;
   if (m_candidate_since) {
     const bool all_responded = peers.responded >= peers.queried;
     const bool is_late = now >= *m_candidate_since + kPeerResponseTimeout;
+    // Even a current store may have been restored from a copy that is older than what peers hold.
     if (peers.has_newer && !is_late) return Step::kFetchFromPeer;
+    if (m_store_is_current) return Step::kApplyCandidate;
     return all_responded || is_late ? Step::kApplyCandidate : Step::kWaitForPeers;
   }
   if (peers.has_newer) return Step::kFetchFromPeer;
--- a/tests/auto/configuration/tst_fetchplan.cpp
+++ b/tests/auto/configuration/tst_fetchplan.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(FreshNodePrefersPeersToStaleStore);
   CPPUNIT_TEST(FleetRestartTakesStoreVersion);
   CPPUNIT_TEST(CurrentStoreIsTakenAtOnce);
+  CPPUNIT_TEST(NewerConfigurationOfAPeerComesFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -88,6 +89,19 @@
                    ConfigurationBootstrap::Step::kApplyCandidate);
   }
 
+  // Guards against an older configuration of a restored store in force although a peer has a newer
+  // one. A peer that cannot deliver it delays the start only for a time.
+  void NewerConfigurationOfAPeerComesFirst() {
+    RandomSource random(1);
+    ConfigurationBootstrap fresh(false, false, random, At(milliseconds(0)), true);
+    fresh.OnCandidateReceived(At(milliseconds(5)));
+    const PeerResponses newer{8, 1, true};
+    CPPUNIT_ASSERT(fresh.Next(newer, At(milliseconds(5))) ==
+                   ConfigurationBootstrap::Step::kFetchFromPeer);
+    CPPUNIT_ASSERT(fresh.Next(newer, At(milliseconds(2000))) ==
+                   ConfigurationBootstrap::Step::kApplyCandidate);
+  }
+
   // Guards against a watcher that starts no long poll for 30 s after a read without a wait, which
   // returns immediately.
   void ImmediateReadDoesNotDelayTheWatch() {
