--- a/review/harness/main.cpp
+++ b/review/harness/main.cpp
@@ -26,8 +26,8 @@
   signal(SIGPIPE, SIG_IGN);
   alarm(kLongestSeconds);  // Its nodes end with it.
   const char* trouble = std::getenv("TROUBLE");
-  char folder[] = "/tmp/damaskhollow-review-XXXXXX";
-  if (mkdtemp(folder) == nullptr) return review::kCouldNotRun;
+  std::string folder = std::filesystem::temp_directory_path() / "damaskhollow-review-XXXXXX";
+  if (mkdtemp(folder.data()) == nullptr) return review::kCouldNotRun;
   int status = review::kCouldNotRun;
   {
     review::Record record(std::string(argv[2]) + "/record.txt");
