--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the scenario large-upload. Build first: the deploy file's build, then review/build.sh.
+# Plays the scenario drain-queue. Build first: the deploy file's build, then review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/harness ] && [ -x target/bin/damaskhollow-platform ] || exit 2
-exec target/review/harness large-upload "$PWD/review/3"
+exec target/review/harness drain-queue "$PWD/review/3"
--- a/review/harness/standins.h
+++ b/review/harness/standins.h
@@ -87,6 +87,8 @@
   // Writes an item; returns when it is acknowledged.
   double Put(const std::string& key, const std::string& value);
   double Delete(const std::string& key);
+  // A silent store accepts connections and requests, and never answers what came meanwhile.
+  void SetSilent(bool is_silent) { m_is_silent = is_silent; }
 
  private:
   struct Item {
@@ -101,7 +103,7 @@
     Item item;
   };
 
-  std::string Handle(const Message& request);
+  std::string Handle(int descriptor, const Message& request);
   std::string Range(const std::string& prefix, const std::string& after);
   std::string Watch(const std::string& prefix, std::uint64_t after, int wait_ms);
   static std::string ItemJson(const std::string& key, const Item& item);
@@ -112,6 +114,7 @@
   std::map<std::string, Item> m_items;
   std::vector<Event> m_events;
   bool m_ending = false;
+  std::atomic<bool> m_is_silent{false};
   Server m_server;
 };
 
