--- a/review/harness/standins.cpp
+++ b/review/harness/standins.cpp
@@ -234,11 +234,17 @@
   static std::set<int> taken;
   for (;;) {
     const int port = 10000 + static_cast<int>(random() % 20000);
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = AddressOf("0.0.0.0", port);
-    const bool free =
-        bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
-    close(descriptor);
+    const auto is_free = [port](const char* ip) {
+      const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in address = AddressOf(ip, port);
+      const bool bound =
+          bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+      close(descriptor);
+      return bound;
+    };
+    const auto ips = {"127.0.7.1", "127.0.7.2", "127.0.7.3",  "127.0.7.4",
+                      "127.0.7.5", "127.0.7.6", "127.0.7.200"};
+    const bool free = std::all_of(ips.begin(), ips.end(), is_free);
     if (free && taken.insert(port).second) return port;
   }
 }
--- a/review/harness/standins.h
+++ b/review/harness/standins.h
@@ -51,7 +51,7 @@
 bool WriteAll(int descriptor, const std::string& bytes);
 // Opens a connection; returns -1 if it is refused or not open within a second.
 int Dial(const std::string& ip, int port);
-// A port on which nothing listens on any loopback address.
+// A port on which nothing listens at the loopback addresses that the scenarios use.
 int FreePort();
 
 // Accepts connections and serves each in a thread of its own. The handler returns the bytes of the
