Answer the calls that still wait when a node is stopped

Cause: Node::CheckDrained ends the process when the drain timeout has passed, whatever is pending. No call was withdrawn before.

Ruled out: refusing requests with a late deadline from SIGTERM on, since most are answered in time; an unconditional cancel, since it would end running calls that may be repeated.

Change: Cancel has the condition unless_running. 0.75 s before its end a node takes back what waits, refuses what the owners confirm as not run, and sends nothing more; its own owner refuses the calls of other nodes that wait there. 0.25 s before the end the rest gets 502 (node_stopped).

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -135,6 +135,9 @@
     {Reason::kAnswerTruncated, "answer_truncated", kUnknown, 502, false,
      "The answer broke off after its head had been relayed; the connection was closed.",
      "Check the backend server's log."},
+    {Reason::kNodeStopped, "node_stopped", kUnknown, 502, false,
+     "The node was stopped before the answer arrived.",
+     "Allow more time for the shutdown if calls take longer."},
 }};
 
 constexpr bool IsInEnumerationOrder() {
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -69,6 +69,7 @@
   kLinkSilent,
   kOwnerRestarted,
   kAnswerTruncated,
+  kNodeStopped,
   kCount,
 };
 
--- a/src/libs/calls/attemptmessages.cpp
+++ b/src/libs/calls/attemptmessages.cpp
@@ -53,11 +53,12 @@
   return message;
 }
 
-wire::Envelope MakeCancel(const AttemptKey& attempt) {
+wire::Envelope MakeCancel(const AttemptKey& attempt, CancelScope scope) {
   wire::Envelope message;
   message.mutable_cancel()->set_call_id(attempt.call.value);
   message.mutable_cancel()->set_ingress_incarnation(attempt.ingress.value);
   message.mutable_cancel()->set_expires_at_us(attempt.expiry.expires_at_us);
+  message.mutable_cancel()->set_unless_running(scope == CancelScope::kUnlessRunning);
   return message;
 }
 
--- a/src/libs/calls/attemptmessages.h
+++ b/src/libs/calls/attemptmessages.h
@@ -20,12 +20,15 @@
   ExpiryStamp expiry;
 };
 
+// Which attempts a Cancel ends: all, or only those that have not been dispatched.
+enum class CancelScope { kAnyState, kUnlessRunning };
+
 // Build the messages by which an ingress sends, cancels and queries an attempt. `digest` is the
 // result of RequestDigest; `next_sequence` is the first response chunk that the ingress lacks.
 wire::Envelope MakeCallRequest(const AttemptKey& attempt, const BackendServerId& server,
                                const CallClass& call_class, const std::string& digest,
                                const HttpRequest& request);
-wire::Envelope MakeCancel(const AttemptKey& attempt);
+wire::Envelope MakeCancel(const AttemptKey& attempt, CancelScope scope = CancelScope::kAnyState);
 wire::Envelope MakeStatusQuery(const AttemptKey& attempt, std::uint32_t next_sequence);
 
 // Returns the digest by which the crash guard identifies a request: the first 16 bytes of a SHA-256
--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -126,6 +126,18 @@
   }
 }
 
+void IngressService::WithdrawWaitingCalls() {
+  for (Slot& slot : m_slots) {
+    slot.thread->Post([shard = slot.shard.get()] { shard->WithdrawWaitingCalls(); });
+  }
+}
+
+void IngressService::EndRemainingCalls() {
+  for (Slot& slot : m_slots) {
+    slot.thread->Post([shard = slot.shard.get()] { shard->EndRemainingCalls(); });
+  }
+}
+
 void IngressService::Stop() {
   for (Slot& slot : m_slots) {
     slot.thread->RunAndWait([&slot] { slot.shard.reset(); });
--- a/src/libs/ingress/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -44,6 +44,10 @@
   // relayed.
   void StartClosing(TimePoint end);
 
+  // Forward to all shards; see IngressShard.
+  void WithdrawWaitingCalls();
+  void EndRemainingCalls();
+
   // Deletes all shards and their connections. The worker threads must still be running.
   void Stop();
 
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -132,7 +132,7 @@
   ReplaceOriginHeaders(call.request, m_context.convention, m_context.own_service);
   call.deadline = call.started + call.call_class.deadline;
   // It would be cut at the end if it still ran, and it could not be sent again.
-  if (m_closing_end && call.deadline > *m_closing_end) {
+  if (m_is_withdrawing || (m_closing_end && call.deadline > *m_closing_end)) {
     return RespondWithReason(exchange, Reason::kDraining);
   }
   call.digest = RequestDigest(call.call_class.service, call.request);
@@ -455,6 +455,7 @@
                                  bool proved_not_run) {
   call.last_reason = reason;
   if (!call.attempts.empty()) return;
+  if (m_is_withdrawing) return RespondWithReason(exchange, reason);
   const Reason decision = DecideRetry(call, reason, proved_not_run);
   if (decision == Reason::kRetryBudget) {
     // The caller gets the original reason; the counter records that the retry budget prevented a
@@ -490,9 +491,9 @@
 void IngressShard::RouteSpeculatively(ExchangeId exchange) {
   PendingCall& call = m_calls.at(exchange);
   const TimePoint now = MonotonicNow();
-  const bool may_send = call.relayed_attempt.value == 0 && call.call_class.request_id.empty() &&
-                        call.arrivals + call.attempts.size() < MaxArrivals(call) &&
-                        now < call.deadline;
+  const bool may_send =
+      !m_is_withdrawing && call.relayed_attempt.value == 0 && call.call_class.request_id.empty() &&
+      call.arrivals + call.attempts.size() < MaxArrivals(call) && now < call.deadline;
   if (!may_send) return;
   const RoutingChoice choice = Choose(call, call.call_class.may_cross_regions);
   if (choice.refusal != Reason::kNone) return;
@@ -506,6 +507,8 @@
   for (const auto& [id, attempt] : m_attempts) {
     if (attempt.server != owner || !attempt.is_suspect) continue;
     m_context.messenger.Send(owner, MakeStatusQuery(NameOf(id, attempt), attempt.next_sequence));
+    // The withdrawal may have been lost with the link.
+    if (m_is_withdrawing) SendWithdrawal(id, attempt);
   }
 }
 
@@ -533,11 +536,14 @@
   const CallId id{cancelled.call_id()};
   const Attempt* attempt = FindAttempt(id);
   if (attempt == nullptr) return;
+  // Otherwise the owner replies to a withdrawal, and a running call goes on.
+  const bool is_late = m_calls.at(attempt->exchange).cancelled_at_deadline;
   switch (AttemptStatusFrom(cancelled.call_state(), cancelled.state(), attempt->expiry)) {
     case AttemptStatus::kNotRun:
-      return HandleNotRun(id, Reason::kQueueExpired);
+      return HandleNotRun(id, is_late ? Reason::kQueueExpired : Reason::kDraining);
     case AttemptStatus::kPending:
-      return HandleUnknownOutcome(id, Reason::kBackendTimeout);
+      if (is_late) HandleUnknownOutcome(id, Reason::kBackendTimeout);
+      return;
     case AttemptStatus::kDone:
       return;  // Its response or failure message is in transit.
     case AttemptStatus::kUnknown:
@@ -688,6 +694,46 @@
   for (const ConnectionId id : connections) m_connections.at(id)->CloseWhenIdle();
 }
 
+void IngressShard::WithdrawWaitingCalls() {
+  m_is_withdrawing = true;
+  for (const ExchangeId exchange : PendingExchanges()) {
+    PendingCall* call = FindCall(exchange);
+    if (call == nullptr || call->relayed_attempt.value != 0) continue;
+    if (call->attempts.empty()) {
+      RespondWithReason(exchange, Reason::kDraining);
+      continue;
+    }
+    for (const CallId id : call->attempts) SendWithdrawal(id, m_attempts.at(id));
+  }
+}
+
+void IngressShard::SendWithdrawal(CallId id, const Attempt& attempt) {
+  m_context.messenger.Send(attempt.server,
+                           MakeCancel(NameOf(id, attempt), CancelScope::kUnlessRunning));
+}
+
+void IngressShard::EndRemainingCalls() {
+  m_is_withdrawing = true;
+  for (const ExchangeId exchange : PendingExchanges()) {
+    // Ending one call may close its connection and thereby end other calls in the list.
+    PendingCall* call = FindCall(exchange);
+    if (call == nullptr) continue;
+    if (call->relayed_attempt.value != 0) {
+      HandleUnknownOutcome(call->relayed_attempt, Reason::kNodeStopped);
+    } else {
+      RespondWithReason(exchange,
+                        call->attempts.empty() ? Reason::kDraining : Reason::kNodeStopped);
+    }
+  }
+}
+
+std::vector<ExchangeId> IngressShard::PendingExchanges() const {
+  std::vector<ExchangeId> exchanges;
+  exchanges.reserve(m_calls.size());
+  for (const auto& entry : m_calls) exchanges.push_back(entry.first);
+  return exchanges;
+}
+
 void IngressShard::Tick() {
   const TimePoint now = MonotonicNow();
   std::vector<ExchangeId> waiting;
@@ -705,9 +751,9 @@
 void IngressShard::CheckHedges(TimePoint now) {
   std::vector<ExchangeId> slow;
   for (const auto& [exchange, call] : m_calls) {
-    const bool may_hedge = call.call_class.idempotent && call.call_class.request_id.empty() &&
-                           !call.hedged && call.attempts.size() == 1 &&
-                           call.relayed_attempt.value == 0 &&
+    const bool may_hedge = !m_is_withdrawing && call.call_class.idempotent &&
+                           call.call_class.request_id.empty() && !call.hedged &&
+                           call.attempts.size() == 1 && call.relayed_attempt.value == 0 &&
                            call.arrivals + 1 < MaxArrivals(call) && now < call.deadline;
     if (!may_hedge) continue;
     const std::optional<Duration> delay = m_retries.HedgeDelay(call.call_class.service);
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -74,6 +74,14 @@
   // complete only from now on are refused if their deadline is after `end`.
   void CloseConnections(TimePoint end);
 
+  // Ends the calls that have not been dispatched, as the node stops before they could be answered.
+  // A call that waits at an owner is refused once the owner has confirmed that it will not run;
+  // running calls go on.
+  void WithdrawWaitingCalls();
+
+  // Ends the calls that are left when responses can no longer be relayed. Their outcome is unknown.
+  void EndRemainingCalls();
+
   // Closes up to `count` connections on which no complete request head has been received, longest
   // waiting first. Does nothing while the node is below its connection limit.
   void CloseWaitingConnections(std::size_t count);
@@ -181,6 +189,9 @@
   void EndAttempt(CallId attempt, AttemptResult result);
   void CancelAttempts(PendingCall& call);
   void CancelOthers(PendingCall& call, CallId kept);
+  // Asks the owner of an attempt to cancel it unless it runs.
+  void SendWithdrawal(CallId id, const Attempt& attempt);
+  std::vector<ExchangeId> PendingExchanges() const;
 
   // The reason to report to the caller. A reason with the outcome not-run is replaced unless it is
   // proven that no attempt has run.
@@ -218,6 +229,7 @@
   CallLog m_log;
   QTimer m_timer;
   std::optional<TimePoint> m_closing_end;  // Set while the node stops.
+  bool m_is_withdrawing = false;           // No call is sent to an owner any more.
 };
 
 }  // namespace damaskhollow
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -14,6 +14,9 @@
 // How long a draining node must be idle before it stops. The final responses are handed to the peer
 // thread before the owner is idle, and need this time to reach the network.
 constexpr std::chrono::milliseconds kResponseFlushTime{250};
+// How long before its last responses a draining node withdraws the calls that wait at other nodes.
+// Covers the owners' replies over a link between regions that loses packets.
+constexpr std::chrono::milliseconds kWithdrawalTime{500};
 
 BytePurpose PurposeOf(const wire::Envelope& message) {
   switch (message.body_case()) {
@@ -198,9 +201,14 @@
       m_drain_started + std::chrono::milliseconds(m_settings.drain_announce_ms);
   const TimePoint end = closing + std::chrono::milliseconds(m_settings.drain_timeout_ms);
   if (now < closing) return;
-  if (!m_is_closing) {
-    m_is_closing = true;
-    m_ingress->StartClosing(end - kResponseFlushTime);
+  const TimePoint last_response = end - kResponseFlushTime;
+  if (!std::exchange(m_is_closing, true)) m_ingress->StartClosing(last_response);
+  if (now >= last_response - kWithdrawalTime && !std::exchange(m_is_withdrawing, true)) {
+    m_ingress->WithdrawWaitingCalls();
+    m_owner.RefuseWaitingCalls(Reason::kDraining);
+  }
+  if (now >= last_response && !std::exchange(m_has_ended_calls, true)) {
+    m_ingress->EndRemainingCalls();
   }
   const bool has_work = !m_owner.IsIdle() || m_ingress->CallerConnections() > 0;
   if (has_work) m_idle_since.reset();
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -75,8 +75,9 @@
   void Tick();
   // Lets the crash reporter check the local backend server.
   void CheckBackendCrashes();
-  // Continues a drain: stops accepting callers once the announcement time has passed, and ends the
-  // drain when the node is idle or the drain timeout has passed.
+  // Continues a drain: stops accepting callers once the announcement time has passed, ends the
+  // calls that cannot be answered before the drain timeout, and ends the drain when the node is
+  // idle or the timeout has passed.
   void CheckDrained();
   bool IsReady() const;
   QJsonObject Status() const;
@@ -106,7 +107,9 @@
   std::function<void()> m_on_drained;  // Set during a drain.
   TimePoint m_drain_started{};
   std::optional<TimePoint> m_idle_since;  // Set while a draining node has no work.
-  bool m_is_closing = false;
+  bool m_is_closing = false;              // No caller connections are accepted any more.
+  bool m_is_withdrawing = false;          // Waiting calls are refused.
+  bool m_has_ended_calls = false;         // No response is awaited any more.
 
   mutable std::mutex m_peers_lock;
   std::set<BackendServerId> m_linked_peers;
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -345,6 +345,8 @@
     result.set_call_state(wire::CALL_STATE_CANCELLED);
     m_claims.RecordOutcome(id, ClaimOutcome::kNotRun);
     m_calls.RemoveCancelled(id, now);
+  } else if (cancel.unless_running()) {
+    result.set_call_state(wire::CALL_STATE_RUNNING);
   } else {
     result.set_call_state(wire::CALL_STATE_RUNNING);
     call->discard_answer = true;
@@ -417,6 +419,14 @@
   m_messenger.Reply(route, std::move(message));
 }
 
+void OwnerService::RefuseWaitingCalls(Reason reason) {
+  const std::lock_guard lock(m_lock);
+  for (const OwnedCallId id : m_calls.Waiting()) {
+    m_admission.Cancel(id);
+    RefuseNotRun(id, reason);
+  }
+}
+
 void OwnerService::RefuseCallsOfOtherServices() {
   if (m_service == nullptr) return;
   for (const OwnedCallId id : m_calls.Waiting()) {
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -69,6 +69,9 @@
   // Refuses new calls from now on; queued and running calls are finished.
   void StartDrain();
 
+  // Refuses all calls that have not been dispatched, as not run. Running calls are finished.
+  void RefuseWaitingCalls(Reason reason);
+
   // Sets whether the backend server itself is leaving. New calls are refused while it is; they are
   // accepted again afterwards unless StartDrain was called.
   void SetBackendLeaving(bool leaving);
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -100,6 +100,16 @@
                           std::move(message));
   }
 
+  // Asks the owner to cancel a call unless it runs, and returns the state that it replies.
+  wire::CallState CancelUnlessRunning(std::uint64_t call_id) {
+    wire::Envelope message;
+    message.mutable_cancel()->set_call_id(call_id);
+    message.mutable_cancel()->set_unless_running(true);
+    m_owner.HandleMessage(ReplyRoute{BackendServerId("10.0.0.2"), "10.0.0.2#1#1"},
+                          std::move(message));
+    return m_messenger.Messages().back().cancel_result().call_state();
+  }
+
   // Holds up the only worker until the returned function is called.
   std::function<void()> HoldWorker() {
     auto held = std::make_shared<std::promise<void>>();
@@ -201,6 +211,45 @@
 const test::TableTest<ReassignedRow> reassigned_test("OwnerServiceAddressPassed", reassigned_rows,
                                                      TestAddressReassignedWhileCallWaits);
 
+std::string AnswerTo(std::string_view id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) + "\r\nContent-Length: 3\r\n\r\nran";
+}
+
+struct WithdrawnRow {
+  std::string_view name;
+  bool is_dispatched;
+  wire::CallState state;  // That the owner replies.
+};
+
+constexpr std::array kWithdrawnRows{
+    WithdrawnRow{"queued", false, wire::CALL_STATE_CANCELLED},
+    WithdrawnRow{"running", true, wire::CALL_STATE_RUNNING},
+};
+
+// Guards against a node that ends running calls when it withdraws its waiting ones before it stops,
+// and against a withdrawn call that runs later.
+void TestWithdrawnCall(const WithdrawnRow& row) {
+  const test::ScriptedServer server({AnswerTo("mine")}, test::ScriptedServer::End::kKeepOpen);
+  CallConvention convention;
+  convention.call_id = "Request-Id";
+  OwnerFixture fixture(1, convention);
+  fixture.Owner().ApplyDeclaration(DeclarationOf("portal", ToString(server.Address())), 1);
+  const std::function<void()> release = fixture.HoldWorker();
+  // A last tick 5 s ago looks like a pause, so nothing is dispatched before the next tick.
+  if (!row.is_dispatched) fixture.Owner().Tick(MonotonicNow() - std::chrono::seconds(5));
+  fixture.Call("portal", 1, {"Request-Id", "mine"});
+  CPPUNIT_ASSERT_EQUAL(row.state, fixture.CancelUnlessRunning(1));
+  fixture.Owner().Tick(MonotonicNow());
+  CPPUNIT_ASSERT_EQUAL(!row.is_dispatched, fixture.Owner().IsIdle());
+  release();
+  if (!row.is_dispatched) return;
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(1).empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string("ran"), fixture.ResultOf(1));
+}
+
+const test::TableTest<WithdrawnRow> withdrawn_test("OwnerServiceWithdrawn", kWithdrawnRows,
+                                                   TestWithdrawnCall);
+
 struct RejectedRow {
   std::string_view name;
   std::string_view answer;  // Head of the backend server's response, without its last field.
@@ -242,10 +291,6 @@
 const std::string refusal_of_first =
     "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n";
 
-std::string AnswerTo(std::string_view id) {
-  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) + "\r\nContent-Length: 3\r\n\r\nran";
-}
-
 struct RepeatedRefusalRow {
   std::string_view name;
   std::string_view second_id;  // Request id of the second call; that of the first one is "first".
--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -1,5 +1,7 @@
 #include "support/platformfleet.h"
 
+#include <QJsonDocument>
+#include <QJsonObject>
 #include <QTimer>
 #include <fstream>
 #include <utility>
@@ -13,7 +15,6 @@
 
 constexpr std::chrono::milliseconds kSlowTime{300};
 constexpr std::chrono::milliseconds kCallTimeout{10000};
-constexpr std::string_view kDeadlineMs = "4000";
 
 }  // namespace
 
@@ -40,6 +41,7 @@
                 request.target, request.body};
   m_runs.push_back(run);
   if (request.target.starts_with("/lost/")) return m_server.Abort(connection);
+  if (request.target.starts_with("/hold/")) return;
   if (!request.target.starts_with("/slow/")) return SendResponse(connection, run);
   QTimer::singleShot(kSlowTime, &m_server,
                      [this, connection, run] { SendResponse(connection, run); });
@@ -133,7 +135,7 @@
   return MakeRequest(method, target,
                      {{"Host", "shop.test"},
                       {"Request-Id", "r-" + std::to_string(m_next_request++)},
-                      {"Deadline-Ms", std::string(kDeadlineMs)},
+                      {"Deadline-Ms", std::to_string(m_deadline.count())},
                       {"Caller-Service", "forged"}},
                      std::move(body));
 }
@@ -157,6 +159,13 @@
       .status;
 }
 
+int PlatformFleet::QueuedCalls(std::size_t index) {
+  const HttpResponse response = m_client.Fetch(
+      m_servers[index].ready, MakeRequest("GET", "/status", {{"Host", "h"}}), kCallTimeout);
+  const QByteArray text = QByteArray::fromStdString(response.body);
+  return QJsonDocument::fromJson(text).object()["queued"].toInt(-1);
+}
+
 std::string PlatformFleet::Output() const {
   std::string text;
   for (const Server& server : m_servers) text += server.node->Output();
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -2,6 +2,7 @@
 #define DAMASKHOLLOW_TESTS_SUPPORT_PLATFORMFLEET_H_
 
 #include <QTemporaryDir>
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -18,7 +19,8 @@
 namespace damaskhollow::test {
 
 // A stand-in for one instance of a service on the users' platform, as callers see it. Requests to
-// /slow/ take 300 ms; requests to /lost/ run, but the connection is closed without a response.
+// /slow/ take 300 ms; requests to /lost/ run, but the connection is closed without a response;
+// requests to /hold/ run without end.
 class StandInInstance {
  public:
   struct Run {
@@ -69,7 +71,11 @@
                     std::string body = {});
   ConnectionId Send(std::size_t index, std::string_view method, std::string_view target,
                     HttpClient::Done done);
+  // Sets the time that callers wait for a response.
+  void SetDeadline(std::chrono::milliseconds deadline) { m_deadline = deadline; }
   int ReadyStatus(std::size_t index);
+  // The number of calls that wait at a node's owner for its instance.
+  int QueuedCalls(std::size_t index);
   std::string NextRequestId() const { return "r-" + std::to_string(m_next_request); }
   std::string LastRequestId() const { return "r-" + std::to_string(m_next_request - 1); }
 
@@ -96,6 +102,7 @@
   StandInStore m_store;
   std::uint16_t m_peer_port;
   std::vector<Server> m_servers;
+  std::chrono::milliseconds m_deadline{4000};
   int m_next_request = 1;
 };
 
