Bound the time for which readers are deaf after a silent store

Cause: one watch counted as knowledge for as long as it lasted, 11.5 s, and all readers' watches begin within 0.75 s after a change. Retries after a long outage came up to 5 s apart.

Ruled out: keep-alive, as the connections live; a stale read as a question, as it says nothing about one silent connection.

Change: WatchSchedule ends watches after 2 s at most, the first one after a change or failure by the reader's turn. The delay before a retry counts from the start of the failed read and grows to 2.5 s.

--- a/src/libs/configuration/fetchplan.cpp
+++ b/src/libs/configuration/fetchplan.cpp
@@ -12,11 +12,11 @@
 // round-trip time of 60 ms.
 constexpr std::chrono::milliseconds kTurnDuration{300};
 constexpr std::chrono::milliseconds kPeerRetryDelay{1000};
-// Longest first and later delay before a retry of a service that is down. With jitter, the first
-// retry follows after 0.25 to 0.5 s, and later ones back off to 2.5 to 5 s, because a change must
-// be active 5 s after the service accepted it.
+// Longest first and later delay between the start of a failed read and the retry. With jitter, the
+// first retry follows after 0.25 to 0.5 s, and later ones back off to 1.25 to 2.5 s, because all
+// nodes must be current 4 s after the return of the service.
 constexpr std::chrono::milliseconds kInitialRetryDelay{500};
-constexpr std::chrono::milliseconds kMaxRetryDelay{5000};
+constexpr std::chrono::milliseconds kMaxRetryDelay{2500};
 constexpr unsigned kMaxDoublings = 4;
 
 }  // namespace
@@ -119,7 +119,7 @@
   if (m_assignment.role == ReaderRole::kFollower || now < m_next_read) return std::nullopt;
   const bool is_watcher = m_assignment.role == ReaderRole::kWatcher;
   return StoreRead{m_store_version, is_watcher ? kStoreReadInterval : std::chrono::milliseconds(0),
-                   m_assignment.pause};
+                   m_assignment.pause, m_assignment.turn};
 }
 
 void FetchPlan::OnStoreReadStarted(TimePoint now, std::chrono::milliseconds wait) {
@@ -152,7 +152,8 @@
   ++m_failures;
   const auto jitter =
       static_cast<Duration::rep>(static_cast<double>(longest.count()) / 2.0 * random.Unit());
-  m_next_read = now + longest / 2 + Duration(jitter);
+  // A read that was not answered has taken its time already.
+  m_next_read = std::max(now, m_read_started + longest / 2 + Duration(jitter));
   m_retry_not_before = m_next_read;
 }
 
--- a/src/libs/configuration/fetchplan.h
+++ b/src/libs/configuration/fetchplan.h
@@ -25,6 +25,9 @@
   std::uint64_t after = 0;            // Only a version above this one is returned.
   std::chrono::milliseconds wait{};   // How long the service may hold the read open (long poll).
   std::chrono::milliseconds pause{};  // Minimum delay between a change and the read.
+  // How long after a change the first watch of the read ends; later ones end kMaxWatchDuration
+  // after their start.
+  std::chrono::milliseconds turn{};
 };
 
 // Decides when a node reads the service and which peer it queries, for one platform document (the
@@ -70,7 +73,7 @@
   // Handles the start of a read. `wait` is how long the service may hold it open.
   void OnStoreReadStarted(TimePoint now, std::chrono::milliseconds wait = kStoreReadInterval);
   // Handle the end of a read: with a higher version, without one, or with an error. After errors,
-  // reads are retried with exponential backoff.
+  // reads are retried with exponential backoff, which counts from the start of the failed read.
   void OnStoreReadChanged(TimePoint now);
   void OnStoreReadUnchanged(TimePoint now);
   void OnStoreReadFailed(RandomSource& random, TimePoint now);
--- a/src/libs/configuration/readerelection.cpp
+++ b/src/libs/configuration/readerelection.cpp
@@ -88,6 +88,9 @@
   const bool is_first = found == assignment.region_readers.begin();
   assignment.role = is_near || is_first ? ReaderRole::kWatcher : ReaderRole::kStandby;
   if (!is_first) assignment.pause = kSuccessorPause;
+  const std::ptrdiff_t position = found - assignment.region_readers.begin();
+  const auto readers = static_cast<std::ptrdiff_t>(assignment.region_readers.size());
+  assignment.turn = kSuccessorPause + kMaxWatchDuration * (position + 1) / readers;
   return assignment;
 }
 
--- a/src/libs/configuration/readerelection.h
+++ b/src/libs/configuration/readerelection.h
@@ -37,6 +37,11 @@
 // must not exceed the time within which a change must be active.
 inline constexpr std::chrono::milliseconds kUnlistedPause{1000};
 
+// The longest time that the service may hold one watch. A watch on a service that has stopped
+// responding is noticed only when it is overdue, and the nodes must be current 4 s after the
+// service's return.
+inline constexpr std::chrono::milliseconds kMaxWatchDuration{2000};
+
 // Determines how a node obtains the documents of the platform's services.
 enum class ReaderRole {
   kFollower,  // Fetches the documents from peers only.
@@ -52,6 +57,9 @@
   ReaderRole role = ReaderRole::kFollower;
   std::vector<BackendServerId> region_readers;  // In the order in which they use the paid link.
   std::chrono::milliseconds pause{};            // Minimum delay between a change and the next read.
+  // How long after a change the first watch ends. It differs between the readers of a region, whose
+  // watches would otherwise all begin and end at the same time.
+  std::chrono::milliseconds turn = kSuccessorPause + kMaxWatchDuration;
 };
 
 // Returns the live nodes of a region in the order in which they become readers. The data centres
--- a/tests/support/standinstore.cpp
+++ b/tests/support/standinstore.cpp
@@ -170,6 +170,12 @@
                    "],\"currentRev\":" + std::to_string(m_revision) + "}");
 }
 
+std::size_t StandInStore::PendingWatches(std::string_view prefix) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_pending.begin(), m_pending.end(),
+                    [&](const PendingWatch& watch) { return watch.prefix == prefix; }));
+}
+
 void StandInStore::CompletePendingWatches() {
   for (const PendingWatch& watch : std::exchange(m_pending, {})) {
     if (HasEvents(watch)) {
--- a/tests/support/standinstore.h
+++ b/tests/support/standinstore.h
@@ -57,6 +57,8 @@
   std::size_t Ranges() const { return m_ranges; }
   std::size_t StaleRanges() const { return m_stale_ranges; }
   std::size_t Watches() const { return m_watches; }
+  // The number of watches of one prefix that wait for a change and will be answered.
+  std::size_t PendingWatches(std::string_view prefix) const;
 
  private:
   struct Item {
