Hand on the calls that wait beside a leaving instance

Cause: the list's news of an instance reached only the routers of the ingresses. The owner knew of a leave only by SIGTERM, health status or drain header, and kept its queue even then.

Ruled out: dispatching the queue up to a time limit, since the calls behind it would wait for nothing.

Change: the owner follows the list for its own instance. When the instance leaves by whatever source, or its entry is gone after the grace for removals, what waits is refused as not run and goes to another instance, without drawing on the retry budget; instances that refused the call earlier are considered again. Load questions are refused as well. If no instance is left, the caller gets 503 at once. Running calls go on.

--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -381,6 +381,7 @@
     m_probe.OnDrainHeader(now);
   }
   m_probe.Tick(now);
+  m_context.owner.SetListedAsLeaving(m_membership.IsListedAsLeaving(m_self.id));
   // Only changes are passed on: the owner evaluates the drain header itself, and a repeated value
   // would override it.
   if (std::exchange(m_was_leaving, m_drain.IsLeaving()) != m_drain.IsLeaving()) {
--- a/src/libs/control/membership.cpp
+++ b/src/libs/control/membership.cpp
@@ -137,6 +137,11 @@
   return m_view.StateOf(server, MonotonicNow());
 }
 
+bool Membership::IsListedAsLeaving(const BackendServerId& server) const {
+  const std::lock_guard lock(m_lock);
+  return m_view.IsListedAsLeaving(server);
+}
+
 bool Membership::IsListSuspect() const {
   const std::lock_guard lock(m_lock);
   return m_view.IsListSuspect();
--- a/src/libs/control/membership.h
+++ b/src/libs/control/membership.h
@@ -57,6 +57,7 @@
   std::optional<WallTime> AbsentSince(const BackendServerId& server) const;
 
   MemberState StateOf(const BackendServerId& server) const;
+  bool IsListedAsLeaving(const BackendServerId& server) const;
   bool IsListSuspect() const;
 
   // Returns one object per server of the inventory with its id, state, the reason for the state,
--- a/src/libs/fleet/fleetview.cpp
+++ b/src/libs/fleet/fleetview.cpp
@@ -150,6 +150,11 @@
   return member->link == Link::kDown ? MemberState::kUnreachable : MemberState::kLive;
 }
 
+bool FleetView::IsListedAsLeaving(const BackendServerId& server) const {
+  const Member* member = FindMember(server);
+  return member != nullptr && member->leaving;
+}
+
 std::optional<WallTime> FleetView::AbsentSince(const BackendServerId& server) const {
   const Member* member = FindMember(server);
   return member == nullptr ? std::nullopt : member->absent_since_wall;
--- a/src/libs/fleet/fleetview.h
+++ b/src/libs/fleet/fleetview.h
@@ -92,6 +92,9 @@
   // live.
   MemberState StateOf(const BackendServerId& server, TimePoint now) const;
 
+  // Whether the accepted list has the server as leaving.
+  bool IsListedAsLeaving(const BackendServerId& server) const;
+
   // Returns since when every accepted list has lacked the server, on this node's wall clock;
   // nullopt while it is listed, before a list has been accepted, and for unknown servers.
   std::optional<WallTime> AbsentSince(const BackendServerId& server) const;
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -399,6 +399,9 @@
     return HandleUnknownOutcome(id, reason);  // Part of its response arrived.
   }
   AllowRetryOnServer(call, attempt->server, reason);
+  // The call may have waited at a server that now leaves, so servers that refused it earlier may
+  // have room.
+  if (reason == Reason::kDraining) call.tried = {attempt->server};
   ++(ReachedServer(reason) ? call.arrivals : call.refusals);
   // Owners retain ended calls for a limited time, so a refusal this late is no proof of not-run.
   if (MonotonicNow() > call.deadline + kDeadlineGrace) {
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -45,7 +45,7 @@
   if (server == nullptr) {
     EventLine(LogPart::kOwner, LogLevel::kWarning, "own_server_unlisted")
         .With("version", static_cast<std::int64_t>(version));
-    return;
+    return RefuseWaiting(Reason::kDraining);
   }
   RefuseCallsOfOtherServices();
   if (m_instance != server->instance) m_pacer.Reset();
@@ -104,7 +104,7 @@
   if (request.service() != m_service->id.Value()) return {Reason::kWrongServer, false};
   const SendDecision decision = m_calls.CheckArrival(key, request, now);
   if (decision.refusal != Reason::kNone || decision.ignore) return decision;
-  if (m_draining || m_backend_leaving) return {Reason::kDraining, false};
+  if (IsLeaving()) return {Reason::kDraining, false};
   return {IsViewFresh(now) ? Reason::kNone : Reason::kViewRefreshing, false};
 }
 
@@ -211,6 +211,7 @@
 }
 
 bool OwnerService::WouldRefuse(const wire::LoadQuery& query) const {
+  if (IsLeaving() || m_service == nullptr) return true;
   if (query.deadline_left_us() == 0) return false;
   const TimePoint now = MonotonicNow();
   AdmissionCall call;
@@ -421,6 +422,10 @@
 
 void OwnerService::RefuseWaitingCalls(Reason reason) {
   const std::lock_guard lock(m_lock);
+  RefuseWaiting(reason);
+}
+
+void OwnerService::RefuseWaiting(Reason reason) {
   for (const OwnedCallId id : m_calls.Waiting()) {
     m_admission.Cancel(id);
     RefuseNotRun(id, reason);
@@ -491,7 +496,7 @@
   if (value.empty()) return;
   const bool is_leaving = value == "1";
   m_drain_header = m_drain_header.value_or(false) || is_leaving;
-  m_backend_leaving = m_backend_leaving || is_leaving;
+  if (is_leaving && !std::exchange(m_backend_leaving, true)) RefuseWaiting(Reason::kDraining);
 }
 
 std::optional<bool> OwnerService::PopDrainHeader() {
@@ -504,6 +509,14 @@
   if (m_backend_leaving == leaving) return;
   m_backend_leaving = leaving;
   LogEvent(LogPart::kOwner, LogLevel::kInfo, leaving ? "own_server_leaving" : "own_server_back");
+  if (leaving) RefuseWaiting(Reason::kDraining);
+}
+
+void OwnerService::SetListedAsLeaving(bool leaving) {
+  const std::lock_guard lock(m_lock);
+  if (std::exchange(m_listed_as_leaving, leaving) == leaving) return;
+  LogEvent(LogPart::kOwner, LogLevel::kInfo, leaving ? "own_server_leaving" : "own_server_back");
+  if (leaving) RefuseWaiting(Reason::kDraining);
 }
 
 void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, ResponsePart part,
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -72,10 +72,15 @@
   // Refuses all calls that have not been dispatched, as not run. Running calls are finished.
   void RefuseWaitingCalls(Reason reason);
 
-  // Sets whether the backend server itself is leaving. New calls are refused while it is; they are
-  // accepted again afterwards unless StartDrain was called.
+  // Sets whether the backend server itself is leaving. New and waiting calls are refused while it
+  // is, as it may exit before they are answered; running calls are finished. Calls are accepted
+  // again afterwards unless StartDrain was called.
   void SetBackendLeaving(bool leaving);
 
+  // Does the same if the list of servers has the backend server as leaving. Peers know that from
+  // the list, so it is not reported to them.
+  void SetListedAsLeaving(bool leaving);
+
   // Returns and resets what the backend server's responses have announced in the Damaskhollow-Drain
   // header: true if any announced that the server is leaving, false if all headers announced that
   // it stays, empty if no response carried the header.
@@ -180,6 +185,11 @@
   // Refuses a call that was not dispatched, and removes it.
   void RefuseNotRun(OwnedCallId id, Reason reason);
 
+  void RefuseWaiting(Reason reason);
+
+  // Whether the node or its backend server is leaving, by whatever source.
+  bool IsLeaving() const { return m_draining || m_backend_leaving || m_listed_as_leaving; }
+
   // Refuses waiting calls whose service is not the one of the present backend server. This happens
   // when the VM's address is reassigned to a server of another service after the calls arrived.
   void RefuseCallsOfOtherServices();
@@ -226,6 +236,7 @@
   RetransmitCache m_retransmits;
   bool m_draining = false;  // Set by StartDrain.
   bool m_backend_leaving = false;
+  bool m_listed_as_leaving = false;
   std::optional<bool> m_drain_header;
 };
 
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -247,6 +247,52 @@
   CPPUNIT_ASSERT_EQUAL(std::string("ran"), fixture.ResultOf(1));
 }
 
+struct LeavingRow {
+  std::string_view name;
+  void (*leave)(OwnerService& owner);
+};
+
+void SetLeaving(OwnerService& owner) { owner.SetBackendLeaving(true); }
+
+void SetListedAsLeaving(OwnerService& owner) { owner.SetListedAsLeaving(true); }
+
+void RemoveFromInventory(OwnerService& owner) {
+  auto declaration = std::make_shared<Declaration>(*DeclarationOf("portal"));
+  declaration->backend_servers.clear();
+  owner.ApplyDeclaration(declaration, 2);
+}
+
+constexpr std::array kLeavingRows{
+    LeavingRow{"leaving", SetLeaving},
+    LeavingRow{"listed as leaving", SetListedAsLeaving},
+    LeavingRow{"removed from the inventory", RemoveFromInventory},
+};
+
+// Guards against calls that wait for a leaving server although another one could run them, and
+// against running calls that are ended because their server leaves.
+void TestLeavingServer(const LeavingRow& row) {
+  const test::ScriptedServer server({AnswerTo("mine")}, test::ScriptedServer::End::kKeepOpen);
+  CallConvention convention;
+  convention.call_id = "Request-Id";
+  OwnerFixture fixture(1, convention);
+  fixture.Owner().ApplyDeclaration(DeclarationOf("portal", ToString(server.Address())), 1);
+  const std::function<void()> release = fixture.HoldWorker();
+  fixture.Call("portal", 1, {"Request-Id", "mine"});
+  // A last tick 5 s ago looks like a pause, so nothing is dispatched before the next tick.
+  fixture.Owner().Tick(MonotonicNow() - std::chrono::seconds(5));
+  fixture.Call("portal", 2);
+  CPPUNIT_ASSERT(fixture.Refusals().empty());
+  row.leave(fixture.Owner());
+  CPPUNIT_ASSERT(fixture.Refusals() == std::vector<Reason>{Reason::kDraining});
+  CPPUNIT_ASSERT_EQUAL(std::string("refused"), fixture.ResultOf(2));
+  release();
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(1).empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string("ran"), fixture.ResultOf(1));
+}
+
+const test::TableTest<LeavingRow> leaving_test("OwnerServiceLeaving", kLeavingRows,
+                                               TestLeavingServer);
+
 const test::TableTest<WithdrawnRow> withdrawn_test("OwnerServiceWithdrawn", kWithdrawnRows,
                                                    TestWithdrawnCall);
 
--- a/tests/integration/tst_plannedstop.cpp
+++ b/tests/integration/tst_plannedstop.cpp
@@ -16,15 +16,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kExitTimeout{20000};
-// Longer than the grace that the platform gives a process, so that no call ends by its deadline.
-constexpr std::chrono::milliseconds kDeadline{30000};
-constexpr std::size_t kSlots = 9;  // Of each instance.
 constexpr std::size_t kCalls = 4;
-constexpr std::string_view kRoutes =
-    R"(,{"name":"hold","hostname":"shop.test","prefix":"/hold/","routeType":"safe",)"
-    R"("service":"portal","timeout":"30s","slo":"30s","priority":1,"attempts":2})"
-    R"(,{"name":"order","hostname":"shop.test","prefix":"/order/","routeType":"unsafe",)"
-    R"("service":"portal","timeout":"30s","slo":"30s","priority":1,"attempts":2})";
+constexpr std::string_view kRunningTarget = "/hold/x";
 
 struct StopCase {
   std::string_view name;
@@ -41,47 +34,18 @@
     StopCase{"calls wait at a node that does not reply", 0, 1, 0, true, "/order/x", 502},
     StopCase{"calls wait at the stopped node itself", 0, 0, 0, false, "/order/x", 503},
     StopCase{"calls of another node wait at the stopped node", 1, 0, 0, false, "/order/x", 503},
-    StopCase{"calls run beside another node", 0, 1, 0, false, "/hold/x", 502},
+    StopCase{"calls run beside another node", 0, 1, 0, false, kRunningTarget, 502},
 };
 
-std::size_t CountRuns(PlatformFleet& fleet, std::size_t instance, std::string_view target) {
-  std::size_t count = 0;
-  for (const StandInInstance::Run& run : fleet.Instance(instance).Runs()) {
-    count += run.target == target ? 1 : 0;
-  }
-  return count;
-}
-
 // Guards against a node that is stopped and closes the connections of its callers without an
 // answer: calls that wait for a slot must be refused as not run, and the others answered as
 // unknown.
 void AnswersAllCallsBeforeItStops(const StopCase& row) {
   PlatformFleet fleet;
-  fleet.SetDeadline(kDeadline);
   CPPUNIT_ASSERT_MESSAGE(fleet.Output(), fleet.Start());
-  fleet.PutConfiguration(2, kRoutes);
-  fleet.PutInstance(1 - row.owner, "draining");
-  const auto is_served_by_owner = [&] {
-    const std::string id = fleet.Instance(row.owner).Id();
-    return fleet.Call(row.ingress, "GET", "/order/ready").body.starts_with(id);
-  };
-  CPPUNIT_ASSERT(WaitUntil([&] {
-    bool all = true;
-    for (int call = 0; call < 10; ++call) all = is_served_by_owner() && all;
-    return all;
-  }));
-  const bool waits = row.target != "/hold/x";
-  if (waits) {
-    // The owner may leave slots free, so that more calls are sent than it dispatches.
-    for (std::size_t call = 0; call < kSlots; ++call) {
-      fleet.Send(row.owner, "GET", "/hold/slot", [](const HttpResponse&) {});
-    }
-    const auto has_arrived = [&] {
-      const std::size_t running = CountRuns(fleet, row.owner, "/hold/slot");
-      return running + static_cast<std::size_t>(fleet.QueuedCalls(row.owner)) == kSlots;
-    };
-    CPPUNIT_ASSERT(WaitUntil(has_arrived));
-  }
+  const bool waits = row.target != kRunningTarget;
+  CPPUNIT_ASSERT_MESSAGE(fleet.Output(),
+                         waits ? fleet.FillSlots(row.owner) : fleet.LeaveTo(row.owner));
   const int queued_before = fleet.QueuedCalls(row.owner);
   std::vector<HttpResponse> responses;
   for (std::size_t call = 0; call < kCalls; ++call) {
@@ -91,7 +55,7 @@
   CPPUNIT_ASSERT_MESSAGE(fleet.Output(), WaitUntil([&] {
                            const int queued = fleet.QueuedCalls(row.owner) - queued_before;
                            return waits ? queued == static_cast<int>(kCalls)
-                                        : CountRuns(fleet, row.owner, row.target) == kCalls;
+                                        : fleet.CountRuns(row.owner, row.target) == kCalls;
                          }));
   if (row.owner_is_suspended) fleet.Node(row.owner).Signal(SIGSTOP);
   fleet.Node(row.stopped).Signal(SIGTERM);
@@ -102,7 +66,7 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(text, row.status, response.status);
     CPPUNIT_ASSERT_MESSAGE(text, response.complete);
   }
-  CPPUNIT_ASSERT_EQUAL(waits ? std::size_t{0} : kCalls, CountRuns(fleet, row.owner, row.target));
+  CPPUNIT_ASSERT_EQUAL(waits ? std::size_t{0} : kCalls, fleet.CountRuns(row.owner, row.target));
 }
 
 const TableTest<StopCase> registration("PlannedStop", kCases, &AnswersAllCallsBeforeItStops);
--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -1,8 +1,10 @@
 #include "support/platformfleet.h"
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QTimer>
+#include <algorithm>
 #include <fstream>
 #include <utility>
 
@@ -15,6 +17,14 @@
 
 constexpr std::chrono::milliseconds kSlowTime{300};
 constexpr std::chrono::milliseconds kCallTimeout{10000};
+constexpr std::size_t kSlots = 9;  // Of each instance.
+// Longer than the grace that the platform gives a process, so that no call ends by its deadline.
+constexpr std::chrono::milliseconds kLongDeadline{30000};
+constexpr std::string_view kLongRoutes =
+    R"(,{"name":"hold","hostname":"shop.test","prefix":"/hold/","routeType":"safe",)"
+    R"("service":"portal","timeout":"30s","slo":"30s","priority":1,"attempts":2})"
+    R"(,{"name":"order","hostname":"shop.test","prefix":"/order/","routeType":"unsafe",)"
+    R"("service":"portal","timeout":"30s","slo":"30s","priority":1,"attempts":2})";
 
 }  // namespace
 
@@ -103,8 +113,13 @@
   const StandInInstance& instance = Instance(index);
   m_store.Put("servers/" + instance.Id(),
               R"({"service":"portal","address":")" + ToString(instance.Address()) +
-                  R"(","zone":"west-1","configVersion":"v1","slots":9,"state":")" +
-                  std::string(state) + R"(","cold":"0ms","seq":1,"born":1700000000000})");
+                  R"(","zone":"west-1","configVersion":"v1","slots":)" + std::to_string(kSlots) +
+                  R"(,"state":")" + std::string(state) +
+                  R"(","cold":"0ms","seq":1,"born":1700000000000})");
+}
+
+void PlatformFleet::DeleteInstance(std::size_t index) {
+  m_store.Delete("servers/" + Instance(index).Id());
 }
 
 void PlatformFleet::StartNode(std::size_t index) {
@@ -159,11 +174,54 @@
       .status;
 }
 
-int PlatformFleet::QueuedCalls(std::size_t index) {
+bool PlatformFleet::LeaveTo(std::size_t index) {
+  m_deadline = kLongDeadline;
+  PutConfiguration(2, kLongRoutes);
+  PutInstance(1 - index, "draining");
+  const auto is_served = [&] {
+    bool all = true;
+    for (std::size_t call = 0; call < 5 * kNodes; ++call) {
+      const HttpResponse response = Call(call % kNodes, "GET", "/order/ready");
+      all = all && response.body.starts_with(Instance(index).Id());
+    }
+    return all;
+  };
+  return WaitUntil(is_served);
+}
+
+bool PlatformFleet::FillSlots(std::size_t index) {
+  if (!LeaveTo(index)) return false;
+  // The owner may leave slots free, so that fewer calls are dispatched.
+  for (std::size_t call = 0; call < kSlots; ++call) {
+    Send(index, "GET", "/hold/slot", [](const HttpResponse&) {});
+  }
+  return WaitUntil([&] {
+    const std::size_t running = CountRuns(index, "/hold/slot");
+    return running + static_cast<std::size_t>(QueuedCalls(index)) == kSlots;
+  });
+}
+
+std::size_t PlatformFleet::CountRuns(std::size_t index, std::string_view target) {
+  const std::vector<StandInInstance::Run>& runs = Instance(index).Runs();
+  return static_cast<std::size_t>(
+      std::count_if(runs.begin(), runs.end(),
+                    [&](const StandInInstance::Run& run) { return run.target == target; }));
+}
+
+QJsonObject PlatformFleet::Status(std::size_t index) {
   const HttpResponse response = m_client.Fetch(
       m_servers[index].ready, MakeRequest("GET", "/status", {{"Host", "h"}}), kCallTimeout);
-  const QByteArray text = QByteArray::fromStdString(response.body);
-  return QJsonDocument::fromJson(text).object()["queued"].toInt(-1);
+  return QJsonDocument::fromJson(QByteArray::fromStdString(response.body)).object();
+}
+
+int PlatformFleet::QueuedCalls(std::size_t index) { return Status(index)["queued"].toInt(-1); }
+
+bool PlatformFleet::SeesLive(std::size_t node, std::size_t instance) {
+  const QJsonArray peers = Status(node)["peers"].toArray();
+  return std::any_of(peers.begin(), peers.end(), [&](const QJsonValue& peer) {
+    return peer["server"].toString().toStdString() == m_servers[instance].ip &&
+           peer["state"].toString() == "live";
+  });
 }
 
 std::string PlatformFleet::Output() const {
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKHOLLOW_TESTS_SUPPORT_PLATFORMFLEET_H_
 #define DAMASKHOLLOW_TESTS_SUPPORT_PLATFORMFLEET_H_
 
+#include <QJsonObject>
 #include <QTemporaryDir>
 #include <chrono>
 #include <cstddef>
@@ -58,6 +59,7 @@
   // comma.
   void PutConfiguration(int version, std::string_view more_routes = "");
   void PutInstance(std::size_t index, std::string_view state = "ready");
+  void DeleteInstance(std::size_t index);
 
   void StartNode(std::size_t index);
   // Writes the configuration and the instances to the store, starts all nodes and waits until each
@@ -71,11 +73,18 @@
                     std::string body = {});
   ConnectionId Send(std::size_t index, std::string_view method, std::string_view target,
                     HttpClient::Done done);
-  // Sets the time that callers wait for a response.
-  void SetDeadline(std::chrono::milliseconds deadline) { m_deadline = deadline; }
+  // Lets calls last for up to 30 s, adds the routes /hold/ (safe) and /order/ (unsafe) as
+  // configuration 2, and makes the other instance than `index` leave. Returns false on a timeout.
+  bool LeaveTo(std::size_t index);
+  // Does the same and fills the slots of instance `index` with calls to /hold/slot.
+  bool FillSlots(std::size_t index);
+  // How often requests with this target ran on an instance.
+  std::size_t CountRuns(std::size_t index, std::string_view target);
   int ReadyStatus(std::size_t index);
   // The number of calls that wait at a node's owner for its instance.
   int QueuedCalls(std::size_t index);
+  // Whether a node takes an instance to be in use, according to its status.
+  bool SeesLive(std::size_t node, std::size_t instance);
   std::string NextRequestId() const { return "r-" + std::to_string(m_next_request); }
   std::string LastRequestId() const { return "r-" + std::to_string(m_next_request - 1); }
 
@@ -93,6 +102,7 @@
     std::unique_ptr<Process> node;
   };
 
+  QJsonObject Status(std::size_t index);
   HttpRequest MakeOutboundRequest(std::string_view method, std::string_view target,
                                   std::string body);
   std::string SettingsJson(const Server& server) const;
