Log how long each step of a document's way takes

Logs could not tell a node that was told late from one whose transfer took long or whose processor did: only the acceptance of a version was written. No logic changes.

--- a/src/libs/configuration/fetchplan.h
+++ b/src/libs/configuration/fetchplan.h
@@ -92,6 +92,9 @@
   // The highest version that this node holds or that peers have reported.
   std::uint64_t HighestKnown() const { return std::max(m_held, m_highest_known); }
 
+  // When this node learned of the highest version that peers have reported.
+  TimePoint HighestKnownSince() const { return m_highest_known_since; }
+
   ReaderRole Role() const { return m_assignment.role; }
   // Whether the last read of the service succeeded.
   bool IsStoreReachable() const { return m_failures == 0; }
--- a/src/libs/control/configurationholder.cpp
+++ b/src/libs/control/configurationholder.cpp
@@ -5,6 +5,7 @@
 #include <QJsonArray>
 #include <utility>
 
+#include "base/time.h"
 #include "logging/logger.h"
 
 namespace damaskhollow {
@@ -38,6 +39,7 @@
 
 OfferResult ConfigurationHolder::Offer(std::uint64_t version, std::string_view text,
                                        std::string_view source) {
+  const TimePoint start = MonotonicNow();
   const OfferResult result = m_guard.Offer(version, text, source);
   m_metrics.Set(Metric::kConfigurationRefused, m_guard.RefusedCount());
   if (result == OfferResult::kInvalid) {
@@ -50,7 +52,9 @@
   m_source = std::string(source);
   EventLine(LogPart::kConfiguration, LogLevel::kInfo, "configuration_accepted")
       .With("version", static_cast<std::int64_t>(version))
-      .With("source", source);
+      .With("source", source)
+      .With("check_us",
+            std::chrono::duration_cast<std::chrono::microseconds>(MonotonicNow() - start).count());
   m_apply(m_guard.Current(), version);
   return result;
 }
--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -27,6 +27,10 @@
   return message;
 }
 
+std::int64_t MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
 TextChange FromMessage(const wire::TextChange& message) {
   TextChange change;
   for (const wire::TextSegment& segment : message.segments()) {
@@ -72,6 +76,7 @@
   if (!peer) return;
   m_transfer.emplace(*peer, m_plan.Held() + 1, now);
   m_requests_whole = false;
+  m_record = {m_plan.HighestKnownSince(), now};
   SendQuery();
 }
 
@@ -134,6 +139,9 @@
 void DocumentSync::HandlePart(const BackendServerId& peer, const wire::ConfigurationPart& part,
                               TimePoint now) {
   if (!m_transfer || m_transfer->Peer() != peer) return;
+  ++m_record.parts;
+  m_record.bytes += part.ByteSizeLong();
+  m_record.is_change = part.has_change();
   if (part.has_change()) return HandleChange(peer, part, now);
   const DocumentPart arrived{part.version(), part.offset(), part.total(), part.data()};
   switch (m_transfer->Add(arrived, now)) {
@@ -179,10 +187,27 @@
 }
 
 void DocumentSync::EndTransfer(bool failed, TimePoint now) {
+  LogTransfer(failed, now);
   if (failed) m_plan.OnPeerFailed(m_transfer->Peer(), now);
   m_transfer.reset();
 }
 
+void DocumentSync::LogTransfer(bool failed, TimePoint now) const {
+  // The VM list changes with every server that warms up.
+  const bool is_rare = m_document == wire::DOCUMENT_CONFIGURATION;
+  EventLine(LogPart::kConfiguration, is_rare ? LogLevel::kInfo : LogLevel::kDebug,
+            "document_transfer")
+      .With("document", DocumentName())
+      .With("server", m_transfer->Peer().Value())
+      .With("version", static_cast<std::int64_t>(m_transfer->Version()))
+      .With("outcome", failed ? "failed" : "ended")
+      .With("form", m_record.is_change ? "change" : "whole")
+      .With("parts", static_cast<std::int64_t>(m_record.parts))
+      .With("bytes", static_cast<std::int64_t>(m_record.bytes))
+      .With("waited_ms", MillisecondsBetween(m_record.known_since, m_record.started))
+      .With("took_ms", MillisecondsBetween(m_record.started, now));
+}
+
 void DocumentSync::OnPlatformChanged(std::uint64_t version, std::string_view text) {
   OnStoreAnswered();
   if (m_is_store_across_paid_link) m_metrics.Add(Metric::kControlPaidLinkBytes, text.size());
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "base/randomsource.h"
+#include "base/time.h"
 #include "configuration/fetchplan.h"
 #include "configuration/parttransfer.h"
 #include "configuration/platformreader.h"
@@ -78,6 +79,15 @@
     std::string text;
   };
 
+  // What the log line of a transfer tells.
+  struct TransferRecord {
+    TimePoint known_since{};  // When this node learned of the highest version known at the start.
+    TimePoint started{};
+    std::size_t parts = 0;
+    std::size_t bytes = 0;
+    bool is_change = false;  // Whether the last part was a change of the held text.
+  };
+
   std::string_view DocumentName() const;
   // Keeps the held version, so that peers which still hold it can be sent later changes of it.
   void RememberHeld();
@@ -93,6 +103,8 @@
   void QueryPeer(TimePoint now);
   void SendQuery();
   void EndTransfer(bool failed, TimePoint now);
+  // Logs how the running transfer ended, with the times that show which step was slow.
+  void LogTransfer(bool failed, TimePoint now) const;
 
   const wire::Document m_document;
   DocumentHolder& m_holder;
@@ -102,6 +114,7 @@
   FetchPlan m_plan;
   std::unique_ptr<DocumentReader> m_reader;
   std::optional<PartTransfer> m_transfer;
+  TransferRecord m_record;        // Of the running transfer.
   bool m_requests_whole = false;  // Whether the running transfer must not be answered by a change.
   std::deque<HeldText> m_texts;   // Oldest first.
   // Changes of remembered texts to the held one by the hash of the base, in the form in which they
