Describe changes of compact JSON by entries

Change: a piece of a text ends with a line feed or with the comma after an object. Of equal pieces the one that goes on with the last segment is taken, or equal parts of routes would give each route a segment of its own.

A node of an older version refuses such a change and asks for the whole text, as before.

--- a/src/libs/configuration/textchange.h
+++ b/src/libs/configuration/textchange.h
@@ -10,15 +10,16 @@
 
 namespace damaskhollow {
 
-// Lines copied from a base text, followed by text that is not in it.
+// Pieces copied from a base text, followed by text that is not in it. A piece is a line, or an
+// entry of a list of objects in compact JSON.
 struct TextSegment {
-  std::size_t first_line = 0;
-  std::size_t line_count = 0;
+  std::size_t first_piece = 0;
+  std::size_t piece_count = 0;
   std::string added;
 };
 
-// A text as a change of a base text. Documents of one entry per line change in few lines, so that a
-// change is much shorter than the text.
+// A text as a change of a base text. Documents mostly change in few pieces, so that a change is
+// much shorter than the text.
 struct TextChange {
   std::vector<TextSegment> segments;
   std::uint64_t result_hash = 0;  // Of the complete new text.
@@ -30,9 +31,9 @@
 // Returns `text` as a change of `base`.
 TextChange DescribeChange(std::string_view base, std::string_view text);
 
-// Returns the text that `change` makes of `base`. Empty if the change refers to lines that the base
-// does not have, if the result is longer than `max_bytes`, or if it is not the text that the change
-// was made from.
+// Returns the text that `change` makes of `base`. Empty if the change refers to pieces that the
+// base does not have, if the result is longer than `max_bytes`, or if it is not the text that the
+// change was made from.
 std::optional<std::string> ApplyChange(std::string_view base, const TextChange& change,
                                        std::size_t max_bytes);
 
--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -19,8 +19,8 @@
   wire::TextChange message;
   for (const TextSegment& segment : change.segments) {
     wire::TextSegment& added = *message.add_segments();
-    added.set_first_line(static_cast<std::uint32_t>(segment.first_line));
-    added.set_line_count(static_cast<std::uint32_t>(segment.line_count));
+    added.set_first_piece(static_cast<std::uint32_t>(segment.first_piece));
+    added.set_piece_count(static_cast<std::uint32_t>(segment.piece_count));
     added.set_added(segment.added);
   }
   message.set_result_hash(change.result_hash);
@@ -34,7 +34,7 @@
 TextChange FromMessage(const wire::TextChange& message) {
   TextChange change;
   for (const wire::TextSegment& segment : message.segments()) {
-    change.segments.push_back({segment.first_line(), segment.line_count(), segment.added()});
+    change.segments.push_back({segment.first_piece(), segment.piece_count(), segment.added()});
   }
   change.result_hash = message.result_hash();
   return change;
--- a/tests/auto/configuration/tst_textchange.cpp
+++ b/tests/auto/configuration/tst_textchange.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(TextChangeTest);
   CPPUNIT_TEST(RestoresAnyText);
   CPPUNIT_TEST(OneChangedLineIsShort);
+  CPPUNIT_TEST(OneChangedEntryOfCompactJsonIsShort);
   CPPUNIT_TEST(RefusesWhatDoesNotApply);
   CPPUNIT_TEST_SUITE_END();
 
@@ -50,7 +51,8 @@
           if (removes) {
             lines.erase(at);
           } else {
-            lines.insert(at, std::to_string(random.Below(12)));
+            lines.insert(at,
+                         std::to_string(random.Below(12)) + (random.Below(3) == 0 ? "},{" : ""));
           }
         }
         std::string text = Join(lines);
@@ -79,6 +81,32 @@
     }
   }
 
+  // Guards against a change that is no shorter than the text, because the text is one line, or that
+  // refers to each entry by itself, because the entries have equal parts.
+  void OneChangedEntryOfCompactJsonIsShort() {
+    for (const std::size_t entries : {10U, 1400U}) {
+      std::vector<std::string> routes;
+      for (std::size_t entry = 0; entry < entries; ++entry) {
+        routes.push_back(R"({"id":")" + std::to_string(entry) +
+                         R"(","parts":[{"service":"a","weight":1},{"service":"b","weight":2}]})");
+      }
+      const auto text_of = [&] {
+        std::string text = "[";
+        for (const std::string& route : routes) text += (text.size() > 1 ? "," : "") + route;
+        return text + "]";
+      };
+      const std::string base = text_of();
+      routes[entries / 2] = R"({"id":"changed"})";
+      const std::string text = text_of();
+      const TextChange change = DescribeChange(base, text);
+      CPPUNIT_ASSERT(change.segments.size() <= 2);
+      CPPUNIT_ASSERT_EQUAL(routes[entries / 2].size() + 1, AddedBytes(change));
+      const std::optional<std::string> applied = ApplyChange(base, change, kMaxBytes);
+      CPPUNIT_ASSERT(applied);
+      CPPUNIT_ASSERT_EQUAL(text, *applied);
+    }
+  }
+
   void RefusesWhatDoesNotApply() {
     const std::string base = "a\nb\nc\n";
     const TextChange good = DescribeChange(base, "a\nx\nc\n");
@@ -90,15 +118,15 @@
     bad.result_hash += 1;
     CPPUNIT_ASSERT(!ApplyChange(base, bad, kMaxBytes));
     struct Row {
-      std::size_t first_line;
-      std::size_t line_count;
+      std::size_t first_piece;
+      std::size_t piece_count;
     };
     constexpr std::size_t kHuge = static_cast<std::size_t>(-1);
     constexpr std::array kRows{Row{0, 4}, Row{3, 1}, Row{4, 0}, Row{kHuge, 1}, Row{1, kHuge}};
     for (const Row& row : kRows) {
       bad = good;
-      bad.segments.front().first_line = row.first_line;
-      bad.segments.front().line_count = row.line_count;
+      bad.segments.front().first_piece = row.first_piece;
+      bad.segments.front().piece_count = row.piece_count;
       CPPUNIT_ASSERT(!ApplyChange(base, bad, kMaxBytes));
     }
   }
--- a/tests/auto/control/tst_documentsync.cpp
+++ b/tests/auto/control/tst_documentsync.cpp
@@ -59,11 +59,28 @@
   return text;
 }
 
+// Rules as a node holds them: compact JSON without line feeds. `suffix` changes one route, `salt`
+// the names of all.
+std::string RulesOf(std::size_t routes, const std::string& suffix, const std::string& salt = "") {
+  std::string text = R"({"budgets":{"retry_share":0.1},"routes":[)";
+  for (std::size_t route = 0; route < routes; ++route) {
+    const std::string number = std::to_string(StableHash(salt, std::to_string(route)));
+    text += (route == 0 ? "" : ",") +
+            std::string(R"({"attempts":2,"host":"open-data.example","id":"r-)") + number +
+            R"(","idempotent":true,"parts":[{"service":"portail","weight":90},)" +
+            R"({"service":"entrepot","weight":10}],"path_prefix":"/)" + number + "/" +
+            (route == routes / 2 ? suffix : "") +
+            R"(","priority":"rank-1-1000ms","timeout_ms":2000})";
+  }
+  return text + R"(],"services":[{"id":"portail"},{"id":"entrepot"}]})";
+}
+
 }  // namespace
 
 class DocumentSyncTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DocumentSyncTest);
   CPPUNIT_TEST(ChangeCostsTheSameInAnyFleet);
+  CPPUNIT_TEST(ChangeOfOneRouteCostsTheSameWithAnyNumberOfRoutes);
   CPPUNIT_TEST(UnknownBaseIsSentWhole);
   CPPUNIT_TEST(ChangeThatDoesNotApplyIsFollowedByTheWhole);
   CPPUNIT_TEST(ChangesInARowAreAppliedInOrder);
@@ -88,6 +105,23 @@
     }
   }
 
+  // Guards against rules that travel whole from node to node, so that confirmed changes in quick
+  // succession are in force late on large fleets.
+  void ChangeOfOneRouteCostsTheSameWithAnyNumberOfRoutes() {
+    constexpr std::size_t kMaxBytesOfAChange = 400;
+    for (const std::size_t routes : {10U, 100U, 1400U, 3000U}) {
+      Node holder(holder_node);
+      Node asking(asking_node);
+      Hold(holder, 1, RulesOf(routes, ""));
+      Fetch(asking, holder);
+      Hold(holder, 2, RulesOf(routes, "new"));
+      const std::size_t bytes = Fetch(asking, holder);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes), bytes < kMaxBytesOfAChange);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, asking.holder.HeldVersion());
+      CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+    }
+  }
+
   // The versions that the other node has not held, or has forgotten.
   void UnknownBaseIsSentWhole() {
     Node holder(holder_node);
@@ -108,7 +142,7 @@
     struct Row {
       std::uint64_t base_version;
       std::uint64_t version;
-      std::uint32_t first_line;
+      std::uint32_t first_piece;
     };
     constexpr std::array kRows{Row{1, 2, 4000000000U}, Row{7, 2, 0}, Row{1, 1, 0}, Row{1, 2, 0}};
     for (const Row& row : kRows) {
@@ -124,7 +158,7 @@
       bad.set_document(wire::DOCUMENT_VM_LIST);
       bad.set_version(row.version);
       bad.set_base_version(row.base_version);
-      bad.mutable_change()->add_segments()->set_first_line(row.first_line);
+      bad.mutable_change()->add_segments()->set_first_piece(row.first_piece);
       asking.sent.clear();
       asking.sync.HandlePart(holder_node.id, bad, kTime);
       CPPUNIT_ASSERT(asking.holder.HeldText() == before);
@@ -187,16 +221,19 @@
   // Answers the queries of `asking` until it asks no more. Returns the bytes of the answers.
   static std::size_t Deliver(Node& asking, Node& holder) {
     std::size_t bytes = 0;
-    while (!asking.sent.empty()) {
-      const wire::Envelope query = asking.sent.front();
-      asking.sent.erase(asking.sent.begin());
-      const wire::Envelope answer = holder.sync.AnswerQuery(query.configuration_query());
-      bytes += answer.ByteSizeLong();
-      asking.sync.HandlePart(holder_node.id, answer.configuration_part(), kTime);
-    }
+    while (!asking.sent.empty()) bytes += Answer(asking, holder);
     return bytes;
   }
 
+  // Answers the oldest query of `asking`. Returns the bytes of the answer.
+  static std::size_t Answer(Node& asking, Node& holder) {
+    const wire::Envelope query = asking.sent.front();
+    asking.sent.erase(asking.sent.begin());
+    const wire::Envelope answer = holder.sync.AnswerQuery(query.configuration_query());
+    asking.sync.HandlePart(holder_node.id, answer.configuration_part(), kTime);
+    return answer.ByteSizeLong();
+  }
+
   static std::size_t Fetch(Node& asking, Node& holder) {
     asking.sync.Plan().RecordPeerVersion(holder_node, holder.holder.HeldVersion(), kTime);
     asking.sync.Tick(kTime);
