Send documents between nodes compressed

A node says in its query that it accepts that, so that nodes of older versions go on with plain parts. The size is limited before anything is uncompressed.

--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -86,6 +86,7 @@
   query.set_version(m_transfer->Version());
   query.set_offset(m_transfer->NextOffset());
   query.set_document(m_document);
+  query.set_accepts_compressed(true);
   if (!m_requests_whole) {
     RememberHeld();
     query.set_base_version(m_holder.HeldVersion());
@@ -97,7 +98,8 @@
 void DocumentSync::RememberHeld() {
   const std::uint64_t version = m_holder.HeldVersion();
   if (version == 0 || (!m_texts.empty() && m_texts.back().version == version)) return;
-  m_texts.push_back({version, HashOfText(m_holder.HeldText()), std::string(m_holder.HeldText())});
+  m_texts.push_back(
+      {version, HashOfText(m_holder.HeldText()), std::string(m_holder.HeldText()), std::nullopt});
   if (m_texts.size() > kRememberedTexts) m_texts.pop_front();
   m_changes.clear();
 }
@@ -126,16 +128,36 @@
     *part.mutable_change() = *change;
     return message;
   }
-  const bool is_same = query.version() == m_holder.HeldVersion();
-  const DocumentPart held =
-      PartOf(m_holder.HeldVersion(), m_holder.HeldText(), is_same ? query.offset() : 0);
+  HeldText* text = FindText(m_holder.HeldVersion());
+  if (text == nullptr) return message;  // Nothing is held.
+  const bool is_same = query.version() == text->version;
+  const std::string_view compressed =
+      query.accepts_compressed() ? Compressed(*text) : std::string_view();
+  const DocumentPart held = PartOf(text->version, compressed.empty() ? text->text : compressed,
+                                   is_same ? query.offset() : 0);
   part.set_version(held.version);
   part.set_offset(held.offset);
   part.set_total(held.total);
   part.set_data(held.data.data(), held.data.size());
+  if (!compressed.empty()) part.set_uncompressed(text->text.size());
   return message;
 }
 
+DocumentSync::HeldText* DocumentSync::FindText(std::uint64_t version) {
+  RememberHeld();
+  const auto found = std::find_if(m_texts.begin(), m_texts.end(),
+                                  [&](const HeldText& held) { return held.version == version; });
+  return found == m_texts.end() ? nullptr : &*found;
+}
+
+std::string_view DocumentSync::Compressed(HeldText& held) {
+  if (!held.compressed) {
+    held.compressed = CompressText(held.text);
+    if (held.compressed->size() >= held.text.size()) held.compressed->clear();
+  }
+  return *held.compressed;
+}
+
 void DocumentSync::HandlePart(const BackendServerId& peer, const wire::ConfigurationPart& part,
                               TimePoint now) {
   if (!m_transfer || m_transfer->Peer() != peer) return;
@@ -143,7 +165,8 @@
   m_record.bytes += part.ByteSizeLong();
   m_record.is_change = part.has_change();
   if (part.has_change()) return HandleChange(peer, part, now);
-  const DocumentPart arrived{part.version(), part.offset(), part.total(), part.data()};
+  const DocumentPart arrived{part.version(), part.offset(), part.total(), part.data(),
+                             part.uncompressed()};
   switch (m_transfer->Add(arrived, now)) {
     case PartTransfer::Progress::kIgnored:
       return;
@@ -154,8 +177,14 @@
     case PartTransfer::Progress::kComplete:
       break;
   }
-  const std::string text = m_transfer->Text();
-  FinishTransfer(m_transfer->Version(), text, now);
+  const std::optional<std::string> text = m_transfer->Text();
+  if (text) return FinishTransfer(m_transfer->Version(), *text, now);
+  EventLine(LogPart::kConfiguration, LogLevel::kWarning, "document_refused")
+      .With("document", DocumentName())
+      .With("server", peer.Value())
+      .With("version", static_cast<std::int64_t>(m_transfer->Version()))
+      .With("detail", "the compressed text is damaged or too long");
+  EndTransfer(true, now);
 }
 
 void DocumentSync::HandleChange(const BackendServerId& peer, const wire::ConfigurationPart& part,
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -77,6 +77,7 @@
     std::uint64_t version = 0;
     std::uint64_t hash = 0;
     std::string text;
+    std::optional<std::string> compressed;  // Made for the first peer that accepts it.
   };
 
   // What the log line of a transfer tells.
@@ -91,6 +92,10 @@
   std::string_view DocumentName() const;
   // Keeps the held version, so that peers which still hold it can be sent later changes of it.
   void RememberHeld();
+  // Returns the remembered text of a version; null if there is none.
+  HeldText* FindText(std::uint64_t version);
+  // Returns the compressed text; empty if it is not shorter than the text.
+  static std::string_view Compressed(HeldText& held);
   // Returns the held text as a change of the text with the given hash; null if that text is not
   // known or the change is not much shorter than the text. The hash identifies a base, because
   // readers may give different versions to the same text.
