Finish the transfer of a version that is no longer the newest

A node that was behind got no version at all while changes followed each other: its peer answered the request for the next part of a version with the first part of a newer one, which threw away what had arrived.

A remembered version is now sent to its end; the newer one follows as a change of it.

DocumentSyncTest::SeriesOfVersionsDoesNotRestartATransfer failed before (no version held after ten parts) and passes.

--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 // Covers the time in which a peer fetches a version while others follow in quick succession.
-constexpr std::size_t kRememberedTexts = 4;
+constexpr std::size_t kRememberedTexts = 8;
+// Beyond this size of all remembered texts, in bytes, the oldest ones are dropped.
+constexpr std::size_t kRememberedBytes = 4 * kMaxConfigurationBytes;
 // A change must be shorter than the text by this factor to be sent instead of it.
 constexpr std::size_t kMinShortening = 2;
 
@@ -100,7 +102,12 @@
   if (version == 0 || (!m_texts.empty() && m_texts.back().version == version)) return;
   m_texts.push_back(
       {version, HashOfText(m_holder.HeldText()), std::string(m_holder.HeldText()), std::nullopt});
-  if (m_texts.size() > kRememberedTexts) m_texts.pop_front();
+  std::size_t bytes = 0;
+  for (const HeldText& held : m_texts) bytes += held.text.size();
+  while (m_texts.size() > kRememberedTexts || (bytes > kRememberedBytes && m_texts.size() > 1)) {
+    bytes -= m_texts.front().text.size();
+    m_texts.pop_front();
+  }
   m_changes.clear();
 }
 
@@ -128,13 +135,14 @@
     *part.mutable_change() = *change;
     return message;
   }
-  HeldText* text = FindText(m_holder.HeldVersion());
+  HeldText* text = query.offset() > 0 ? FindText(query.version()) : nullptr;
+  const bool goes_on = text != nullptr;
+  if (!goes_on) text = FindText(m_holder.HeldVersion());
   if (text == nullptr) return message;  // Nothing is held.
-  const bool is_same = query.version() == text->version;
   const std::string_view compressed =
       query.accepts_compressed() ? Compressed(*text) : std::string_view();
   const DocumentPart held = PartOf(text->version, compressed.empty() ? text->text : compressed,
-                                   is_same ? query.offset() : 0);
+                                   goes_on ? query.offset() : 0);
   part.set_version(held.version);
   part.set_offset(held.offset);
   part.set_total(held.total);
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -58,7 +58,9 @@
   void Tick(TimePoint now);
 
   // Builds the reply to a peer's query: a part of the held version, or its change against the
-  // version that the peer holds if that is shorter.
+  // version that the peer holds if that is shorter. A transfer that has begun goes on with its
+  // version as long as that is remembered, because versions may follow each other more quickly than
+  // a long document can be transferred.
   wire::Envelope AnswerQuery(const wire::ConfigurationQuery& query);
 
   // Adds a part received from `peer` to the running transfer; ignored if none runs from that peer.
--- a/tests/auto/control/tst_documentsync.cpp
+++ b/tests/auto/control/tst_documentsync.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(ChangeCostsTheSameInAnyFleet);
   CPPUNIT_TEST(ChangeOfOneRouteCostsTheSameWithAnyNumberOfRoutes);
   CPPUNIT_TEST(NewRulesOfManyRoutesNeedOnePart);
+  CPPUNIT_TEST(SeriesOfVersionsDoesNotRestartATransfer);
   CPPUNIT_TEST(CompressedTextThatIsWrongIsRefused);
   CPPUNIT_TEST(UnknownBaseIsSentWhole);
   CPPUNIT_TEST(ChangeThatDoesNotApplyIsFollowedByTheWhole);
@@ -137,6 +138,31 @@
     }
   }
 
+  // Guards against a node that gets no version at all as long as new ones come more quickly than it
+  // can fetch one, because each of them starts its transfer anew.
+  void SeriesOfVersionsDoesNotRestartATransfer() {
+    constexpr std::size_t kTextBytes = 6 * kPartBytes;
+    constexpr std::size_t kMaxQueries = 10;
+    RandomSource random(7);
+    std::string text;
+    while (text.size() < kTextBytes) text += static_cast<char>(random.Below(256));
+    Node holder(holder_node);
+    Node asking(asking_node);
+    std::uint64_t version = 1;
+    Hold(holder, version, text);
+    asking.sync.Plan().RecordPeerVersion(holder_node, version, kTime);
+    asking.sync.Tick(kTime);
+    for (std::size_t queries = 0; !asking.sent.empty() && queries < kMaxQueries; ++queries) {
+      Answer(asking, holder);
+      ++version;
+      Hold(holder, version, text + std::to_string(version));
+    }
+    CPPUNIT_ASSERT(asking.holder.HeldVersion() > 0);
+    Fetch(asking, holder);
+    CPPUNIT_ASSERT_EQUAL(version, asking.holder.HeldVersion());
+    CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+  }
+
   // Guards against a peer whose compressed text is damaged, or longer than it says or than is
   // allowed, and against the memory that it would take.
   void CompressedTextThatIsWrongIsRefused() {
