Read JSON fields without copying their names

The reader of JSON objects made a QString, a std::string and a set entry for each field that it was asked for, and copied the file's name for each entry.

--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -309,7 +309,7 @@
     parsed.failures.push_back(Failure{FailureCode::kSyntax, std::string(file), detail});
     return parsed;
   }
-  JsonReader root(document.object(), std::string(file), "", parsed.failures);
+  JsonReader root(document.object(), file, "", parsed.failures);
   Declaration& declaration = parsed.declaration;
   root.Integer("format", 1, 1);
   declaration.regions = ReadList<Region>(root, "regions", ReadRegion);
--- a/src/libs/declaration/jsonreader.cpp
+++ b/src/libs/declaration/jsonreader.cpp
@@ -1,5 +1,6 @@
 #include "declaration/jsonreader.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <utility>
@@ -8,20 +9,16 @@
 
 namespace {
 
-QString ToQString(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 // Returns the name of a field without its unit suffix: "target" for "target_ms" and "target_s".
-std::string WithoutUnit(const std::string& field) {
+std::string WithoutUnit(std::string_view field) {
   static constexpr std::array<std::string_view, 12> kUnits{
       "_ms",         "_s",         "_us", "_seconds",          "_minutes",
       "_bytes",      "_kb",        "_mb", "_bytes_per_second", "_kb_per_second",
       "_per_second", "_per_minute"};
   std::string_view shortest = field;
   for (const std::string_view unit : kUnits) {
-    if (!std::string_view(field).ends_with(unit)) continue;
-    const std::string_view stem = std::string_view(field).substr(0, field.size() - unit.size());
+    if (!field.ends_with(unit)) continue;
+    const std::string_view stem = field.substr(0, field.size() - unit.size());
     if (stem.size() < shortest.size()) shortest = stem;
   }
   return std::string(shortest);
@@ -29,21 +26,25 @@
 
 }  // namespace
 
-JsonReader::JsonReader(QJsonObject object, std::string file, std::string path,
+JsonReader::JsonReader(QJsonObject object, std::string_view file, std::string path,
                        std::vector<Failure>& failures)
-    : m_object(std::move(object)),
-      m_file(std::move(file)),
-      m_path(std::move(path)),
-      m_failures(failures) {}
+    : m_object(std::move(object)), m_file(file), m_path(std::move(path)), m_failures(failures) {}
+
+std::optional<QJsonValue> JsonReader::Find(std::string_view field) {
+  const bool is_first_request = std::find(m_requested_fields.begin(), m_requested_fields.end(),
+                                          field) == m_requested_fields.end();
+  if (is_first_request) m_requested_fields.push_back(field);
+  const auto found =
+      m_object.constFind(QLatin1String(field.data(), static_cast<qsizetype>(field.size())));
+  if (found == m_object.constEnd()) return std::nullopt;
+  if (is_first_request) ++m_known_fields;
+  return *found;
+}
 
 std::optional<QJsonValue> JsonReader::FindRequired(std::string_view field) {
-  m_requested_fields.emplace(field);
-  const auto found = m_object.constFind(ToQString(field));
-  if (found == m_object.constEnd()) {
-    AddFailure(FailureCode::kMissingField, field, "is required");
-    return std::nullopt;
-  }
-  return *found;
+  std::optional<QJsonValue> value = Find(field);
+  if (!value) AddFailure(FailureCode::kMissingField, field, "is required");
+  return value;
 }
 
 std::string JsonReader::String(std::string_view field) {
@@ -112,10 +113,7 @@
   return value->toArray();
 }
 
-bool JsonReader::Has(std::string_view field) {
-  m_requested_fields.emplace(field);
-  return m_object.contains(ToQString(field));
-}
+bool JsonReader::Has(std::string_view field) { return Find(field).has_value(); }
 
 JsonReader JsonReader::Object(std::string_view field) {
   const std::optional<QJsonValue> value = FindRequired(field);
@@ -130,15 +128,19 @@
 }
 
 void JsonReader::RejectUnknownFields() {
+  if (m_known_fields == m_object.size()) return;
   for (auto field = m_object.constBegin(); field != m_object.constEnd(); ++field) {
     const std::string name = field.key().toStdString();
-    if (m_requested_fields.contains(name)) continue;
+    if (std::find(m_requested_fields.begin(), m_requested_fields.end(), name) !=
+        m_requested_fields.end()) {
+      continue;
+    }
     const std::string stem = WithoutUnit(name);
     bool wrong_unit = false;
-    for (const std::string& requested : m_requested_fields) {
+    for (const std::string_view requested : m_requested_fields) {
       if (WithoutUnit(requested) != stem || requested == stem) continue;
       AddFailure(FailureCode::kWrongUnit, name,
-                 "has the wrong unit; the field is \"" + requested + "\"");
+                 "has the wrong unit; the field is \"" + std::string(requested) + "\"");
       wrong_unit = true;
       break;
     }
@@ -147,7 +149,8 @@
 }
 
 void JsonReader::AddFailure(FailureCode code, std::string_view field, std::string detail) {
-  m_failures.push_back(Failure{code, m_file + ": " + PathOf(field), std::move(detail)});
+  m_failures.push_back(
+      Failure{code, std::string(m_file) + ": " + PathOf(field), std::move(detail)});
 }
 
 std::string JsonReader::PathOf(std::string_view field) const {
--- a/src/libs/declaration/jsonreader.h
+++ b/src/libs/declaration/jsonreader.h
@@ -6,7 +6,6 @@
 #include <QJsonValue>
 #include <limits>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,12 +17,13 @@
 
 // Strict reader for the fields of a JSON object. Adds a failure with the path of the field to
 // `failures`, which must outlive the reader, for each invalid field. Fields that no call requested
-// are reported by RejectUnknownFields.
+// are reported by RejectUnknownFields. The names of fields are ASCII and must outlive the reader,
+// as literals do.
 class JsonReader {
  public:
   // `file` and `path` are prefixes of the subjects of failures; `path` is empty for the root
-  // object.
-  JsonReader(QJsonObject object, std::string file, std::string path,
+  // object. `file` must outlive the reader.
+  JsonReader(QJsonObject object, std::string_view file, std::string path,
              std::vector<Failure>& failures);
 
   // These functions read a required field. If it is missing or invalid, they add a failure and
@@ -53,14 +53,18 @@
   std::string PathOf(std::string_view field) const;
 
  private:
-  // Returns the value of a field. Adds a failure and returns nothing if there is no such field.
+  // Returns the value of a field and records that it was requested. Empty if there is no such
+  // field.
+  std::optional<QJsonValue> Find(std::string_view field);
+  // As Find, but adds a failure if there is no such field.
   std::optional<QJsonValue> FindRequired(std::string_view field);
 
   QJsonObject m_object;
-  std::string m_file;
+  std::string_view m_file;
   std::string m_path;
   std::vector<Failure>& m_failures;
-  std::set<std::string> m_requested_fields;
+  std::vector<std::string_view> m_requested_fields;  // Each once.
+  qsizetype m_known_fields = 0;                      // Requested fields that the object has.
 };
 
 }  // namespace damaskhollow
