Translate only the routes of a configuration that have changed

An unchanged value is not translated again, and a route whose text is known from the last valid configuration is taken from there. The text of a version doesn't depend on what was known (property test), as all readers must give the same one.

RulesTranslatorTest::TranslatesOnlyChangedRoutes counts one translated route of 1,400 after one change.

--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -153,8 +153,10 @@
 };
 
 void TestRules(const RulesRow& row) {
-  const Result<platform::TranslatedDocument> document = platform::TranslateRules(
-      Replaced(kRules, row.part, row.replacement), Zones(), platform::RetryBounds{0.2, 58.0});
+  platform::TranslatedRoutes routes;
+  const Result<platform::TranslatedDocument> document =
+      platform::TranslateRules(Replaced(kRules, row.part, row.replacement), Zones(),
+                               platform::RetryBounds{0.2, 58.0}, routes);
   CPPUNIT_ASSERT_EQUAL(row.field.empty(), document.has_value());
   if (!document) {
     CPPUNIT_ASSERT(document.error().subject.find(row.field) != std::string::npos);
--- /dev/null
+++ b/tests/auto/platform/tst_rulestranslator.cpp
@@ -0,0 +1,101 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/randomsource.h"
+#include "platform/rulestranslator.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using platform::RetryBounds;
+using platform::TranslatedDocument;
+using platform::TranslatedRoutes;
+using platform::TranslateRules;
+
+constexpr RetryBounds kRetries{0.2, 58.0};
+
+std::string RouteText(std::size_t number, std::size_t rank) {
+  return R"({"name":"r)" + std::to_string(number) + R"(","hostname":"h.example","prefix":"/)" +
+         std::to_string(number) +
+         R"(/","routeType":"safe","timeout":"2s","slo":"500ms","priority":)" +
+         std::to_string(rank) + R"(,"service":"portail","attempts":2})";
+}
+
+std::string Configuration(int version, const std::vector<std::string>& routes) {
+  std::string text = R"({"configVersion":)" + std::to_string(version) + R"(,"routes":[)";
+  for (const std::string& route : routes) text += (&route == routes.data() ? "" : ",") + route;
+  return text + R"(],"services":[{"name":"portail","healthPath":"/healthz"}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeout":"3s","idleTimeout":"15s"}})";
+}
+
+platform::ZoneMap Zones() { return {{DataCentreId("brest-a"), RegionId("finistere")}}; }
+
+}  // namespace
+
+class RulesTranslatorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RulesTranslatorTest);
+  CPPUNIT_TEST(TranslatesOnlyChangedRoutes);
+  CPPUNIT_TEST(YieldsTheSameWithAnyKnownRoutes);
+  CPPUNIT_TEST(InvalidConfigurationKeepsTheKnownRoutes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a reader with little processor time that passes changes on late, because it
+  // translates all routes again for each version.
+  void TranslatesOnlyChangedRoutes() {
+    constexpr std::size_t kRoutes = 1400;
+    std::vector<std::string> texts;
+    for (std::size_t number = 0; number < kRoutes; ++number) texts.push_back(RouteText(number, 1));
+    TranslatedRoutes routes;
+    CPPUNIT_ASSERT(TranslateRules(Configuration(1, texts), Zones(), kRetries, routes));
+    const TranslatedRoutes before = routes;
+    CPPUNIT_ASSERT_EQUAL(kRoutes, before.size());
+    texts[kRoutes / 2] = RouteText(kRoutes, 1);
+    CPPUNIT_ASSERT(TranslateRules(Configuration(2, texts), Zones(), kRetries, routes));
+    std::size_t translated = 0;
+    for (const auto& [text, route] : routes) {
+      const auto found = before.find(text);
+      if (found == before.end() || found->second != route) ++translated;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, translated);
+  }
+
+  // Property test: readers translate the same configuration after different earlier ones, and must
+  // give it the same text. The names of priorities change with the number of ranks.
+  void YieldsTheSameWithAnyKnownRoutes() {
+    RandomSource random(3);
+    TranslatedRoutes known;
+    for (int round = 1; round < 200; ++round) {
+      std::vector<std::string> texts;
+      const std::size_t ranks = random.Below(2) == 0 ? 3 : 50;
+      for (std::size_t number = 0; number < 60; ++number) {
+        texts.push_back(RouteText(number, random.Below(ranks)));
+      }
+      const std::string value = Configuration(round, texts);
+      TranslatedRoutes none;
+      const Result<TranslatedDocument> expected = TranslateRules(value, Zones(), kRetries, none);
+      const Result<TranslatedDocument> document = TranslateRules(value, Zones(), kRetries, known);
+      CPPUNIT_ASSERT(expected && document);
+      CPPUNIT_ASSERT_EQUAL(expected.value().text, document.value().text);
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::uint64_t>(round), document.value().version);
+    }
+  }
+
+  void InvalidConfigurationKeepsTheKnownRoutes() {
+    TranslatedRoutes routes;
+    const std::vector<std::string> texts{RouteText(1, 1), RouteText(2, 1)};
+    CPPUNIT_ASSERT(TranslateRules(Configuration(1, texts), Zones(), kRetries, routes));
+    const TranslatedRoutes before = routes;
+    const std::string bad = Configuration(2, {RouteText(1, 1), R"({"name":"r3"})"});
+    CPPUNIT_ASSERT(!TranslateRules(bad, Zones(), kRetries, routes));
+    CPPUNIT_ASSERT(before == routes);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RulesTranslatorTest);
+
+}  // namespace damaskhollow
