--- a/tests/auto/control/tst_documentsync.cpp
+++ b/tests/auto/control/tst_documentsync.cpp
@@ -3,39 +3,21 @@
 #include <array>
 #include <string>
 
+#include "auto/control/testdocument.h"
 #include "control/documentsync.h"
 
 namespace damaskhollow {
 
 namespace {
 
+using test::RulesOf;
+using test::TextHolder;
+
 const FleetNode holder_node{BackendServerId("holder"), RegionId("r"), DataCentreId("d")};
 const FleetNode asking_node{BackendServerId("asking"), RegionId("r"), DataCentreId("d")};
 
 constexpr TimePoint kTime{std::chrono::seconds(100)};
 
-// A document that takes over every newer version.
-class TextHolder : public DocumentHolder {
- public:
-  std::uint64_t HeldVersion() const override { return m_version; }
-  std::string_view HeldText() const override { return m_text; }
-  OfferResult OfferDocument(std::uint64_t version, std::string_view text, DocumentSource,
-                            std::string_view) override {
-    if (version <= m_version) return OfferResult::kOlder;
-    Set(version, std::string(text));
-    return OfferResult::kAccepted;
-  }
-
-  void Set(std::uint64_t version, std::string text) {
-    m_version = version;
-    m_text = std::move(text);
-  }
-
- private:
-  std::uint64_t m_version = 0;
-  std::string m_text;
-};
-
 // One node's copy of the VM list, which records what it sends.
 struct Node {
   explicit Node(const FleetNode& self)
@@ -59,22 +41,6 @@
   return text;
 }
 
-// Rules as a node holds them: compact JSON without line feeds. `suffix` changes one route, `salt`
-// the names of all.
-std::string RulesOf(std::size_t routes, const std::string& suffix, const std::string& salt = "") {
-  std::string text = R"({"budgets":{"retry_share":0.1},"routes":[)";
-  for (std::size_t route = 0; route < routes; ++route) {
-    const std::string number = std::to_string(StableHash(salt, std::to_string(route)));
-    text += (route == 0 ? "" : ",") +
-            std::string(R"({"attempts":2,"host":"open-data.example","id":"r-)") + number +
-            R"(","idempotent":true,"parts":[{"service":"portail","weight":90},)" +
-            R"({"service":"entrepot","weight":10}],"path_prefix":"/)" + number + "/" +
-            (route == routes / 2 ? suffix : "") +
-            R"(","priority":"rank-1-1000ms","timeout_ms":2000})";
-  }
-  return text + R"(],"services":[{"id":"portail"},{"id":"entrepot"}]})";
-}
-
 }  // namespace
 
 class DocumentSyncTest : public CppUnit::TestFixture {
