--- a/tests/auto/control/testdocument.h
+++ b/tests/auto/control/testdocument.h
@@ -40,12 +40,12 @@
   std::string text = R"({"budgets":{"retry_share":0.1},"routes":[)";
   for (std::size_t route = 0; route < routes; ++route) {
     const std::string number = std::to_string(StableHash(salt, std::to_string(route)));
-    text += (route == 0 ? "" : ",") +
-            std::string(R"({"attempts":2,"host":"open-data.example","id":"r-)") + number +
-            R"(","idempotent":true,"parts":[{"service":"portail","weight":90},)" +
-            R"({"service":"entrepot","weight":10}],"path_prefix":"/)" + number + "/" +
-            (route == routes / 2 ? suffix : "") +
-            R"(","priority":"rank-1-1000ms","timeout_ms":2000})";
+    if (route > 0) text += ',';
+    text.append(R"({"attempts":2,"host":"open-data.example","id":"r-)").append(number);
+    text.append(R"(","idempotent":true,"parts":[{"service":"portail","weight":90},)");
+    text.append(R"({"service":"entrepot","weight":10}],"path_prefix":"/)").append(number);
+    text.append("/").append(route == routes / 2 ? suffix : "");
+    text.append(R"(","priority":"rank-1-1000ms","timeout_ms":2000})");
   }
   return text + R"(],"services":[{"id":"portail"},{"id":"entrepot"}]})";
 }
--- a/tests/auto/control/tst_seriesofversions.cpp
+++ b/tests/auto/control/tst_seriesofversions.cpp
@@ -126,7 +126,7 @@
     SimulatedNode& sender = *m_nodes[from];
     const double bytes = static_cast<double>(kAnnouncementBytes + body.ByteSizeLong());
     sender.link_free = std::max(sender.link_free, m_now) +
-                       microseconds(static_cast<long>(bytes / kLinkBytesPerSecond * 1e6));
+                       microseconds(static_cast<Duration::rep>(bytes / kLinkBytesPerSecond * 1e6));
     const bool is_far = sender.node.region != m_nodes[to]->node.region;
     const TimePoint arrival = sender.link_free + (is_far ? milliseconds(30) : milliseconds(1));
     m_messages.emplace(arrival, Message{from, to, std::move(body), version});
