--- a/tests/auto/control/tst_seriesofversions.cpp
+++ b/tests/auto/control/tst_seriesofversions.cpp
@@ -36,8 +36,8 @@
 // One node: its documents are exchanged by a real DocumentSync; the network, the processor and the
 // configuration service are simulated.
 struct SimulatedNode {
-  SimulatedNode(const FleetNode& node_, const DocumentSync::SendFunction& send)
-      : node(node_), sync(wire::DOCUMENT_CONFIGURATION, node_, nullptr, holder, metrics, send) {}
+  SimulatedNode(const FleetNode& self, const DocumentSync::SendFunction& send)
+      : node(self), sync(wire::DOCUMENT_CONFIGURATION, self, nullptr, holder, metrics, send) {}
 
   FleetNode node;
   MetricsRegistry metrics;
