--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -113,14 +113,18 @@
 
 const wire::TextChange* DocumentSync::FindChange(std::uint64_t base_hash) {
   RememberHeld();
-  const auto known = m_changes.find(base_hash);
-  if (known != m_changes.end()) return &known->second;
-  const auto base = std::find_if(m_texts.begin(), m_texts.end(),
-                                 [&](const HeldText& held) { return held.hash == base_hash; });
-  if (base == m_texts.end()) return nullptr;
-  wire::TextChange change = ToMessage(DescribeChange(base->text, m_holder.HeldText()));
-  if (change.ByteSizeLong() * kMinShortening > m_holder.HeldText().size()) return nullptr;
-  return &m_changes.emplace(base_hash, std::move(change)).first->second;
+  auto known = m_changes.find(base_hash);
+  if (known == m_changes.end()) {
+    const auto base = std::find_if(m_texts.begin(), m_texts.end(),
+                                   [&](const HeldText& held) { return held.hash == base_hash; });
+    if (base == m_texts.end()) return nullptr;
+    std::optional<wire::TextChange> change =
+        ToMessage(DescribeChange(base->text, m_holder.HeldText()));
+    const bool is_short = change->ByteSizeLong() * kMinShortening <= m_holder.HeldText().size();
+    if (!is_short) change.reset();
+    known = m_changes.emplace(base_hash, std::move(change)).first;
+  }
+  return known->second ? &*known->second : nullptr;
 }
 
 wire::Envelope DocumentSync::AnswerQuery(const wire::ConfigurationQuery& query) {
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -125,8 +125,8 @@
   bool m_requests_whole = false;  // Whether the running transfer must not be answered by a change.
   std::deque<HeldText> m_texts;   // Oldest first.
   // Changes of remembered texts to the held one by the hash of the base, in the form in which they
-  // are sent.
-  std::map<std::uint64_t, wire::TextChange> m_changes;
+  // are sent. Empty if the change is not much shorter than the text.
+  std::map<std::uint64_t, std::optional<wire::TextChange>> m_changes;
   std::uint64_t m_store_version = 0;  // Highest version read from the service.
   bool m_is_store_across_paid_link = false;
   std::string m_store_failure;
