--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "logging/logger.h"
+#include "logging/terminationreport.h"
 #include "node/node.h"
 #include "settings/nodesettings.h"
 
@@ -56,6 +57,7 @@
   damaskhollow::StartLogging(*damaskhollow::LogLevelFromName(loaded.value().settings.log_level));
   damaskhollow::Node node(loaded.value().settings,
                           damaskhollow::DefaultPlatformBindings(loaded.value().settings));
+  damaskhollow::InstallTerminationReport([&node] { return node.LoadFields(); });
   if (Result<void> result = node.Start(); !result) {
     damaskhollow::EventLine(damaskhollow::LogPart::kNode, damaskhollow::LogLevel::kError,
                             "start_failed")
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -160,6 +160,16 @@
   return *this;
 }
 
+std::string FormatLine(
+    LogPart part, LogLevel level, std::string_view event,
+    std::initializer_list<std::pair<std::string_view, std::string_view>> fields) {
+  std::string line = LinePrefix(part, level, event);
+  for (const auto& [field, value] : fields) {
+    line.append(" ").append(field).append("=").append(Quoted(value));
+  }
+  return line;
+}
+
 void LogEvent(LogPart part, LogLevel level, std::string_view event) {
   const EventLine line(part, level, event);
 }
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -2,9 +2,11 @@
 #define DAMASKHOLLOW_LOGGING_LOGGER_H_
 
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace damaskhollow {
 
@@ -59,6 +61,10 @@
   std::string m_line;  // Empty if the line is not written.
 };
 
+// Returns a log line without its time, for a process that can no longer use the queue.
+std::string FormatLine(LogPart part, LogLevel level, std::string_view event,
+                       std::initializer_list<std::pair<std::string_view, std::string_view>> fields);
+
 // Writes a log line without further fields.
 void LogEvent(LogPart part, LogLevel level, std::string_view event);
 
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -340,6 +340,13 @@
   json.insert("configuration_version", static_cast<qint64>(m_configuration_version.load()));
   json.insert("draining", state.draining());
   json.insert("in_flight", static_cast<int>(state.in_flight()));
+std::string Node::LoadFields() const {
+  return "in_flight=" + std::to_string(m_metrics.Value(Metric::kInFlightCalls)) +
+         " queued=" + std::to_string(m_metrics.Value(Metric::kQueuedCalls)) +
+         " caller_connections=" + std::to_string(m_metrics.Value(Metric::kCallerConnections)) +
+         " version=" + std::to_string(m_configuration_version.load());
+}
+
   json.insert("queued", static_cast<int>(state.queued()));
   json.insert("limit", static_cast<int>(state.limit()));
   QJsonArray peers;
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -47,6 +47,9 @@
   // services, and opens all ports. Fails if a file cannot be used or a port cannot be opened.
   Result<void> Start();
 
+  // The number of calls and caller connections as fields of a log line. Takes no locks.
+  std::string LoadFields() const;
+
   // Starts a graceful shutdown: the owner refuses new calls and announces this to peers, and calls
   // in flight are completed. Calls `done` when the node is idle or the drain timeout has passed.
   void StartDrain(std::function<void()> done);
