Give calls to ZeroMQ typed results, and repeat interrupted ones

Cause: cppzmq throws for every error but EAGAIN, and the calls ran in tasks and notifiers without a handler. Class of fault: an expected failure of one call (EINTR, EMFILE, EINVAL, EHOSTUNREACH) reported by an exception that nobody takes.

Change: ZmqSocket owns all calls of the peer links. EINTR is repeated, which is safe as libzmq reports it only before it has taken or returned a message; the second frame of a reply can no longer be lost behind the first. Other errors are results with a counter and one log line a second for each kind. A reply that is dropped is counted. A transport that is stopped ignores later messages.

--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <QFile>
 #include <QJsonArray>
+#include <array>
 #include <utility>
 
 #include "logging/logger.h"
@@ -19,6 +20,12 @@
 constexpr std::chrono::milliseconds kWithdrawalTime{500};
 
 BytePurpose PurposeOf(const wire::Envelope& message) {
+// The counter of each SocketEvent, in the order of the enumeration.
+constexpr std::array<Metric, static_cast<std::size_t>(SocketEvent::kCount)> kSocketMetrics{
+    Metric::kSocketInterruptions, Metric::kSocketQueueFull,   Metric::kSocketPeerGone,
+    Metric::kRepliesDropped,      Metric::kSocketNoResources, Metric::kSocketInvalidArgument,
+    Metric::kSocketFailures};
+
   switch (message.body_case()) {
     case wire::Envelope::kResponseChunk:
     case wire::Envelope::kRefused:
@@ -333,6 +340,17 @@
 
 QJsonObject Node::Status() const {
   const wire::OwnerState state = m_owner.State();
+void Node::OnSocketEvents(SocketEvent event, std::uint64_t count) {
+  m_metrics.Add(kSocketMetrics[static_cast<std::size_t>(event)], count);
+}
+
+std::string Node::LoadFields() const {
+  return "in_flight=" + std::to_string(m_metrics.Value(Metric::kInFlightCalls)) +
+         " queued=" + std::to_string(m_metrics.Value(Metric::kQueuedCalls)) +
+         " caller_connections=" + std::to_string(m_metrics.Value(Metric::kCallerConnections)) +
+         " version=" + std::to_string(m_configuration_version.load());
+}
+
   QJsonObject json;
   json.insert("server", QString::fromStdString(m_identity.server.Value()));
   json.insert("region", QString::fromStdString(m_settings.region.Value()));
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -70,6 +70,7 @@
   void OnSent(const BackendServerId& peer, const wire::Envelope& message,
               std::size_t bytes) override;
   void OnControlReceived(const BackendServerId& peer, std::size_t bytes) override;
+  void OnSocketEvents(SocketEvent event, std::uint64_t count) override;
 
   Result<LinkKeys> LoadKeys() const;
   void ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
--- a/src/libs/wire/acceptedlinks.cpp
+++ b/src/libs/wire/acceptedlinks.cpp
@@ -1,5 +1,7 @@
 #include "wire/acceptedlinks.h"
 
+#include <array>
+#include <string_view>
 #include <utility>
 
 namespace damaskhollow {
@@ -13,41 +15,48 @@
 constexpr int kHeartbeatIntervalMs = 15000;
 constexpr int kHeartbeatTimeoutMs = 45000;
 
-}  // namespace
-
-AcceptedLinks::AcceptedLinks(zmq::context_t& context, const LinkKeys& keys)
-    : m_socket(context, zmq::socket_type::router) {
-  m_socket.set(zmq::sockopt::linger, 0);
-  m_socket.set(zmq::sockopt::router_mandatory, true);
-  m_socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
-  m_socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
-  m_socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
-  m_socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
-  m_socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+void Configure(zmq::socket_t& socket, const LinkKeys& keys) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::router_mandatory, true);
+  socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   if (!keys.IsSet()) return;
-  m_socket.set(zmq::sockopt::curve_server, true);
-  m_socket.set(zmq::sockopt::curve_secretkey, keys.secret_key);
+  socket.set(zmq::sockopt::curve_server, true);
+  socket.set(zmq::sockopt::curve_secretkey, keys.secret_key);
 }
 
-Result<void> AcceptedLinks::Listen(const Endpoint& endpoint) {
-  try {
-    m_socket.bind("tcp://" + ToString(endpoint));
-  } catch (const zmq::error_t& error) {
-    return Failure{FailureCode::kSocket, ToString(endpoint), error.what()};
-  }
+}  // namespace
+
+Result<void> AcceptedLinks::Listen(zmq::context_t& context, const LinkKeys& keys,
+                                   const Endpoint& endpoint) {
+  const auto failure = [&](SocketError error) {
+    return Failure{FailureCode::kSocket, ToString(endpoint), std::string(SocketErrorText(error))};
+  };
+  SocketResult<ZmqSocket> socket = ZmqSocket::Open(
+      context, zmq::socket_type::router, [&](zmq::socket_t& opened) { Configure(opened, keys); },
+      m_events);
+  if (!socket) return failure(socket.error());
+  m_socket = std::move(socket.value());
+  const SocketResult<void> bound = m_socket->Bind("tcp://" + ToString(endpoint));
+  if (!bound) return failure(bound.error());
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-int AcceptedLinks::Descriptor() const { return m_socket.get(zmq::sockopt::fd); }
+int AcceptedLinks::Descriptor() { return m_socket->Descriptor(); }
 
 std::optional<AcceptedMessage> AcceptedLinks::Receive() {
   zmq::message_t routing_id;
-  if (!m_socket.recv(routing_id, zmq::recv_flags::dontwait)) return std::nullopt;
+  if (!m_socket->Receive(routing_id)) return std::nullopt;
   AcceptedMessage message{routing_id.to_string(), {}, {}};
   // Nodes send messages of a single frame. Of a multi-frame message from any other program only the
   // last frame is used.
-  while (m_socket.get(zmq::sockopt::rcvmore)) {
-    if (!m_socket.recv(message.body, zmq::recv_flags::dontwait)) break;
+  bool more = routing_id.more();
+  while (more) {
+    if (!m_socket->Receive(message.body)) return std::nullopt;
+    more = message.body.more();
   }
   const char* user = zmq_msg_gets(message.body.handle(), "User-Id");
   if (user != nullptr) message.public_key = user;
@@ -57,11 +66,16 @@
 bool AcceptedLinks::Send(const std::string& routing_id, std::string bytes) {
   const auto queued = m_backlogs.find(routing_id);
   if (queued == m_backlogs.end()) {
-    const SendResult result = TrySend(routing_id, bytes);
-    if (result != SendResult::kQueueFull) return result == SendResult::kSent;
+    const SocketResult<void> sent = TrySend(routing_id, bytes);
+    if (sent) return true;
+    if (sent.error() != SocketError::kWouldBlock) return false;
+    m_events.Count(SocketEvent::kQueueFull, 0);
   }
   Backlog& backlog = m_backlogs[routing_id];
-  if (backlog.bytes + bytes.size() > kMaxBacklogBytes) return false;
+  if (backlog.bytes + bytes.size() > kMaxBacklogBytes) {
+    m_events.Count(SocketEvent::kReplyDropped, 0);
+    return false;
+  }
   backlog.bytes += bytes.size();
   backlog.messages.push_back(std::move(bytes));
   return true;
@@ -70,32 +84,20 @@
 void AcceptedLinks::Flush() {
   for (auto entry = m_backlogs.begin(); entry != m_backlogs.end();) {
     Backlog& backlog = entry->second;
-    SendResult result = SendResult::kSent;
+    SocketResult<void> sent = BOOST_OUTCOME_V2_NAMESPACE::success();
     while (!backlog.messages.empty()) {
-      result = TrySend(entry->first, backlog.messages.front());
-      if (result != SendResult::kSent) break;
+      sent = TrySend(entry->first, backlog.messages.front());
+      if (!sent) break;
       backlog.bytes -= backlog.messages.front().size();
       backlog.messages.pop_front();
     }
-    entry = backlog.messages.empty() || result == SendResult::kDisconnected
-                ? m_backlogs.erase(entry)
-                : std::next(entry);
+    const bool is_waiting = !sent && sent.error() == SocketError::kWouldBlock;
+    entry = is_waiting ? std::next(entry) : m_backlogs.erase(entry);
   }
 }
 
-AcceptedLinks::SendResult AcceptedLinks::TrySend(const std::string& routing_id,
-                                                 const std::string& bytes) {
-  try {
-    if (!m_socket.send(zmq::buffer(routing_id),
-                       zmq::send_flags::dontwait | zmq::send_flags::sndmore)) {
-      return SendResult::kQueueFull;
-    }
-    m_socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-    return SendResult::kSent;
-  } catch (const zmq::error_t&) {
-    return SendResult::kDisconnected;  // ROUTER_MANDATORY reports a peer that is gone as
-                                       // EHOSTUNREACH.
-  }
+SocketResult<void> AcceptedLinks::TrySend(const std::string& routing_id, const std::string& bytes) {
+  return m_socket->Send(std::array<std::string_view, 2>{routing_id, bytes});
 }
 
 }  // namespace damaskhollow
--- a/src/libs/wire/acceptedlinks.h
+++ b/src/libs/wire/acceptedlinks.h
@@ -11,6 +11,8 @@
 #include "base/endpoint.h"
 #include "base/result.h"
 #include "wire/peertransport.h"
+#include "wire/socketevents.h"
+#include "wire/zmqsocket.h"
 
 namespace damaskhollow {
 
@@ -25,19 +27,21 @@
 // queue for each peer that reads too slowly. Used on the thread of PeerTransport only.
 class AcceptedLinks {
  public:
-  AcceptedLinks(zmq::context_t& context, const LinkKeys& keys);
+  // `events` must outlive this object.
+  explicit AcceptedLinks(SocketEvents& events) : m_events(events) {}
 
-  // Binds the socket. Fails with kSocket if the endpoint cannot be bound.
-  Result<void> Listen(const Endpoint& endpoint);
+  // Opens the socket and binds it. Fails with kSocket. The other functions may be called only after
+  // it has succeeded.
+  Result<void> Listen(zmq::context_t& context, const LinkKeys& keys, const Endpoint& endpoint);
 
   // The file descriptor that becomes readable when the socket has events.
-  int Descriptor() const;
+  int Descriptor();
 
   // Returns the next received message, or nothing if there is none. Does not block.
   std::optional<AcceptedMessage> Receive();
 
   // Sends a message, or queues it in order if the peer cannot accept it yet. Returns false if the
-  // peer is disconnected or its queue is full.
+  // message is dropped because the peer is disconnected or its queue is full.
   bool Send(const std::string& routing_id, std::string bytes);
 
   // Retries sending the queued messages.
@@ -50,10 +54,10 @@
     std::size_t bytes = 0;
   };
 
-  enum class SendResult { kSent, kQueueFull, kDisconnected };
-  SendResult TrySend(const std::string& routing_id, const std::string& bytes);
+  SocketResult<void> TrySend(const std::string& routing_id, const std::string& bytes);
 
-  zmq::socket_t m_socket;
+  SocketEvents& m_events;
+  std::optional<ZmqSocket> m_socket;
   std::unordered_map<std::string, Backlog> m_backlogs;
 };
 
--- a/src/libs/wire/dialledlink.cpp
+++ b/src/libs/wire/dialledlink.cpp
@@ -1,6 +1,8 @@
 #include "wire/dialledlink.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 #include "base/keepalive.h"
@@ -30,6 +32,23 @@
   socket.set(zmq::sockopt::tcp_maxrt, static_cast<int>(keep_alive.BreaksAfter().count()));
 }
 
+void Configure(zmq::socket_t& socket, const std::string& routing_id, const LinkKeys& keys,
+               const std::string& server_key) {
+  socket.set(zmq::sockopt::linger, 0);
+  // Otherwise messages are queued and delivered late, when the peer is back.
+  socket.set(zmq::sockopt::immediate, true);
+  socket.set(zmq::sockopt::reconnect_ivl, -1);
+  socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  socket.set(zmq::sockopt::routing_id, routing_id);
+  EnableKeepAlive(socket);
+  if (!keys.IsSet() || server_key.empty()) return;
+  socket.set(zmq::sockopt::curve_serverkey, server_key);
+  socket.set(zmq::sockopt::curve_publickey, keys.public_key);
+  socket.set(zmq::sockopt::curve_secretkey, keys.secret_key);
+}
+
 Duration ConnectTimeout(std::uint32_t attempts) {
   return kFirstConnectTimeout * (1U << std::min(attempts, kMaxConnectDoublings));
 }
@@ -39,43 +58,39 @@
 DialledLink::DialledLink(Endpoint endpoint, std::string public_key)
     : m_endpoint(std::move(endpoint)), m_public_key(std::move(public_key)) {}
 
-void DialledLink::Connect(zmq::context_t& context, const std::string& routing_id,
-                          const LinkKeys& keys, TimePoint now, std::function<void()> on_readable) {
+SocketResult<void> DialledLink::Connect(zmq::context_t& context, const std::string& routing_id,
+                                        const LinkKeys& keys, TimePoint now,
+                                        std::function<void()> on_readable, SocketEvents& events) {
   m_notifier.reset();
-  m_socket = std::make_unique<zmq::socket_t>(context, zmq::socket_type::dealer);
-  m_socket->set(zmq::sockopt::linger, 0);
-  m_socket->set(zmq::sockopt::immediate,
-                true);  // Otherwise messages are queued and delivered late, when the peer is back.
-  m_socket->set(zmq::sockopt::reconnect_ivl, -1);
-  m_socket->set(zmq::sockopt::sndhwm, kHighWaterMark);
-  m_socket->set(zmq::sockopt::rcvhwm, kHighWaterMark);
-  m_socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
-  m_socket->set(zmq::sockopt::routing_id, routing_id);
-  EnableKeepAlive(*m_socket);
-  if (keys.IsSet() && !m_public_key.empty()) {
-    m_socket->set(zmq::sockopt::curve_serverkey, m_public_key);
-    m_socket->set(zmq::sockopt::curve_publickey, keys.public_key);
-    m_socket->set(zmq::sockopt::curve_secretkey, keys.secret_key);
-  }
-  m_socket->connect("tcp://" + ToString(m_endpoint));
-  m_notifier =
-      std::make_unique<QSocketNotifier>(m_socket->get(zmq::sockopt::fd), QSocketNotifier::Read);
-  QObject::connect(m_notifier.get(), &QSocketNotifier::activated, m_notifier.get(),
-                   std::move(on_readable));
+  m_socket.reset();
   m_state = State::kConnecting;
   m_connected_at = now;
   m_last_received = now;
   m_unanswered_since.reset();
   ++m_connect_attempts;
+  SocketResult<ZmqSocket> socket = ZmqSocket::Open(
+      context, zmq::socket_type::dealer,
+      [&](zmq::socket_t& opened) { Configure(opened, routing_id, keys, m_public_key); }, events);
+  if (!socket) return socket.error();
+  if (SocketResult<void> connected = socket.value().Connect("tcp://" + ToString(m_endpoint));
+      !connected) {
+    return connected;
+  }
+  m_socket = std::make_unique<ZmqSocket>(std::move(socket.value()));
+  m_notifier = std::make_unique<QSocketNotifier>(m_socket->Descriptor(), QSocketNotifier::Read);
+  QObject::connect(m_notifier.get(), &QSocketNotifier::activated, m_notifier.get(),
+                   std::move(on_readable));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-bool DialledLink::Send(const std::string& bytes, TimePoint) {
-  return m_socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+SocketResult<void> DialledLink::Send(const std::string& bytes) {
+  if (!m_socket) return SocketError::kWouldBlock;
+  return m_socket->Send(std::array<std::string_view, 1>{bytes});
 }
 
 std::optional<zmq::message_t> DialledLink::Receive(TimePoint now) {
   zmq::message_t message;
-  if (!m_socket->recv(message, zmq::recv_flags::dontwait)) return std::nullopt;
+  if (!m_socket || !m_socket->Receive(message)) return std::nullopt;
   m_last_received = now;
   if (m_state == State::kUp) m_unanswered_since.reset();
   return message;
@@ -118,8 +133,6 @@
   m_connect_attempts = 0;
 }
 
-bool DialledLink::HasConnection() const {
-  return (static_cast<unsigned>(m_socket->get(zmq::sockopt::events)) & ZMQ_POLLOUT) != 0;
-}
+bool DialledLink::HasConnection() const { return m_socket && m_socket->IsWritable(); }
 
 }  // namespace damaskhollow
--- a/src/libs/wire/dialledlink.h
+++ b/src/libs/wire/dialledlink.h
@@ -13,6 +13,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "wire/peertransport.h"
+#include "wire/zmqsocket.h"
 
 namespace damaskhollow {
 
@@ -29,13 +30,15 @@
 
   DialledLink(Endpoint endpoint, std::string public_key);
 
-  // Opens a new socket and closes the previous one. Calls `on_readable` when messages may be
-  // available.
-  void Connect(zmq::context_t& context, const std::string& routing_id, const LinkKeys& keys,
-               TimePoint now, std::function<void()> on_readable);
+  // Closes the previous socket and opens a new one. Calls `on_readable` when messages may be
+  // available. If no socket can be opened, the link has none, and NextAction asks for another
+  // attempt after a delay that grows with each attempt. `events` must outlive this object.
+  SocketResult<void> Connect(zmq::context_t& context, const std::string& routing_id,
+                             const LinkKeys& keys, TimePoint now, std::function<void()> on_readable,
+                             SocketEvents& events);
 
-  // Sends one message. Returns false if there is no connection that accepts it.
-  bool Send(const std::string& bytes, TimePoint now);
+  // Sends one message. Fails with kWouldBlock if there is no connection that accepts it.
+  SocketResult<void> Send(const std::string& bytes);
 
   // Returns the next received message, or nothing if there is none. Does not block.
   std::optional<zmq::message_t> Receive(TimePoint now);
@@ -62,7 +65,7 @@
   Endpoint m_endpoint;
   std::string m_public_key;
   State m_state = State::kConnecting;
-  std::unique_ptr<zmq::socket_t> m_socket;
+  std::unique_ptr<ZmqSocket> m_socket;  // Null if none could be opened.
   std::unique_ptr<QSocketNotifier> m_notifier;
   TimePoint m_connected_at{};
   TimePoint m_last_received{};
--- a/src/libs/wire/peerauthenticator.cpp
+++ b/src/libs/wire/peerauthenticator.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr char kZapAddress[] = "inproc://zeromq.zap.01";
 constexpr std::size_t kCurveKeyBytes = 32;
 constexpr std::size_t kZ85KeyLength = 40;
 constexpr std::size_t kCurveRequestFrames = 7;
@@ -23,13 +24,25 @@
 
 }  // namespace
 
-PeerAuthenticator::PeerAuthenticator(zmq::context_t& context, KeyCheck is_allowed)
-    : m_socket(context, zmq::socket_type::rep), m_is_allowed(std::move(is_allowed)) {
-  m_socket.set(zmq::sockopt::linger, 0);
-  m_socket.bind("inproc://zeromq.zap.01");
+PeerAuthenticator::PeerAuthenticator(KeyCheck is_allowed, SocketEvents& events)
+    : m_is_allowed(std::move(is_allowed)), m_events(events) {}
+
+Result<void> PeerAuthenticator::Listen(zmq::context_t& context) {
+  const auto failure = [](SocketError error) {
+    return Failure{FailureCode::kSocket, kZapAddress, std::string(SocketErrorText(error))};
+  };
+  SocketResult<ZmqSocket> socket = ZmqSocket::Open(
+      context, zmq::socket_type::rep,
+      [](zmq::socket_t& opened) { opened.set(zmq::sockopt::linger, 0); }, m_events);
+  if (!socket) return failure(socket.error());
+  m_socket = std::move(socket.value());
+  if (const SocketResult<void> bound = m_socket->Bind(kZapAddress); !bound) {
+    return failure(bound.error());
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-int PeerAuthenticator::Descriptor() const { return m_socket.get(zmq::sockopt::fd); }
+int PeerAuthenticator::Descriptor() { return m_socket->Descriptor(); }
 
 void PeerAuthenticator::AnswerRequests() {
   while (AnswerNextRequest()) {
@@ -38,11 +51,13 @@
 
 bool PeerAuthenticator::AnswerNextRequest() {
   std::vector<zmq::message_t> frames;
+  bool more = false;
   do {
     zmq::message_t frame;
-    if (!m_socket.recv(frame, zmq::recv_flags::dontwait)) return false;
+    if (!m_socket->Receive(frame)) return false;
+    more = frame.more();
     frames.push_back(std::move(frame));
-  } while (m_socket.get(zmq::sockopt::rcvmore));
+  } while (more);
 
   // Frames: version, request id, domain, address, identity, mechanism, credentials.
   const bool is_curve =
@@ -53,12 +68,8 @@
   const std::array<std::string_view, 6> answer{
       "1.0", request_id, allowed ? "200" : "400", allowed ? "OK" : "key not in the inventory",
       key,   ""};
-  for (std::size_t index = 0; index < answer.size(); ++index) {
-    const bool more = index + 1 < answer.size();
-    m_socket.send(zmq::buffer(answer[index]),
-                  more ? zmq::send_flags::sndmore : zmq::send_flags::none);
-  }
-  return true;
+  // If the answer cannot be sent, the handshake of the connection times out.
+  return static_cast<bool>(m_socket->Send(answer));
 }
 
 }  // namespace damaskhollow
--- a/src/libs/wire/peertransport.cpp
+++ b/src/libs/wire/peertransport.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -14,6 +16,7 @@
 #include "wire/acceptedlinks.h"
 #include "wire/dialledlink.h"
 #include "wire/peerauthenticator.h"
+#include "wire/zmqsocket.h"
 
 namespace damaskhollow {
 
@@ -26,6 +29,12 @@
 constexpr unsigned kTicksPerBusyCheck = 4;
 constexpr unsigned kTicksPerIdleCheck = 40;
 
+// Interruptions and peers that left are part of normal operation; the others need attention.
+LogLevel LevelOf(SocketEvent event) {
+  const bool is_expected = event == SocketEvent::kInterrupted || event == SocketEvent::kPeerGone;
+  return is_expected ? LogLevel::kInfo : LogLevel::kWarning;
+}
+
 // Extracts the server id from a routing id "ID#incarnation#number".
 BackendServerId PeerFromRoutingId(const std::string& routing_id) {
   return BackendServerId(routing_id.substr(0, routing_id.find('#')));
@@ -75,10 +84,12 @@
   bool IsCheckDue(const BackendServerId& peer, const DialledLink& link) const;
   void CheckLink(const BackendServerId& peer, DialledLink& link, TimePoint now);
   void CheckConnection(const BackendServerId& peer);
+  void ReportSocketEvents();
 
   TransportOptions m_options;
   PeerHandler& m_handler;
-  zmq::context_t m_context{1};
+  SocketEvents m_events;
+  std::optional<zmq::context_t> m_context;
   std::unique_ptr<PeerAuthenticator> m_authenticator;
   std::unique_ptr<QSocketNotifier> m_authenticator_notifier;
   std::unique_ptr<AcceptedLinks> m_accepted;
@@ -88,23 +99,34 @@
   std::uint64_t m_next_link_number = 1;
   std::uint64_t m_next_ping = 1;
   unsigned m_tick_number = 0;
+  bool m_is_stopped = false;
   EventThread m_thread{"peers"};  // Declared last, so that it ends before the members that its
                                   // tasks use are destroyed.
 };
 
 Result<void> PeerTransport::Worker::Start() {
+  try {
+    m_context.emplace(1);
+  } catch (const zmq::error_t& error) {
+    return Failure{FailureCode::kSocket, ToString(m_options.listen), error.what()};
+  }
   if (m_options.keys.IsSet()) {
-    m_authenticator =
-        std::make_unique<PeerAuthenticator>(m_context, [this](const std::string& public_key) {
+    m_authenticator = std::make_unique<PeerAuthenticator>(
+        [this](const std::string& public_key) {
           return m_handler.IsAllowedPeer(BackendServerId(), public_key);
-        });
+        },
+        m_events);
+    if (Result<void> result = m_authenticator->Listen(*m_context); !result) return result;
     m_authenticator_notifier =
         std::make_unique<QSocketNotifier>(m_authenticator->Descriptor(), QSocketNotifier::Read);
     QObject::connect(m_authenticator_notifier.get(), &QSocketNotifier::activated,
                      m_authenticator_notifier.get(), [this] { m_authenticator->AnswerRequests(); });
   }
-  m_accepted = std::make_unique<AcceptedLinks>(m_context, m_options.keys);
-  if (Result<void> result = m_accepted->Listen(m_options.listen); !result) return result;
+  m_accepted = std::make_unique<AcceptedLinks>(m_events);
+  if (Result<void> result = m_accepted->Listen(*m_context, m_options.keys, m_options.listen);
+      !result) {
+    return result;
+  }
   m_accepted_notifier =
       std::make_unique<QSocketNotifier>(m_accepted->Descriptor(), QSocketNotifier::Read);
   QObject::connect(m_accepted_notifier.get(), &QSocketNotifier::activated,
@@ -117,6 +139,8 @@
 }
 
 void PeerTransport::Worker::Stop() {
+  m_is_stopped = true;
+  ReportSocketEvents();
   m_timer.reset();
   m_links.clear();
   m_accepted_notifier.reset();
@@ -127,6 +151,7 @@
 
 void PeerTransport::Worker::OpenLink(const BackendServerId& peer, const Endpoint& endpoint,
                                      const std::string& public_key) {
+  if (m_is_stopped) return;
   const auto existing = m_links.find(peer);
   if (existing != m_links.end()) {
     if (existing->second.RemoteEndpoint() == endpoint &&
@@ -151,10 +176,18 @@
   const std::string routing_id = m_options.self.Value() + "#" +
                                  std::to_string(m_options.incarnation.value) + "#" +
                                  std::to_string(m_next_link_number++);
-  link.Connect(m_context, routing_id, m_options.keys, MonotonicNow(), [this, peer] {
-    ReadLink(peer);
-    CheckConnection(peer);
-  });
+  const SocketResult<void> connected = link.Connect(
+      *m_context, routing_id, m_options.keys, MonotonicNow(),
+      [this, peer] {
+        ReadLink(peer);
+        CheckConnection(peer);
+      },
+      m_events);
+  if (connected) return;
+  EventLine(LogPart::kLink, LogLevel::kWarning, "link_not_opened")
+      .With("server", peer.Value())
+      .With("endpoint", ToString(link.RemoteEndpoint()))
+      .With("detail", SocketErrorText(connected.error()));
 }
 
 void PeerTransport::Worker::Replace(const BackendServerId& peer, DialledLink& link) {
@@ -168,7 +201,7 @@
 bool PeerTransport::Worker::SendOnLink(const BackendServerId& peer, DialledLink& link,
                                        const wire::Envelope& message) {
   const std::string bytes = message.SerializeAsString();
-  if (!link.Send(bytes, MonotonicNow())) return false;
+  if (!link.Send(bytes)) return false;
   m_handler.OnSent(peer, message, bytes.size());
   return true;
 }
@@ -187,6 +220,7 @@
 }
 
 void PeerTransport::Worker::Reply(const ReplyRoute& route, const wire::Envelope& message) {
+  if (m_is_stopped) return;
   const std::string bytes = message.SerializeAsString();
   const std::size_t size = bytes.size();
   if (m_accepted->Send(route.routing_id, bytes)) m_handler.OnSent(route.peer, message, size);
@@ -273,6 +307,18 @@
   }
   m_accepted->Flush();
   ReadAccepted();
+  if (m_tick_number % kTicksPerIdleCheck == 0) ReportSocketEvents();
+}
+
+void PeerTransport::Worker::ReportSocketEvents() {
+  m_events.TakeAll([this](const SocketEvents::Entry& entry) {
+    EventLine(LogPart::kLink, LevelOf(entry.event), "socket_events")
+        .With("kind", SocketEventName(entry.event))
+        .With("count", static_cast<std::int64_t>(entry.count))
+        .With("error", entry.last_error == 0 ? std::string("none")
+                                             : std::generic_category().message(entry.last_error));
+    m_handler.OnSocketEvents(entry.event, entry.count);
+  });
 }
 
 void PeerTransport::Worker::CheckConnection(const BackendServerId& peer) {
@@ -319,10 +365,8 @@
 }
 
 void PeerTransport::Stop() {
-  if (!m_worker) return;
-  m_worker->Thread().Post([this] { m_worker->Stop(); });
+  m_worker->Thread().Post([worker = m_worker.get()] { worker->Stop(); });
   m_worker->Thread().Stop();
-  m_worker.reset();
 }
 
 void PeerTransport::OpenLink(const BackendServerId& peer, const Endpoint& endpoint,
--- a/src/libs/wire/peertransport.h
+++ b/src/libs/wire/peertransport.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "wire/messages.pb.h"
+#include "wire/socketevents.h"
 
 namespace damaskhollow {
 
@@ -65,6 +66,9 @@
 
   // A control message, which is one that does not belong to a call, was received.
   virtual void OnControlReceived(const BackendServerId& peer, std::size_t bytes) = 0;
+
+  // Calls to ZeroMQ sockets were interrupted or failed `count` times since the last notification.
+  virtual void OnSocketEvents(SocketEvent event, std::uint64_t count) = 0;
 };
 
 // Whether the message does not belong to a call. Such messages count against the budget
@@ -98,7 +102,7 @@
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
 
-  // Binds the listening socket. Fails with kSocket.
+  // Binds the listening socket. Fails with kSocket or kInvalidKey.
   Result<void> Start();
 
   // Closes all links and ends the thread. Messages that have not been sent yet are dropped.
--- /dev/null
+++ b/tests/auto/wire/tst_peertransport.cpp
@@ -0,0 +1,258 @@
+#include <cppunit/TestAssert.h>
+#include <sys/resource.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "support/freeport.h"
+#include "support/tabletest.h"
+#include "support/wait.h"
+#include "wire/peertransport.h"
+
+namespace damaskhollow {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::microseconds kSignalInterval{200};
+// The users' bound for recovery after a disturbance.
+constexpr milliseconds kStability{4000};
+
+// A node's side of the transport: answers each ping-like call and records what it receives.
+class RecordingPeer : public PeerHandler {
+ public:
+  explicit RecordingPeer(const std::string& id)
+      : m_endpoint(test::FreeEndpoint()),
+        m_transport(std::make_unique<PeerTransport>(
+            TransportOptions{BackendServerId(id), Incarnation{1}, m_endpoint, {}, {}}, *this)) {}
+
+  bool Start() { return static_cast<bool>(m_transport->Start()); }
+  PeerTransport& Transport() { return *m_transport; }
+  const Endpoint& Address() const { return m_endpoint; }
+  bool IsLinkedTo(const std::string& id) const {
+    const std::lock_guard lock(m_lock);
+    return std::find(m_linked.begin(), m_linked.end(), BackendServerId(id)) != m_linked.end();
+  }
+  // The call ids of the answers received so far, in order.
+  std::vector<std::uint64_t> Answers() const {
+    const std::lock_guard lock(m_lock);
+    return m_answers;
+  }
+  int FailedSends() const { return m_failed_sends.load(); }
+  std::uint64_t Events(SocketEvent event) const {
+    return m_events[static_cast<std::size_t>(event)].load();
+  }
+  // The kernel's id of the transport's thread; 0 until a link has been up.
+  int ThreadId() const { return m_thread.load(); }
+
+  void Call(const std::string& peer, std::uint64_t id) {
+    wire::Envelope message;
+    message.mutable_call_request()->set_call_id(id);
+    m_transport->Send(BackendServerId(peer), std::move(message));
+  }
+
+  void OnLinkUp(const BackendServerId& peer, const wire::OwnerState&) override {
+    const std::lock_guard lock(m_lock);
+    m_linked.push_back(peer);
+    m_thread.store(static_cast<int>(syscall(SYS_gettid)));
+  }
+  void OnLinkDown(const BackendServerId& peer) override {
+    const std::lock_guard lock(m_lock);
+    std::erase(m_linked, peer);
+  }
+  void OnMessage(const ReplyRoute& route, wire::Envelope message) override {
+    if (message.has_refused()) {
+      const std::lock_guard lock(m_lock);
+      m_answers.push_back(message.refused().call_id());
+      return;
+    }
+    wire::Envelope answer;
+    answer.mutable_refused()->set_call_id(message.call_request().call_id());
+    m_transport->Reply(route, std::move(answer));
+  }
+  void OnSendFailed(const BackendServerId&, wire::Envelope) override { ++m_failed_sends; }
+  bool HasOutstandingCalls(const BackendServerId&) const override { return false; }
+  wire::OwnerState LocalOwnerState() const override { return {}; }
+  bool IsAllowedPeer(const BackendServerId&, const std::string&) const override { return true; }
+  void OnSent(const BackendServerId&, const wire::Envelope&, std::size_t) override {}
+  void OnControlReceived(const BackendServerId&, std::size_t) override {}
+  void OnSocketEvents(SocketEvent event, std::uint64_t count) override {
+    m_events[static_cast<std::size_t>(event)] += count;
+  }
+
+ private:
+  const Endpoint m_endpoint;
+  mutable std::mutex m_lock;
+  std::vector<BackendServerId> m_linked;
+  std::vector<std::uint64_t> m_answers;
+  std::atomic<int> m_failed_sends{0};
+  std::atomic<int> m_thread{0};
+  std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(SocketEvent::kCount)> m_events{};
+  std::unique_ptr<PeerTransport> m_transport;
+};
+
+// Sends a handled signal to threads of this process at kSignalInterval until it is destroyed.
+class Interruptions {
+ public:
+  explicit Interruptions(std::vector<int> threads) {
+    struct sigaction action {};
+    action.sa_handler = [](int) {};
+    action.sa_flags = SA_RESTART;
+    sigaction(SIGUSR2, &action, &m_previous);
+    m_sender = std::jthread([threads = std::move(threads)](const std::stop_token& stop) {
+      while (!stop.stop_requested()) {
+        for (const int thread : threads) syscall(SYS_tgkill, getpid(), thread, SIGUSR2);
+        std::this_thread::sleep_for(kSignalInterval);
+      }
+    });
+  }
+  ~Interruptions() {
+    m_sender.request_stop();
+    m_sender.join();
+    sigaction(SIGUSR2, &m_previous, nullptr);
+  }
+  Interruptions(const Interruptions&) = delete;
+  Interruptions& operator=(const Interruptions&) = delete;
+
+ private:
+  struct sigaction m_previous {};
+  std::jthread m_sender;
+};
+
+// Takes all free descriptors away from this process until it is destroyed.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &m_previous);
+    rlimit limit = m_previous;
+    // The lowest free descriptor is the number of the first one that can't be opened any more.
+    const int free = dup(STDIN_FILENO);
+    close(free);
+    limit.rlim_cur = static_cast<rlim_t>(free);
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &m_previous); }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+ private:
+  rlimit m_previous{};
+};
+
+struct Pair {
+  RecordingPeer near{"a"};
+  RecordingPeer far{"b"};
+
+  void Link() {
+    CPPUNIT_ASSERT(near.Start());
+    CPPUNIT_ASSERT(far.Start());
+    near.Transport().OpenLink(BackendServerId("b"), far.Address(), "");
+    far.Transport().OpenLink(BackendServerId("a"), near.Address(), "");
+    CPPUNIT_ASSERT(test::WaitUntil([this] { return near.IsLinkedTo("b") && far.IsLinkedTo("a"); }));
+  }
+};
+
+// Guards against a signal with a handler that interrupts a call of libzmq and ends the process, or
+// loses or doubles a message.
+void SurvivesInterruptedCalls(Pair& pair) {
+  constexpr std::uint64_t kCalls = 20000;
+  {
+    const Interruptions interruptions({pair.near.ThreadId(), pair.far.ThreadId()});
+    for (std::uint64_t call = 1; call <= kCalls; ++call) {
+      pair.near.Call("b", call);
+      if (call % 100 == 0) {
+        CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.Answers().size() == call; }));
+      }
+    }
+  }
+  const std::vector<std::uint64_t> answers = pair.near.Answers();
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    CPPUNIT_ASSERT_EQUAL(call, answers[call - 1]);
+  }
+  CPPUNIT_ASSERT_EQUAL(0, pair.near.FailedSends());
+  CPPUNIT_ASSERT(pair.near.IsLinkedTo("b"));
+  CPPUNIT_ASSERT(test::WaitUntil([&] {
+    return pair.near.Events(SocketEvent::kInterrupted) +
+               pair.far.Events(SocketEvent::kInterrupted) >
+           0;
+  }));
+}
+
+// Guards against a process that ends when no descriptor is left for the socket of a link, and
+// against a link that is not opened when there are descriptors again.
+void OpensLinksWhenDescriptorsAreFree(Pair& pair) {
+  RecordingPeer other("c");
+  CPPUNIT_ASSERT(other.Start());
+  {
+    const NoFreeDescriptors limit;
+    pair.near.Transport().OpenLink(BackendServerId("c"), other.Address(), "");
+    CPPUNIT_ASSERT(
+        test::WaitUntil([&] { return pair.near.Events(SocketEvent::kNoResources) > 0; }));
+    pair.near.Call("c", 1);
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.FailedSends() == 1; }));
+    pair.near.Call("b", 2);
+    CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.Answers().size() == 1; }));
+  }
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.IsLinkedTo("c"); }, kStability));
+}
+
+// Guards against an address from the list of VMs that ZeroMQ refuses and that ends every process
+// that reads the list.
+void KeepsOtherLinksBesideInvalidAddress(Pair& pair) {
+  for (const char* address : {"fe80::1%a b", "::1%x,y", "not an address"}) {
+    pair.near.Transport().OpenLink(BackendServerId(address), Endpoint{address, 80}, "");
+  }
+  CPPUNIT_ASSERT(
+      test::WaitUntil([&] { return pair.near.Events(SocketEvent::kInvalidArgument) >= 3; }));
+  pair.near.Call("b", 1);
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.Answers().size() == 1; }));
+}
+
+// Guards against a crash of a node that is stopped while its other threads still send.
+void IgnoresMessagesAfterStop(Pair& pair) {
+  pair.near.Call("b", 1);
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.Answers().size() == 1; }));
+  std::atomic<bool> ended{false};
+  std::jthread sender([&] {
+    while (!ended.load()) pair.near.Call("b", 2);
+  });
+  pair.near.Transport().Stop();
+  pair.near.Call("b", 3);
+  pair.near.Transport().OpenLink(BackendServerId("c"), pair.far.Address(), "");
+  ended.store(true);
+}
+
+struct TransportCase {
+  std::string_view name;
+  void (*run)(Pair& pair);
+};
+
+constexpr std::array kCases{
+    TransportCase{"interrupted calls", SurvivesInterruptedCalls},
+    TransportCase{"no free descriptors", OpensLinksWhenDescriptorsAreFree},
+    TransportCase{"invalid address", KeepsOtherLinksBesideInvalidAddress},
+    TransportCase{"messages after stop", IgnoresMessagesAfterStop},
+};
+
+void TestTransport(const TransportCase& row) {
+  Pair pair;
+  pair.Link();
+  row.run(pair);
+}
+
+const test::TableTest<TransportCase> registration("PeerTransport", kCases, &TestTransport);
+
+}  // namespace
+
+}  // namespace damaskhollow
