Let an unexpected exception end a task instead of the process

Tasks of an EventThread and events of the application are now guarded: the line unexpected_error names the thread, the task and the text, and a counter counts it. Expected errors keep typed results.

--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -12,6 +12,7 @@
 #include "logging/logger.h"
 #include "logging/terminationreport.h"
 #include "node/node.h"
+#include "runtime/errorboundary.h"
 #include "settings/nodesettings.h"
 
 namespace {
@@ -53,7 +54,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   const int stop_signal_fd = OpenStopSignalDescriptor();
-  QCoreApplication application(argc, argv);
+  damaskhollow::GuardedApplication application(argc, argv);
   damaskhollow::StartLogging(*damaskhollow::LogLevelFromName(loaded.value().settings.log_level));
   damaskhollow::Node node(loaded.value().settings,
                           damaskhollow::DefaultPlatformBindings(loaded.value().settings));
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -61,6 +61,8 @@
     {Metric::kQueuedCalls, "queued_calls", "gauge", "Calls queued at the owner."},
     {Metric::kInFlightCalls, "in_flight_calls", "gauge", "Calls running on the backend server."},
     {Metric::kCallerConnections, "caller_connections", "gauge", "Connections of callers."},
+    {Metric::kUnexpectedErrors, "unexpected_errors_total", "counter",
+     "Tasks that an exception ended."},
     {Metric::kLogLinesDropped, "log_lines_dropped_total", "counter",
      "Log lines dropped as nobody read them."},
     {Metric::kFailureLinesDropped, "failure_lines_dropped_total", "counter",
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -47,6 +47,7 @@
   kQueuedCalls,
   kInFlightCalls,
   kCallerConnections,
+  kUnexpectedErrors,
   kLogLinesDropped,
   kFailureLinesDropped,
   kServers,
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "logging/logger.h"
+#include "runtime/errorboundary.h"
 
 namespace damaskhollow {
 
@@ -168,6 +169,7 @@
   m_owner.Tick(now);
   CheckBackendCrashes();
   m_metrics.Set(Metric::kCallerConnections, m_caller_connections.load());
+  m_metrics.Set(Metric::kUnexpectedErrors, UnexpectedErrors());
   m_metrics.Set(Metric::kLogLinesDropped, DroppedLogLines());
   m_metrics.Set(Metric::kFailureLinesDropped, m_request_log.DroppedFailureLines());
   m_metrics.Set(Metric::kSlownessPercent, m_owner.State().slowness_percent());
