Stop the links of a node before the objects that handle their messages

A node that ended deleted its shards while the transport still posted messages to them, and a shard that was deleted was used by tasks posted before. The order is now transport, connections to the backend server, callers; tasks skip a deleted shard.

--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -63,6 +63,12 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void IngressService::Post(Slot& slot, std::function<void(IngressShard&)> task) {
+  slot.thread->Post([&slot, task = std::move(task)] {
+    if (slot.shard) task(*slot.shard);
+  });
+}
+
 void IngressService::incomingConnection(qintptr descriptor) {
   const std::size_t connections = m_context.caller_connections.load();
   const std::size_t limit = m_context.max_caller_connections;
@@ -80,14 +86,14 @@
   }
   m_context.caller_connections.fetch_add(1);
   Slot& slot = m_slots[m_next_slot++ % m_slots.size()];
-  slot.thread->Post([shard = slot.shard.get(), descriptor] { shard->AddCaller(descriptor); });
+  Post(slot, [descriptor](IngressShard& shard) { shard.AddCaller(descriptor); });
 }
 
 void IngressService::CloseWaitingConnections() {
   const std::size_t count =
       m_context.max_caller_connections / kCloseBatchDivisor / m_slots.size() + 1;
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get(), count] { shard->CloseWaitingConnections(count); });
+    Post(slot, [count](IngressShard& shard) { shard.CloseWaitingConnections(count); });
   }
 }
 
@@ -96,45 +102,44 @@
   if (call == 0) return;
   Slot& slot = SlotOf(call);
   auto shared = std::make_shared<wire::Envelope>(std::move(message));
-  slot.thread->Post(
-      [shard = slot.shard.get(), owner, shared] { shard->HandleOwnerMessage(owner, *shared); });
+  Post(slot, [owner, shared](IngressShard& shard) { shard.HandleOwnerMessage(owner, *shared); });
 }
 
 void IngressService::HandleSendFailed(const wire::Envelope& message) {
   if (!message.has_call_request()) return;
   const CallId call{message.call_request().call_id()};
   Slot& slot = SlotOf(call.value);
-  slot.thread->Post([shard = slot.shard.get(), call] { shard->HandleSendFailed(call); });
+  Post(slot, [call](IngressShard& shard) { shard.HandleSendFailed(call); });
 }
 
 void IngressService::HandleLinkDown(const BackendServerId& owner) {
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get(), owner] { shard->HandleLinkDown(owner); });
+    Post(slot, [owner](IngressShard& shard) { shard.HandleLinkDown(owner); });
   }
 }
 
 void IngressService::HandleLinkUp(const BackendServerId& owner) {
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get(), owner] { shard->HandleLinkUp(owner); });
+    Post(slot, [owner](IngressShard& shard) { shard.HandleLinkUp(owner); });
   }
 }
 
 void IngressService::StartClosing(TimePoint end) {
   close();
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get(), end] { shard->CloseConnections(end); });
+    Post(slot, [end](IngressShard& shard) { shard.CloseConnections(end); });
   }
 }
 
 void IngressService::WithdrawWaitingCalls() {
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get()] { shard->WithdrawWaitingCalls(); });
+    Post(slot, [](IngressShard& shard) { shard.WithdrawWaitingCalls(); });
   }
 }
 
 void IngressService::EndRemainingCalls() {
   for (Slot& slot : m_slots) {
-    slot.thread->Post([shard = slot.shard.get()] { shard->EndRemainingCalls(); });
+    Post(slot, [](IngressShard& shard) { shard.EndRemainingCalls(); });
   }
 }
 
--- a/src/libs/ingress/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -4,6 +4,7 @@
 #include <QTcpServer>
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <span>
@@ -66,6 +67,9 @@
     std::unique_ptr<IngressShard> shard;
   };
 
+  // Runs `task` on the worker thread of the slot, unless Stop() has deleted the shard by then.
+  static void Post(Slot& slot, std::function<void(IngressShard&)> task);
+
   Slot& SlotOf(std::uint64_t call_id) { return m_slots[call_id % m_slots.size()]; }
 
   IngressContext m_context;
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -20,13 +20,13 @@
 // Covers the owners' replies over a link between regions that loses packets.
 constexpr std::chrono::milliseconds kWithdrawalTime{500};
 
-BytePurpose PurposeOf(const wire::Envelope& message) {
 // The counter of each SocketEvent, in the order of the enumeration.
 constexpr std::array<Metric, static_cast<std::size_t>(SocketEvent::kCount)> kSocketMetrics{
     Metric::kSocketInterruptions, Metric::kSocketQueueFull,   Metric::kSocketPeerGone,
     Metric::kRepliesDropped,      Metric::kSocketNoResources, Metric::kSocketInvalidArgument,
     Metric::kSocketFailures};
 
+BytePurpose PurposeOf(const wire::Envelope& message) {
   switch (message.body_case()) {
     case wire::Envelope::kResponseChunk:
     case wire::Envelope::kRefused:
@@ -78,10 +78,10 @@
 Node::~Node() {
   m_timer.stop();
   m_admin.reset();
+  if (m_transport) m_transport->Stop();
   m_owner.SetLoadProbe(nullptr);
-  if (m_ingress) m_ingress->Stop();
   if (m_backend_pool) m_backend_pool->Stop();
-  if (m_transport) m_transport->Stop();
+  if (m_ingress) m_ingress->Stop();
   for (const std::unique_ptr<EventThread>& worker : m_workers) worker->Stop();
 }
 
@@ -340,8 +340,6 @@
   m_metrics.Add(Metric::kControlBytesReceived, bytes);
 }
 
-QJsonObject Node::Status() const {
-  const wire::OwnerState state = m_owner.State();
 void Node::OnSocketEvents(SocketEvent event, std::uint64_t count) {
   m_metrics.Add(kSocketMetrics[static_cast<std::size_t>(event)], count);
 }
@@ -353,6 +351,8 @@
          " version=" + std::to_string(m_configuration_version.load());
 }
 
+QJsonObject Node::Status() const {
+  const wire::OwnerState state = m_owner.State();
   QJsonObject json;
   json.insert("server", QString::fromStdString(m_identity.server.Value()));
   json.insert("region", QString::fromStdString(m_settings.region.Value()));
@@ -360,13 +360,6 @@
   json.insert("configuration_version", static_cast<qint64>(m_configuration_version.load()));
   json.insert("draining", state.draining());
   json.insert("in_flight", static_cast<int>(state.in_flight()));
-std::string Node::LoadFields() const {
-  return "in_flight=" + std::to_string(m_metrics.Value(Metric::kInFlightCalls)) +
-         " queued=" + std::to_string(m_metrics.Value(Metric::kQueuedCalls)) +
-         " caller_connections=" + std::to_string(m_metrics.Value(Metric::kCallerConnections)) +
-         " version=" + std::to_string(m_configuration_version.load());
-}
-
   json.insert("queued", static_cast<int>(state.queued()));
   json.insert("limit", static_cast<int>(state.limit()));
   QJsonArray peers;
