Refuse addresses with a scope in the list of VMs

What callers saw: one entry by another writer, with an address such as "[fe80::1%a b]:80", ended every node that read the list, all within the same second: boost's make_address takes any text as a scope, zmq_connect fails with EINVAL, cppzmq throws.

Change: ParseEndpoint refuses scopes, which name an interface of one VM only. An entry with an unspecified, multicast or broadcast address names no instance either.

--- a/src/libs/base/endpoint.cpp
+++ b/src/libs/base/endpoint.cpp
@@ -40,9 +40,19 @@
   boost::system::error_code address_error;
   boost::asio::ip::make_address(address, address_error);
   if (address_error) return failure(Quoted(address).append(" is not an IP address"));
+  if (address.find('%') != std::string_view::npos) {
+    return failure(Quoted(address).append(" has a scope"));
+  }
   return Endpoint{std::string(address), port};
 }
 
+bool IsUnicast(const Endpoint& endpoint) {
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(endpoint.address, error);
+  if (error || address.is_unspecified() || address.is_multicast()) return false;
+  return !address.is_v4() || address.to_v4() != boost::asio::ip::address_v4::broadcast();
+}
+
 std::string ToString(const Endpoint& endpoint) {
   const bool is_v6 = endpoint.address.find(':') != std::string::npos;
   return (is_v6 ? "[" + endpoint.address + "]" : endpoint.address) + ":" +
--- a/tests/integration/tst_platformprogram.cpp
+++ b/tests/integration/tst_platformprogram.cpp
@@ -198,6 +198,25 @@
   AssertLogged(fleet, fleet.LastRequestId(), "call_failed", {"reason=no_rule", "version=1"});
 }
 
+// Guards against an entry of another writer whose address ends every process that dials it.
+void SurvivesEntryThatCannotBeDialled(PlatformFleet& fleet) {
+  fleet.Store().Put("servers/i-odd",
+                    R"({"service":"portal","address":"[fe80::1%a b]:80","zone":"west-1",)"
+                    R"("configVersion":"v1","slots":9,"state":"ready","cold":"0ms","seq":1,)"
+                    R"("born":1700000000000})");
+  fleet.PutConfiguration(
+      2, R"(,{"name":"new","hostname":"shop.test","prefix":"/new/","routeType":"safe",)"
+         R"("service":"portal","timeout":"3s","slo":"600ms","priority":1,"attempts":2})");
+  for (std::size_t index = 0; index < PlatformFleet::kNodes; ++index) {
+    CPPUNIT_ASSERT(WaitUntil([&] { return fleet.Call(index, "GET", "/new/").status == 200; }));
+  }
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] { return fleet.Output().find("event=entry_refused") != std::string::npos; }, kLogTimeout));
+  for (std::size_t index = 0; index < PlatformFleet::kNodes; ++index) {
+    CPPUNIT_ASSERT(fleet.Node(index).IsRunning());
+  }
+}
+
 struct PlatformCase {
   std::string_view name;
   void (*run)(PlatformFleet& fleet);
@@ -213,6 +232,7 @@
     PlatformCase{"stops without cutting requests", StopsWithoutAbortingRequests},
     PlatformCase{"serves again after a kill", ServesAgainAfterKill},
     PlatformCase{"refuses until it has a configuration", RefusesUntilConfigured},
+    PlatformCase{"entry that can't be dialled", SurvivesEntryThatCannotBeDialled},
     PlatformCase{"log tells a lost answer", LogExplainsLostResponse},
     PlatformCase{"log tells an overload", LogExplainsOverload},
     PlatformCase{"log tells the version in force", LogShowsConfigurationVersion},
