--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -2,8 +2,12 @@
 
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 
+#include <QDir>
 #include <QFile>
+#include <QFileInfo>
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -59,6 +63,32 @@
   return 0;
 }
 
+std::size_t Process::OpenDescriptors() const {
+  if (!IsRunning()) return 0;
+  const QDir folder(QString("/proc/%1/fd").arg(m_process.processId()));
+  return folder.entryList(QDir::System | QDir::AllEntries | QDir::NoDotAndDotDot).size();
+}
+
+void Process::LimitDescriptors(std::size_t count) {
+  if (!IsRunning()) return;
+  const auto pid = static_cast<pid_t>(m_process.processId());
+  rlimit limit{};
+  if (::prlimit(pid, RLIMIT_NOFILE, nullptr, &limit) != 0) return;
+  limit.rlim_cur = std::min<rlim_t>(count, limit.rlim_max);
+  ::prlimit(pid, RLIMIT_NOFILE, &limit, nullptr);
+}
+
+void Process::TakeFreeDescriptors() {
+  // Descriptors take the lowest free number, so that all numbers below are in use, or nearly all.
+  const QDir folder(QString("/proc/%1/fd").arg(m_process.processId()));
+  std::size_t lowest_free = 0;
+  while (folder.exists(QString::number(lowest_free)) ||
+         QFileInfo(folder, QString::number(lowest_free)).isSymLink()) {
+    ++lowest_free;
+  }
+  LimitDescriptors(lowest_free);
+}
+
 std::string Process::Output() const {
   std::ifstream file(m_log_file);
   std::ostringstream text;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -38,6 +38,16 @@
   // Returns the peak resident set size (VmHWM); 0 if the program is not running.
   std::size_t PeakResidentKilobytes() const;
 
+  // Returns the number of open descriptors; 0 if the program is not running.
+  std::size_t OpenDescriptors() const;
+
+  // Lets the running program open descriptors with numbers below `count` only. The hard limit stays,
+  // so that the limit can be raised again.
+  void LimitDescriptors(std::size_t count);
+
+  // Takes all free descriptors away from the running program.
+  void TakeFreeDescriptors();
+
   // Returns the output of all runs so far.
   std::string Output() const;
 
