--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -54,6 +54,10 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   const int stop_signal_fd = OpenStopSignalDescriptor();
+  if (stop_signal_fd < 0) {
+    std::cerr << "damaskhollow-node: cannot open a descriptor for signals\n";
+    return kStartFailedExitStatus;
+  }
   damaskhollow::GuardedApplication application(argc, argv);
   damaskhollow::StartLogging(*damaskhollow::LogLevelFromName(loaded.value().settings.log_level));
   damaskhollow::Node node(loaded.value().settings,
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -165,9 +165,14 @@
 
 void Node::Tick() {
   const TimePoint now = MonotonicNow();
-  m_control->Tick(now);  // Must be first: closes the view gate after a pause.
-  m_owner.Tick(now);
-  CheckBackendCrashes();
+  // Must be first: closes the view gate after a pause.
+  RunGuarded("control tick", [&] { m_control->Tick(now); });
+  RunGuarded("owner tick", [&] { m_owner.Tick(now); });
+  RunGuarded("crash check", [&] { CheckBackendCrashes(); });
+  if (now - m_descriptors_checked >= kDescriptorCheckInterval) {
+    UpdateDescriptorLimit();
+    m_ingress->EnforceConnectionLimit();
+  }
   m_metrics.Set(Metric::kCallerConnections, m_caller_connections.load());
   m_metrics.Set(Metric::kUnexpectedErrors, UnexpectedErrors());
   m_metrics.Set(Metric::kLogLinesDropped, DroppedLogLines());
