--- a/src/libs/logging/terminationreport.cpp
+++ b/src/libs/logging/terminationreport.cpp
@@ -1,6 +1,7 @@
 #include "logging/terminationreport.h"
 
 #include <cxxabi.h>
+#include <poll.h>
 #include <sys/prctl.h>
 #include <unistd.h>
 
@@ -8,6 +9,7 @@
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <cstdlib>
 #include <exception>
 #include <string_view>
@@ -52,11 +54,17 @@
   }
 }
 
-void WriteAll(std::string_view text) {
-  while (!text.empty()) {
-    const ssize_t count = ::write(STDOUT_FILENO, text.data(), text.size());
-    if (count < 0 && errno != EINTR) return;
-    if (count > 0) text.remove_prefix(static_cast<std::size_t>(count));
+// Gives up if the reader of standard output stalls, so that the process aborts in any case. Up to
+// PIPE_BUF bytes are written without blocking once poll() tells that the pipe is writable.
+void WriteLine(std::string_view text) {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  int ready = 0;
+  do {
+    ready = ::poll(&output, 1, static_cast<int>(kQueueTime.count()));
+  } while (ready < 0 && errno == EINTR);
+  if (ready <= 0) return;
+  text = text.substr(0, PIPE_BUF);
+  while (::write(STDOUT_FILENO, text.data(), text.size()) < 0 && errno == EINTR) {
   }
 }
 
@@ -68,7 +76,7 @@
       FormatLine(LogPart::kNode, LogLevel::kError, "aborted",
                  {{"thread", CurrentThreadName()}, {"type", type}, {"detail", text}});
   if (Details()) line.append(" ").append(Details()());
-  WriteAll(line.append("\n"));
+  WriteLine(line.append("\n"));
   std::this_thread::sleep_for(kQueueTime);
   std::abort();
 }
