Let a peer replace a link on which a reply was dropped

Other errors now keep the queue, and nothing more is sent on a link after a dropped reply, so that its peer replaces it and asks for the state of its calls. Not covered by a test yet.

--- a/src/libs/wire/acceptedlinks.cpp
+++ b/src/libs/wire/acceptedlinks.cpp
@@ -10,6 +10,7 @@
 
 constexpr int kHighWaterMark = 1000;
 constexpr std::int64_t kMaxMessageBytes = 9LL * 1024LL * 1024LL;
+constexpr std::size_t kMaxBrokenLinks = 1000;
 constexpr std::size_t kMaxBacklogBytes = 2UL * 1024UL * 1024UL;
 // Heartbeats detect peers that disappeared without closing their link, so that ZeroMQ frees it.
 constexpr int kHeartbeatIntervalMs = 15000;
@@ -64,16 +65,19 @@
 }
 
 bool AcceptedLinks::Send(const std::string& routing_id, std::string bytes) {
+  if (m_broken_links.contains(routing_id)) return false;
   const auto queued = m_backlogs.find(routing_id);
   if (queued == m_backlogs.end()) {
     const SocketResult<void> sent = TrySend(routing_id, bytes);
     if (sent) return true;
-    if (sent.error() != SocketError::kWouldBlock) return false;
+    if (sent.error() == SocketError::kPeerGone) return false;
     m_events.Count(SocketEvent::kQueueFull, 0);
   }
   Backlog& backlog = m_backlogs[routing_id];
   if (backlog.bytes + bytes.size() > kMaxBacklogBytes) {
     m_events.Count(SocketEvent::kReplyDropped, 0);
+    if (m_broken_links.size() >= kMaxBrokenLinks) m_broken_links.clear();
+    m_broken_links.insert(routing_id);
     return false;
   }
   backlog.bytes += bytes.size();
@@ -91,7 +95,7 @@
       backlog.bytes -= backlog.messages.front().size();
       backlog.messages.pop_front();
     }
-    const bool is_waiting = !sent && sent.error() == SocketError::kWouldBlock;
+    const bool is_waiting = !sent && sent.error() != SocketError::kPeerGone;
     entry = is_waiting ? std::next(entry) : m_backlogs.erase(entry);
   }
 }
--- a/src/libs/wire/acceptedlinks.h
+++ b/src/libs/wire/acceptedlinks.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <zmq.hpp>
 
 #include "base/endpoint.h"
@@ -40,8 +41,9 @@
   // Returns the next received message, or nothing if there is none. Does not block.
   std::optional<AcceptedMessage> Receive();
 
-  // Sends a message, or queues it in order if the peer cannot accept it yet. Returns false if the
-  // message is dropped because the peer is disconnected or its queue is full.
+  // Sends a message, or queues it in order if it cannot be sent yet. Returns false if the message
+  // is dropped because the peer is disconnected or its queue is full. In the latter case all later
+  // messages on the link are dropped too.
   bool Send(const std::string& routing_id, std::string bytes);
 
   // Retries sending the queued messages.
@@ -58,6 +60,9 @@
 
   SocketEvents& m_events;
   std::optional<ZmqSocket> m_socket;
+  // Links on which a reply was dropped while their peer was connected. Nothing more is sent on
+  // them, so that the peer replaces the link and asks for the state of its calls.
+  std::unordered_set<std::string> m_broken_links;
   std::unordered_map<std::string, Backlog> m_backlogs;
 };
 
