--- a/src/libs/control/healthprobe.cpp
+++ b/src/libs/control/healthprobe.cpp
@@ -71,8 +71,9 @@
 }
 
 void HealthProbe::OnBackendFailed(ConnectionId, Reason reason, bool may_have_run) {
+  const bool is_inconclusive = m_connection && m_connection->LacksDescriptor();
   CloseConnection();
-  const bool is_refused = !may_have_run && reason != Reason::kBackendTimeout;
+  const bool is_refused = !is_inconclusive && !may_have_run && reason != Reason::kBackendTimeout;
   m_result(is_refused ? ProbeResult::kRefused : ProbeResult::kNoResponse);
 }
 
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -371,6 +371,7 @@
     ReadMore();
     if (m_state != State::kReading) return;
   }
+  m_lacks_descriptor = m_socket.error() == QAbstractSocket::SocketResourceError;
   Fail(m_written ? Reason::kBackendClosed : Reason::kBackendUnreachable);
 }
 
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -129,6 +129,10 @@
   // Closes the connection without further events.
   void Abort();
 
+  // Whether the request failed because this process had no descriptor left for the connection,
+  // which tells nothing about the server.
+  bool LacksDescriptor() const { return m_lacks_descriptor; }
+
   bool IsIdle() const { return m_state == State::kIdle; }
   TimePoint IdleSince() const { return m_idle_since; }
 
@@ -167,6 +171,7 @@
   void Fail(Reason reason);
   void OnClosed();
 
+  bool m_lacks_descriptor = false;
   const ConnectionId m_id;
   const Endpoint m_server;
   BackendEvents& m_events;
