Refuse callers and recover when descriptors run out

What callers saw: a node without free descriptors took no connection and answered nobody; at a replaced link it ended.

Cause: nothing bounded or reserved descriptors, and QTcpServer takes EMFILE for a temporary error and polls the listening socket without a pause. Class: a resource that all parts share, taken by the one part that outsiders drive.

Change: Listener accepts connections itself and pauses on errors; eight spare descriptors serve to accept, refuse (503, Retry-After) and close callers in order.

--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -1,23 +1,28 @@
 #include "ingress/ingressservice.h"
 
-#include <QHostAddress>
+#include <unistd.h>
+
+#include <system_error>
 #include <utility>
 
 #include "calls/callheaders.h"
+#include "ingress/refusedcaller.h"
+#include "logging/logger.h"
+#include "policy/descriptorbudget.h"
 
 namespace damaskhollow {
 
 namespace {
 
-constexpr int kListenBacklog = 512;
-// Connections are accepted up to a quarter above the limit, so that calls of the most urgent
-// priority get in while other traffic fills the limit.
-constexpr std::size_t kUrgentReserveDivisor = 4;
 // Fraction of the limit that is closed per pass. Closing in batches amortizes the search for the
 // oldest connections.
 constexpr std::size_t kCloseBatchDivisor = 16;
 // Retry delay advised to callers whose connection is refused.
 constexpr std::chrono::milliseconds kOverloadedRetryAfter{1000};
+constexpr std::chrono::seconds kAcceptWarningInterval{1};
+// Callers that can be refused at the same time while no descriptor is left.
+constexpr std::size_t kSpareDescriptors = 8;
+constexpr std::size_t kMaxRefusedCallers = 64;
 
 // The id of the call that an owner's message refers to; 0 if it refers to none.
 std::uint64_t CallIdOf(const wire::Envelope& message) {
@@ -43,7 +48,7 @@
 
 IngressService::IngressService(const IngressContext& context,
                                std::span<const std::unique_ptr<EventThread>> workers)
-    : m_context(context) {
+    : m_context(context), m_spare_descriptors(kSpareDescriptors) {
   for (std::size_t index = 0; index < workers.size(); ++index) {
     Slot slot{workers[index].get(), nullptr};
     // The shard's timer needs the thread affinity of the worker, so the shard is created there.
@@ -55,14 +60,6 @@
 
 IngressService::~IngressService() = default;
 
-Result<void> IngressService::Listen(const Endpoint& endpoint) {
-  setListenBacklogSize(kListenBacklog);
-  if (!listen(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port)) {
-    return Failure{FailureCode::kSocket, ToString(endpoint), errorString().toStdString()};
-  }
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
 void IngressService::Post(Slot& slot, std::function<void(IngressShard&)> task) {
   slot.thread->Post([&slot, task = std::move(task)] {
     if (slot.shard) task(*slot.shard);
@@ -71,27 +68,70 @@
 
 void IngressService::incomingConnection(qintptr descriptor) {
   const std::size_t connections = m_context.caller_connections.load();
-  const std::size_t limit = m_context.max_caller_connections;
+  const std::size_t limit = m_context.max_caller_connections.load();
   if (connections >= limit) CloseWaitingConnections();
-  if (connections >= limit + limit / kUrgentReserveDivisor) {
-    m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
-    const GeneratedResponse answer = GenerateResponse(Reason::kIngressOverloaded, Outcome::kNotRun,
-                                                      m_context.convention, kOverloadedRetryAfter);
-    auto* socket = new QTcpSocket(this);
-    connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
-    socket->setSocketDescriptor(descriptor);
-    socket->write(QByteArray::fromStdString(SerializeResponseHead(answer.head, {}) + answer.body));
-    socket->disconnectFromHost();
-    return;
-  }
+  if (connections >= UrgentConnectionLimit(limit)) return Refuse(descriptor, [] {});
   m_context.caller_connections.fetch_add(1);
   Slot& slot = m_slots[m_next_slot++ % m_slots.size()];
   Post(slot, [descriptor](IngressShard& shard) { shard.AddCaller(descriptor); });
 }
 
+std::string IngressService::OverloadedResponse() const {
+  const GeneratedResponse response = GenerateResponse(Reason::kIngressOverloaded, Outcome::kNotRun,
+                                                      m_context.convention, kOverloadedRetryAfter);
+  return SerializeResponseHead(response.head, {}) + response.body;
+}
+
+void IngressService::Refuse(qintptr descriptor, std::function<void()> ended) {
+  m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
+  if (m_refused_callers >= kMaxRefusedCallers) {
+    ::close(static_cast<int>(descriptor));  // Unread, so that the caller may send it again.
+    return ended();
+  }
+  ++m_refused_callers;
+  new RefusedCaller(
+      descriptor, OverloadedResponse(),
+      [this, ended = std::move(ended)] {
+        --m_refused_callers;
+        ended();
+      },
+      this);
+}
+
+void IngressService::OnAcceptFailed(int error) {
+  m_context.metrics.Add(Metric::kAcceptFailures);
+  const TimePoint now = MonotonicNow();
+  const bool is_logged = now - m_last_accept_warning >= kAcceptWarningInterval;
+  if (is_logged) m_last_accept_warning = now;
+  EventLine(LogPart::kIngress, LogLevel::kWarning, "accept_failed", is_logged)
+      .With("detail", std::generic_category().message(error))
+      .With("connections", static_cast<std::int64_t>(m_context.caller_connections.load()));
+  if (!IsLackOfResources(error)) return;
+  CloseWaitingConnections();
+  RefuseWaitingCallers();
+}
+
+void IngressService::RefuseWaitingCallers() {
+  while (isListening() && m_spare_descriptors.ReleaseOne()) {
+    const int caller = AcceptOne();
+    if (caller < 0) return m_spare_descriptors.Refill();
+    Refuse(caller, [this] {
+      m_spare_descriptors.Refill();
+      RefuseWaitingCallers();
+    });
+  }
+}
+
+void IngressService::EnforceConnectionLimit() {
+  if (m_refused_callers == 0) m_spare_descriptors.Refill();
+  if (m_context.caller_connections.load() > m_context.max_caller_connections.load()) {
+    CloseWaitingConnections();
+  }
+}
+
 void IngressService::CloseWaitingConnections() {
   const std::size_t count =
-      m_context.max_caller_connections / kCloseBatchDivisor / m_slots.size() + 1;
+      m_context.max_caller_connections.load() / kCloseBatchDivisor / m_slots.size() + 1;
   for (Slot& slot : m_slots) {
     Post(slot, [count](IngressShard& shard) { shard.CloseWaitingConnections(count); });
   }
@@ -125,7 +165,7 @@
 }
 
 void IngressService::StartClosing(TimePoint end) {
-  close();
+  StopListening();
   for (Slot& slot : m_slots) {
     Post(slot, [end](IngressShard& shard) { shard.CloseConnections(end); });
   }
--- a/src/libs/ingress/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -1,34 +1,33 @@
 #ifndef DAMASKHOLLOW_INGRESS_INGRESSSERVICE_H_
 #define DAMASKHOLLOW_INGRESS_INGRESSSERVICE_H_
 
-#include <QTcpServer>
 #include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/result.h"
+#include "http/listener.h"
 #include "ingress/ingressshard.h"
+#include "runtime/descriptorlimit.h"
 #include "runtime/eventthread.h"
 
 namespace damaskhollow {
 
 // The ingress role of a node: accepts caller connections on the thread that creates it and
 // distributes them over the worker threads, each of which has one IngressShard.
-class IngressService : public QTcpServer {
+class IngressService : public Listener {
  public:
   IngressService(const IngressContext& context,
                  std::span<const std::unique_ptr<EventThread>> workers);
   ~IngressService() override;
 
-  // Starts accepting connections on `endpoint`. Fails with kSocket.
-  Result<void> Listen(const Endpoint& endpoint);
-
   // Forwards an owner's message to the shard that handles its call. May be called from any thread.
   void HandleOwnerMessage(const BackendServerId& owner, wire::Envelope message);
 
@@ -52,16 +51,27 @@
   // Deletes all shards and their connections. The worker threads must still be running.
   void Stop();
 
+  // Closes connections on which no complete request head has been received, if there are more than
+  // the limit, which may have been lowered.
+  void EnforceConnectionLimit();
+
   std::size_t CallerConnections() const { return m_context.caller_connections.load(); }
 
  protected:
   void incomingConnection(qintptr descriptor) override;
+  void OnAcceptFailed(int error) override;
 
   // Called when the connection limit is reached: tells the shards to close connections on which
   // no complete request head has been received.
   void CloseWaitingConnections();
 
  private:
+  // Accepts and refuses callers that wait while no descriptor is left.
+  void RefuseWaitingCallers();
+  // Refuses the first request on a connection that has been accepted.
+  void Refuse(qintptr descriptor, std::function<void()> ended);
+  std::string OverloadedResponse() const;
+
   struct Slot {
     EventThread* thread;
     std::unique_ptr<IngressShard> shard;
@@ -75,6 +85,9 @@
   IngressContext m_context;
   std::vector<Slot> m_slots;
   std::size_t m_next_slot = 0;
+  SpareDescriptors m_spare_descriptors;
+  std::size_t m_refused_callers = 0;  // Connections that wait for the end of their refusal.
+  TimePoint m_last_accept_warning{};
 };
 
 }  // namespace damaskhollow
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -671,11 +671,11 @@
 
 bool IngressShard::ExceedsConnectionLimit(const CallClass& call_class) const {
   return call_class.priority_index > 0 &&
-         m_context.caller_connections.load() > m_context.max_caller_connections;
+         m_context.caller_connections.load() > m_context.max_caller_connections.load();
 }
 
 void IngressShard::CloseWaitingConnections(std::size_t count) {
-  if (m_context.caller_connections.load() < m_context.max_caller_connections) return;
+  if (m_context.caller_connections.load() < m_context.max_caller_connections.load()) return;
   std::vector<std::pair<TimePoint, ConnectionId>> awaiting_head;
   for (const auto& [id, connection] : m_connections) {
     if (const auto since = connection->AwaitingHeadSince()) awaiting_head.emplace_back(*since, id);
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -39,7 +39,7 @@
   std::atomic<std::shared_ptr<const Declaration>>& declaration;  // Null until one is accepted.
   std::atomic<std::size_t>& caller_connections;
   // Above this number of connections, only calls of the most urgent priority are accepted.
-  std::size_t max_caller_connections = 0;
+  const std::atomic<std::size_t>& max_caller_connections;
   AbsentSince absent_since = {};
   const CallConvention& convention;
   ServiceId own_service;  // The service whose calls arrive at this node.
--- a/src/libs/node/adminserver.cpp
+++ b/src/libs/node/adminserver.cpp
@@ -1,11 +1,28 @@
 #include "node/adminserver.h"
 
-#include <QHostAddress>
 #include <QHttpServerResponse>
+#include <system_error>
 #include <utility>
 
+#include "http/listener.h"
+#include "logging/logger.h"
+
 namespace damaskhollow {
 
+namespace {
+
+constexpr int kBacklog = 50;
+
+class AdminListener : public Listener {
+ protected:
+  void OnAcceptFailed(int error) override {
+    EventLine(LogPart::kAdmin, LogLevel::kWarning, "accept_failed")
+        .With("detail", std::generic_category().message(error));
+  }
+};
+
+}  // namespace
+
 AdminServer::AdminServer(const MetricsRegistry& metrics, const std::string& ready_path,
                          StatusSource status, ReadySource ready) {
   m_server.route("/metrics", [&metrics] {
@@ -23,12 +40,9 @@
 }
 
 Result<void> AdminServer::Listen(const Endpoint& endpoint) {
-  const quint16 port =
-      m_server.listen(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
-  if (port == 0) {
-    return Failure{FailureCode::kSocket, ToString(endpoint), "cannot listen on the admin address"};
-  }
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  auto* listener = new AdminListener;
+  m_server.bind(listener);  // Takes ownership.
+  return listener->Listen(endpoint, kBacklog);
 }
 
 }  // namespace damaskhollow
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -2,10 +2,14 @@
 
 #include <QFile>
 #include <QJsonArray>
+#include <algorithm>
 #include <array>
 #include <utility>
 
+#include "fleet/linkplan.h"
 #include "logging/logger.h"
+#include "policy/descriptorbudget.h"
+#include "runtime/descriptorlimit.h"
 #include "runtime/errorboundary.h"
 
 namespace damaskhollow {
@@ -13,6 +17,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{20};
+constexpr int kCallerBacklog = 512;
+// The limit of open descriptors can be changed from outside while the process runs.
+constexpr std::chrono::seconds kDescriptorCheckInterval{1};
 // How long a draining node must be idle before it stops. The final responses are handed to the peer
 // thread before the owner is idle, and need this time to reach the network.
 constexpr std::chrono::milliseconds kResponseFlushTime{250};
@@ -88,6 +95,14 @@
 Result<void> Node::Start() {
   Result<LinkKeys> keys = LoadKeys();
   if (!keys) return keys.error();
+  RaiseDescriptorLimit(m_settings.max_descriptors);
+  if (const std::size_t limit = DescriptorLimit(m_settings.max_descriptors);
+      limit < kMinDescriptors) {
+    return Failure{FailureCode::kInvalidSetting, "open descriptors",
+                   std::to_string(limit) + " are allowed, at least " +
+                       std::to_string(kMinDescriptors) + " are needed"};
+  }
+  UpdateDescriptorLimit();
   for (std::size_t index = 0; index < m_settings.workers; ++index) {
     m_workers.push_back(std::make_unique<EventThread>("worker-" + std::to_string(index)));
   }
@@ -104,8 +119,8 @@
   m_owner.SetAbsentSince(absent_since);
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
-                     m_declaration, m_caller_connections, m_settings.caller_connections,
-                     absent_since, m_bindings.convention, m_bindings.own_service, m_request_log,
+                     m_declaration, m_caller_connections, m_caller_connection_limit, absent_since,
+                     m_bindings.convention, m_bindings.own_service, m_request_log,
                      m_configuration_version},
       m_workers);
   m_control = std::make_unique<ControlService>(
@@ -120,7 +135,8 @@
   }
   if (Result<void> result = m_transport->Start(); !result) return result;
   if (Result<void> result = m_control->Start(); !result) return result;
-  if (Result<void> result = m_ingress->Listen(m_settings.listen); !result) return result;
+  if (Result<void> result = m_ingress->Listen(m_settings.listen, kCallerBacklog); !result)
+    return result;
 
   m_admin = std::make_unique<AdminServer>(
       m_metrics, m_bindings.ready_path, [this] { return Status(); }, [this] { return IsReady(); });
@@ -155,6 +171,7 @@
   m_metrics.Set(Metric::kServers, declaration->backend_servers.size());
   m_router.SetDeclaration(declaration);
   m_owner.ApplyDeclaration(declaration, version);
+  UpdateDescriptorLimit();
   if (m_load_probe) m_load_probe->Configure(*declaration, m_identity.server);
   m_router.RecordOwnerState(m_identity.server, m_owner.State());
   m_router.SetReachable(m_identity.server, true);
@@ -163,6 +180,28 @@
       .With("servers", static_cast<std::int64_t>(declaration->backend_servers.size()));
 }
 
+void Node::UpdateDescriptorLimit() {
+  m_descriptors_checked = MonotonicNow();
+  const std::size_t descriptors = DescriptorLimit(m_settings.max_descriptors);
+  DescriptorNeeds needs;
+  if (const std::shared_ptr<const Declaration> declaration = m_declaration.load()) {
+    needs.links = std::min(declaration->backend_servers.size(), kMaxLinks);
+    const BackendServer* own = declaration->FindServer(m_identity.server);
+    if (own != nullptr) needs.slots = own->slots;
+  }
+  const std::size_t limit =
+      CallerConnectionLimit(m_settings.caller_connections, descriptors, needs);
+  m_metrics.Set(Metric::kDescriptorLimit, descriptors);
+  m_metrics.Set(Metric::kCallerConnectionLimit, limit);
+  if (limit == m_caller_connection_limit.exchange(limit)) return;
+  const bool is_enough = limit == m_settings.caller_connections;
+  EventLine(LogPart::kNode, is_enough ? LogLevel::kInfo : LogLevel::kWarning, "connection_limit")
+      .With("callers", static_cast<std::int64_t>(limit))
+      .With("configured", static_cast<std::int64_t>(m_settings.caller_connections))
+      .With("descriptors", static_cast<std::int64_t>(descriptors))
+      .With("reserved", static_cast<std::int64_t>(ReservedDescriptors(needs)));
+}
+
 void Node::Tick() {
   const TimePoint now = MonotonicNow();
   // Must be first: closes the view gate after a pause.
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -75,6 +75,8 @@
   Result<LinkKeys> LoadKeys() const;
   void ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
                         std::uint64_t version);
+  // Adapts the number of caller connections to the descriptors that the process may open.
+  void UpdateDescriptorLimit();
   // Runs the periodic work of the services and updates gauges.
   void Tick();
   // Lets the crash reporter check the local backend server.
@@ -95,6 +97,8 @@
   std::atomic<std::shared_ptr<const Declaration>> m_declaration;
   std::atomic<std::uint64_t> m_configuration_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
+  std::atomic<std::size_t> m_caller_connection_limit{0};
+  TimePoint m_descriptors_checked{};
   ViewGate m_view_gate;
   SharedRouter m_router;
   SharedCrashGuard m_crash_guard;
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -41,6 +41,7 @@
   --routing-strategy=NAME     adaptive, round_robin, random or least_reported [default: adaptive].
   --workers=N                 Worker threads [default: 2].
   --caller-connections=N      Maximum number of caller connections [default: 1024].
+  --max-descriptors=N         Maximum number of open descriptors; 0 stands for the hard limit of the process [default: 0].
   --body-memory-bytes=N       Maximum memory for request bodies, in bytes [default: 8388608].
   --drain-announce-ms=N       Milliseconds between the drain notice and closing the caller port [default: 3000].
   --drain-timeout-ms=N        Maximum wait for calls in flight on shutdown, in milliseconds [default: 600000].
@@ -193,6 +194,7 @@
     SettingDefinition{"--workers", ParseNumber<&NodeSettings::workers, 1, 64>},
     SettingDefinition{"--caller-connections",
                       ParseNumber<&NodeSettings::caller_connections, 1, 65536>},
+    SettingDefinition{"--max-descriptors", ParseNumber<&NodeSettings::max_descriptors, 0, 1048576>},
     SettingDefinition{"--body-memory-bytes",
                       ParseNumber<&NodeSettings::body_memory_bytes, kMegabyte, 1024 * kMegabyte>},
     SettingDefinition{"--drain-announce-ms",
--- a/tests/integration/tst_platformprogram.cpp
+++ b/tests/integration/tst_platformprogram.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kExitTimeout{20000};
 // Log lines are written by a separate thread.
 constexpr std::chrono::milliseconds kLogTimeout{5000};
+// The users' bound for recovery after a disturbance.
+constexpr std::chrono::milliseconds kStability{4000};
+constexpr std::size_t kManyDescriptors = 512;
 
 // How often requests with this target ran on all instances.
 std::size_t CountRuns(PlatformFleet& fleet, std::string_view target) {
@@ -198,6 +201,21 @@
   AssertLogged(fleet, fleet.LastRequestId(), "call_failed", {"reason=no_rule", "version=1"});
 }
 
+// Guards against a node that crashes or hangs when it is stopped while it has no free descriptors.
+void StopsWithoutDescriptors(PlatformFleet& fleet) {
+  int answered = 0;
+  fleet.Send(0, "GET", "/slow/x", [&](const HttpResponse& response) {
+    answered += response.status == 200 && response.complete ? 1 : 0;
+  });
+  CPPUNIT_ASSERT(WaitUntil([&] { return CountRuns(fleet, "/slow/x") > 0; }));
+  fleet.Node(0).TakeFreeDescriptors();
+  CPPUNIT_ASSERT_EQUAL(503, fleet.Call(0, "GET", "/look/x").status);
+  fleet.Node(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT(fleet.Node(0).WaitForExit(kExitTimeout));
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.Output(), 0, fleet.Node(0).ExitStatus());
+  CPPUNIT_ASSERT_EQUAL(1, answered);
+}
+
 // Guards against an entry of another writer whose address ends every process that dials it.
 void SurvivesEntryThatCannotBeDialled(PlatformFleet& fleet) {
   fleet.Store().Put("servers/i-odd",
@@ -210,13 +228,37 @@
   for (std::size_t index = 0; index < PlatformFleet::kNodes; ++index) {
     CPPUNIT_ASSERT(WaitUntil([&] { return fleet.Call(index, "GET", "/new/").status == 200; }));
   }
-  CPPUNIT_ASSERT(WaitUntil(
-      [&] { return fleet.Output().find("event=entry_refused") != std::string::npos; }, kLogTimeout));
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Output().find("event=entry_refused") != std::string::npos; },
+                kLogTimeout));
   for (std::size_t index = 0; index < PlatformFleet::kNodes; ++index) {
     CPPUNIT_ASSERT(fleet.Node(index).IsRunning());
   }
 }
 
+// Guards against a node without free descriptors that ends, leaves callers unanswered in its listen
+// queue, or does not recover when it has descriptors again: QTcpServer stops accepting when
+// accept() fails, and replacing a link needs a socket.
+void RefusesCallersWithoutDescriptors(PlatformFleet& fleet) {
+  fleet.Node(0).TakeFreeDescriptors();
+  for (int call = 0; call < 20; ++call) {
+    const HttpResponse response = fleet.Call(0, "GET", "/look/x");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.Describe() + fleet.Output(), 503, response.status);
+    CPPUNIT_ASSERT(!response.Header("Retry-After").empty());
+  }
+  fleet.Node(1).Kill();
+  fleet.StartNode(1);
+  RunFor(kStability);  // The link to the other node breaks, and cannot be replaced.
+  CPPUNIT_ASSERT_MESSAGE(fleet.Output(), fleet.Node(0).IsRunning());
+  CPPUNIT_ASSERT_EQUAL(503, fleet.Call(0, "GET", "/look/x").status);
+  fleet.Node(0).LimitDescriptors(kManyDescriptors);
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.ReadyStatus(0) == 200; }, kStability));
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Call(0, "GET", "/look/x").status == 200; }, kStability));
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.Call(0, "GET", "/look/x").body.starts_with("i-1"); },
+                           kStability));
+}
+
 struct PlatformCase {
   std::string_view name;
   void (*run)(PlatformFleet& fleet);
@@ -232,6 +274,8 @@
     PlatformCase{"stops without cutting requests", StopsWithoutAbortingRequests},
     PlatformCase{"serves again after a kill", ServesAgainAfterKill},
     PlatformCase{"refuses until it has a configuration", RefusesUntilConfigured},
+    PlatformCase{"refuses callers without descriptors", RefusesCallersWithoutDescriptors},
+    PlatformCase{"stops without descriptors", StopsWithoutDescriptors},
     PlatformCase{"entry that can't be dialled", SurvivesEntryThatCannotBeDialled},
     PlatformCase{"log tells a lost answer", LogExplainsLostResponse},
     PlatformCase{"log tells an overload", LogExplainsOverload},
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -41,8 +41,8 @@
   // Returns the number of open descriptors; 0 if the program is not running.
   std::size_t OpenDescriptors() const;
 
-  // Lets the running program open descriptors with numbers below `count` only. The hard limit stays,
-  // so that the limit can be raised again.
+  // Lets the running program open descriptors with numbers below `count` only. The hard limit
+  // stays, so that the limit can be raised again.
   void LimitDescriptors(std::size_t count);
 
   // Takes all free descriptors away from the running program.
