--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "logging/logger.h"
+#include "logging/terminationreport.h"
 #include "node/node.h"
+#include "runtime/errorboundary.h"
 #include "settings/nodesettings.h"
 
 namespace {
@@ -52,10 +54,15 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   const int stop_signal_fd = OpenStopSignalDescriptor();
-  QCoreApplication application(argc, argv);
+  if (stop_signal_fd < 0) {
+    std::cerr << "damaskhollow-node: cannot open a descriptor for signals\n";
+    return kStartFailedExitStatus;
+  }
+  damaskhollow::GuardedApplication application(argc, argv);
   damaskhollow::StartLogging(*damaskhollow::LogLevelFromName(loaded.value().settings.log_level));
   damaskhollow::Node node(loaded.value().settings,
                           damaskhollow::DefaultPlatformBindings(loaded.value().settings));
+  damaskhollow::InstallTerminationReport([&node] { return node.LoadFields(); });
   if (Result<void> result = node.Start(); !result) {
     damaskhollow::EventLine(damaskhollow::LogPart::kNode, damaskhollow::LogLevel::kError,
                             "start_failed")
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -47,6 +47,9 @@
   // services, and opens all ports. Fails if a file cannot be used or a port cannot be opened.
   Result<void> Start();
 
+  // The number of calls and caller connections as fields of a log line. Takes no locks.
+  std::string LoadFields() const;
+
   // Starts a graceful shutdown: the owner refuses new calls and announces this to peers, and calls
   // in flight are completed. Calls `done` when the node is idle or the drain timeout has passed.
   void StartDrain(std::function<void()> done);
@@ -67,10 +70,13 @@
   void OnSent(const BackendServerId& peer, const wire::Envelope& message,
               std::size_t bytes) override;
   void OnControlReceived(const BackendServerId& peer, std::size_t bytes) override;
+  void OnSocketEvents(SocketEvent event, std::uint64_t count) override;
 
   Result<LinkKeys> LoadKeys() const;
   void ApplyDeclaration(const std::shared_ptr<const Declaration>& declaration,
                         std::uint64_t version);
+  // Adapts the number of caller connections to the descriptors that the process may open.
+  void UpdateDescriptorLimit();
   // Runs the periodic work of the services and updates gauges.
   void Tick();
   // Lets the crash reporter check the local backend server.
@@ -91,6 +97,8 @@
   std::atomic<std::shared_ptr<const Declaration>> m_declaration;
   std::atomic<std::uint64_t> m_configuration_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
+  std::atomic<std::size_t> m_caller_connection_limit{0};
+  TimePoint m_descriptors_checked{};
   ViewGate m_view_gate;
   SharedRouter m_router;
   SharedCrashGuard m_crash_guard;
--- a/src/libs/wire/acceptedlinks.h
+++ b/src/libs/wire/acceptedlinks.h
@@ -6,11 +6,14 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <zmq.hpp>
 
 #include "base/endpoint.h"
 #include "base/result.h"
 #include "wire/peertransport.h"
+#include "wire/socketevents.h"
+#include "wire/zmqsocket.h"
 
 namespace damaskhollow {
 
@@ -25,19 +28,22 @@
 // queue for each peer that reads too slowly. Used on the thread of PeerTransport only.
 class AcceptedLinks {
  public:
-  AcceptedLinks(zmq::context_t& context, const LinkKeys& keys);
+  // `events` must outlive this object.
+  explicit AcceptedLinks(SocketEvents& events) : m_events(events) {}
 
-  // Binds the socket. Fails with kSocket if the endpoint cannot be bound.
-  Result<void> Listen(const Endpoint& endpoint);
+  // Opens the socket and binds it. Fails with kSocket. The other functions may be called only after
+  // it has succeeded.
+  Result<void> Listen(zmq::context_t& context, const LinkKeys& keys, const Endpoint& endpoint);
 
   // The file descriptor that becomes readable when the socket has events.
-  int Descriptor() const;
+  int Descriptor();
 
   // Returns the next received message, or nothing if there is none. Does not block.
   std::optional<AcceptedMessage> Receive();
 
-  // Sends a message, or queues it in order if the peer cannot accept it yet. Returns false if the
-  // peer is disconnected or its queue is full.
+  // Sends a message, or queues it in order if it cannot be sent yet. Returns false if the message
+  // is dropped because the peer is disconnected or its queue is full. In the latter case all later
+  // messages on the link are dropped too.
   bool Send(const std::string& routing_id, std::string bytes);
 
   // Retries sending the queued messages.
@@ -50,10 +56,13 @@
     std::size_t bytes = 0;
   };
 
-  enum class SendResult { kSent, kQueueFull, kDisconnected };
-  SendResult TrySend(const std::string& routing_id, const std::string& bytes);
+  SocketResult<void> TrySend(const std::string& routing_id, const std::string& bytes);
 
-  zmq::socket_t m_socket;
+  SocketEvents& m_events;
+  std::optional<ZmqSocket> m_socket;
+  // Links on which a reply was dropped while their peer was connected. Nothing more is sent on
+  // them, so that the peer replaces the link and asks for the state of its calls.
+  std::unordered_set<std::string> m_broken_links;
   std::unordered_map<std::string, Backlog> m_backlogs;
 };
 
