Pass signals on from threads that existed before a node blocked them

What callers saw: a SIGTERM ended a node at once, without a drain, and its calls got no answer (LOST), once a library that was loaded into the process had started a thread.

Cause: signalfd needs the signal blocked in all threads, and only threads started later inherit the mask; the kernel gives the signal to any other thread, with the default action. Class: an assumption on all threads of a process that a node doesn't own.

Change: a handler passes such signals to the reading thread.

--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -4,6 +4,7 @@
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -13,6 +14,7 @@
 #include "logging/terminationreport.h"
 #include "node/node.h"
 #include "runtime/errorboundary.h"
+#include "runtime/signaldescriptor.h"
 #include "settings/nodesettings.h"
 
 namespace {
@@ -26,16 +28,7 @@
 constexpr int kUsageExitStatus = 2;
 constexpr int kStartFailedExitStatus = 1;
 
-// Blocks SIGTERM and SIGINT in this thread and in threads started later. Returns a file descriptor
-// that becomes readable when one of them arrives.
-int OpenStopSignalDescriptor() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-}
+constexpr std::array kStopSignals{SIGTERM, SIGINT};
 
 }  // namespace
 
@@ -53,7 +46,7 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  const int stop_signal_fd = OpenStopSignalDescriptor();
+  const int stop_signal_fd = damaskhollow::OpenSignalDescriptor(kStopSignals);
   if (stop_signal_fd < 0) {
     std::cerr << "damaskhollow-node: cannot open a descriptor for signals\n";
     return kStartFailedExitStatus;
