--- a/src/libs/http/listener.cpp
+++ b/src/libs/http/listener.cpp
@@ -46,6 +46,8 @@
 }
 
 void Listener::StopListening() {
+  // Closing resets the connections that the kernel has established and nobody has accepted.
+  if (m_notifier) AcceptAll();
   m_retry_timer.stop();
   m_notifier.reset();
   close();
--- a/src/libs/http/listener.h
+++ b/src/libs/http/listener.h
@@ -21,7 +21,7 @@
   // Starts accepting connections, of which up to `backlog` wait in the kernel. Fails with kSocket.
   Result<void> Listen(const Endpoint& endpoint, int backlog);
 
-  // Closes the port.
+  // Accepts the connections that wait, and closes the port.
   void StopListening();
 
  protected:
