Soak the platform's program with overlapping faults

Cause: the soak ran the plain node only, and neither soak nor platform tests interrupted system calls, took descriptors away, or put odd entries into the store.

Change: PlatformFleet runs a given number of nodes, in two regions if asked.

--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -1,5 +1,6 @@
 #include "support/platformfleet.h"
 
+#include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -15,9 +16,9 @@
 
 namespace {
 
+constexpr char kPreload[] = "LD_PRELOAD";
 constexpr std::chrono::milliseconds kSlowTime{300};
 constexpr std::chrono::milliseconds kCallTimeout{10000};
-constexpr std::size_t kSlots = 9;  // Of each instance.
 // Longer than the grace that the platform gives a process, so that no call ends by its deadline.
 constexpr std::chrono::milliseconds kLongDeadline{30000};
 constexpr std::string_view kLongRoutes =
@@ -64,9 +65,11 @@
                          {"Instance-Load", "1,0,9,100"}});
 }
 
-PlatformFleet::PlatformFleet() : m_peer_port(FreeEndpoint().port) {
-  for (std::size_t index = 0; index < kNodes; ++index) {
+PlatformFleet::PlatformFleet(const PlatformFleetOptions& options)
+    : m_with_interruptions(options.interruptions), m_peer_port(FreeEndpoint().port) {
+  for (std::size_t index = 0; index < options.nodes; ++index) {
     Server& server = m_servers.emplace_back();
+    server.region = options.two_regions && index % 2 == 1 ? "east" : "west";
     server.ip = "127.0.0." + std::to_string(index + 1);
     server.outbound = FreeEndpoint();
     server.ready = FreeEndpoint();
@@ -81,16 +84,16 @@
 
 std::string PlatformFleet::SettingsJson(const Server& server) const {
   const std::string store = ToString(m_store.Address());
-  return R"({"product":{"DAMASKHOLLOW_SERVER_ID":")" + server.ip +
-         R"(","DAMASKHOLLOW_REGION":"west","DAMASKHOLLOW_DATA_CENTRE":"west-1",)" +
-         R"("DAMASKHOLLOW_LISTEN":")" + ToString(server.outbound) +
+  return R"({"product":{"DAMASKHOLLOW_SERVER_ID":")" + server.ip + R"(","DAMASKHOLLOW_REGION":")" +
+         server.region + R"(","DAMASKHOLLOW_DATA_CENTRE":")" + server.region +
+         R"(-1","DAMASKHOLLOW_LISTEN":")" + ToString(server.outbound) +
          R"(","DAMASKHOLLOW_PEER_LISTEN":")" + server.ip + ":" + std::to_string(m_peer_port) +
          R"(","DAMASKHOLLOW_ADMIN_LISTEN":")" + ToString(server.ready) +
          R"(","DAMASKHOLLOW_CONFIGURATION_URL":"http://)" + store +
          R"(","DAMASKHOLLOW_VM_LIST_URL":"http://)" + store +
          R"(","DAMASKHOLLOW_WORKERS":"1","DAMASKHOLLOW_DRAIN_ANNOUNCE_MS":"1000"},"store":")" +
          store + R"(","peer_port":)" + std::to_string(m_peer_port) +
-         R"(,"service":"portal","zones":{"west-1":"west"},"retry_ratio":0.2,"retry_extra":58,"grace":"6s"})";
+         R"(,"service":"portal","zones":{"west-1":"west","east-1":"east"},"retry_ratio":0.2,"retry_extra":58,"grace":"6s"})";
 }
 
 void PlatformFleet::PutConfiguration(int version, std::string_view more_routes) {
@@ -113,7 +116,8 @@
   const StandInInstance& instance = Instance(index);
   m_store.Put("servers/" + instance.Id(),
               R"({"service":"portal","address":")" + ToString(instance.Address()) +
-                  R"(","zone":"west-1","configVersion":"v1","slots":)" + std::to_string(kSlots) +
+                  R"(","zone":")" + m_servers[index].region +
+                  R"(-1","configVersion":"v1","slots":)" + std::to_string(kSlots) +
                   R"(,"state":")" + std::string(state) +
                   R"(","cold":"0ms","seq":1,"born":1700000000000})");
 }
@@ -126,14 +130,34 @@
   const std::string path = m_folder.filePath(QString("settings-%1.json").arg(index)).toStdString();
   std::ofstream(path) << SettingsJson(m_servers[index]);
   qputenv("DAMASKHOLLOW_CONFIG", QByteArray::fromStdString(path));
+  if (m_with_interruptions) {
+    qputenv(kPreload, DAMASKHOLLOW_INTERRUPTIONS_LIBRARY);
+    qputenv("INTERRUPTIONS_FILE", InterruptionsPath(index).toUtf8());
+  }
   Node(index).Start();
+  if (m_with_interruptions) qunsetenv(kPreload);
+}
+
+QString PlatformFleet::InterruptionsPath(std::size_t index) const {
+  return m_folder.filePath(QString("interrupt-%1").arg(index));
+}
+
+void PlatformFleet::BeginInterruptions(std::size_t index) {
+  std::ofstream(InterruptionsPath(index).toStdString()) << "";
+}
+
+void PlatformFleet::EndInterruptions(std::size_t index) { QFile::remove(InterruptionsPath(index)); }
+
+std::string PlatformFleet::KeepFolder() {
+  m_folder.setAutoRemove(false);
+  return m_folder.path().toStdString();
 }
 
 bool PlatformFleet::Start() {
   PutConfiguration(1);
-  for (std::size_t index = 0; index < kNodes; ++index) PutInstance(index);
-  for (std::size_t index = 0; index < kNodes; ++index) StartNode(index);
-  for (std::size_t index = 0; index < kNodes; ++index) {
+  for (std::size_t index = 0; index < Size(); ++index) PutInstance(index);
+  for (std::size_t index = 0; index < Size(); ++index) StartNode(index);
+  for (std::size_t index = 0; index < Size(); ++index) {
     if (!WaitUntilServing(index)) return false;
   }
   return true;
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -47,13 +47,22 @@
   HttpServer m_server;
 };
 
-// Runs two damaskhollow-platform processes, each next to an instance of the service "portal", with
-// a stand-in for the metadata store. Nodes are identified by their index.
+struct PlatformFleetOptions {
+  std::size_t nodes = 2;
+  bool two_regions = false;    // Nodes with odd indices are in the region "east".
+  bool interruptions = false;  // Nodes preload the library of tests/support/interruptions.
+};
+
+// Runs damaskhollow-platform processes, each next to an instance of the service "portal", with a
+// stand-in for the metadata store. Nodes are identified by their index.
 class PlatformFleet {
  public:
+  // The number of nodes unless the options say otherwise.
   static constexpr std::size_t kNodes = 2;
+  // The number of slots of each instance.
+  static constexpr std::size_t kSlots = 9;
 
-  PlatformFleet();
+  explicit PlatformFleet(const PlatformFleetOptions& options = {});
 
   // Writes the configuration to the store; `more_routes` are JSON objects, each preceded by a
   // comma.
@@ -78,6 +87,15 @@
   bool LeaveTo(std::size_t index);
   // Does the same and fills the slots of instance `index` with calls to /hold/slot.
   bool FillSlots(std::size_t index);
+  // Begins or ends a series of handled signals in all threads of a node, also across its restarts.
+  void BeginInterruptions(std::size_t index);
+  void EndInterruptions(std::size_t index);
+  // Returns a request with the host "shop.test" and the next request id.
+  HttpRequest MakeOutboundRequest(std::string_view method, std::string_view target,
+                                  std::string body);
+  // Leaves the folder with settings and logs in place when this object is destroyed. Returns its
+  // path.
+  std::string KeepFolder();
   // How often requests with this target ran on an instance.
   std::size_t CountRuns(std::size_t index, std::string_view target);
   int ReadyStatus(std::size_t index);
@@ -88,6 +106,8 @@
   std::string NextRequestId() const { return "r-" + std::to_string(m_next_request); }
   std::string LastRequestId() const { return "r-" + std::to_string(m_next_request - 1); }
 
+  std::size_t Size() const { return m_servers.size(); }
+  const Endpoint& OutboundAddress(std::size_t index) const { return m_servers[index].outbound; }
   StandInStore& Store() { return m_store; }
   StandInInstance& Instance(std::size_t index) { return *m_servers[index].instance; }
   Process& Node(std::size_t index) { return *m_servers[index].node; }
@@ -96,6 +116,7 @@
  private:
   struct Server {
     std::string ip;
+    std::string region;
     Endpoint outbound;
     Endpoint ready;
     std::unique_ptr<StandInInstance> instance;
@@ -103,10 +124,11 @@
   };
 
   QJsonObject Status(std::size_t index);
-  HttpRequest MakeOutboundRequest(std::string_view method, std::string_view target,
-                                  std::string body);
   std::string SettingsJson(const Server& server) const;
+  // Exists while the node is to be interrupted.
+  QString InterruptionsPath(std::size_t index) const;
 
+  const bool m_with_interruptions;
   QTemporaryDir m_folder;
   HttpClient m_client;
   StandInStore m_store;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -34,6 +34,8 @@
 
   bool IsRunning() const { return m_process.state() != QProcess::NotRunning; }
   int ExitStatus() const { return m_process.exitCode(); }
+  // Whether a signal ended the last run; ExitStatus() then returns its number.
+  bool EndedBySignal() const { return m_process.exitStatus() == QProcess::CrashExit; }
 
   // Returns the peak resident set size (VmHWM); 0 if the program is not running.
   std::size_t PeakResidentKilobytes() const;
@@ -41,8 +43,8 @@
   // Returns the number of open descriptors; 0 if the program is not running.
   std::size_t OpenDescriptors() const;
 
-  // Lets the running program open descriptors with numbers below `count` only. The hard limit stays,
-  // so that the limit can be raised again.
+  // Lets the running program open descriptors with numbers below `count` only. The hard limit
+  // stays, so that the limit can be raised again.
   void LimitDescriptors(std::size_t count);
 
   // Takes all free descriptors away from the running program.
