Answer requests that reach a stopping node on new connections

Cause: a stopping node closed its listener with connections waiting in the kernel, and closed accepted ones whose request it had not read. Both resets leave the caller without an answer, for a request that did not run.

Change: the node accepts what the kernel has established before it closes the listener, reads a connection before closing it, and keeps one that has not carried a request open for 200 ms. A connection that the kernel establishes between the accept and the close of the listener is still reset.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -17,6 +17,9 @@
 constexpr std::string_view kChunkEnd = "\r\n";
 constexpr qint64 kReadBufferBytes = 64LL * 1024LL;
 constexpr int kLingerMs = 2000;
+// How long a closing connection waits for its first request: a caller that has just connected is
+// about to send one, and a reset would not tell it whether the request ran.
+constexpr int kFirstRequestMs = 200;
 // A caller that keeps sending after its request was rejected is disconnected beyond this limit, so
 // that it cannot use bandwidth indefinitely.
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024UL * 1024UL;
@@ -386,7 +389,13 @@
     m_state = State::kStopped;
     return;
   }
-  if (m_input.empty()) m_socket.disconnectFromHost();
+  if (!m_input.empty()) return;
+  // Reads what the kernel has received before the event loop does: it may hold a request, and
+  // closing with unread data would reset the connection.
+  m_socket.waitForReadyRead(0);
+  if (m_state != State::kReadingHead || !m_exchanges.empty() || !m_input.empty()) return;
+  if (m_next_number == 1) return m_timer.start(kFirstRequestMs);
+  m_socket.disconnectFromHost();
 }
 
 bool CallerConnection::CloseIfAwaitingHead() {
--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -98,7 +98,8 @@
   // Closes the connection such that the caller detects an incomplete response.
   void Abort();
 
-  // Closes the connection after the pending responses, at once if there are none.
+  // Closes the connection after the pending responses, at once if there are none. One that has not
+  // carried a request yet stays open for its first request for a short time.
   void CloseWhenIdle();
 
   // Closes the connection if it awaits the head of a request; a partial head is discarded. A head
--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -125,6 +125,8 @@
 }
 
 void IngressService::StartClosing(TimePoint end) {
+  // Accepts the connections that the kernel has established; closing would reset them.
+  waitForNewConnection(0);
   close();
   for (Slot& slot : m_slots) {
     Post(slot, [end](IngressShard& shard) { shard.CloseConnections(end); });
--- a/tests/support/platformfaults.cpp
+++ b/tests/support/platformfaults.cpp
@@ -216,8 +216,9 @@
   m_fleet.Node(node).Kill();
   const Process& process = m_fleet.Node(node);
   // A node that ended just before has another status.
-  if (!process.EndedBySignal() || process.ExitStatus() != SIGKILL)
+  if (!process.EndedBySignal() || process.ExitStatus() != SIGKILL) {
     Fail(node, "ended before a kill");
+  }
 }
 
 void PlatformFaults::EndKill(std::size_t node) { StartNode(node); }
@@ -231,8 +232,9 @@
 
 void PlatformFaults::EndStop(std::size_t node) {
   const Process& process = m_fleet.Node(node);
-  if (process.EndedBySignal() || process.ExitStatus() != 0)
+  if (process.EndedBySignal() || process.ExitStatus() != 0) {
     Fail(node, "did not stop with status 0");
+  }
   StartNode(node);
 }
 
