--- a/src/libs/http/listener.cpp
+++ b/src/libs/http/listener.cpp
@@ -46,10 +46,14 @@
 }
 
 void Listener::StopListening() {
-  // Closing resets the connections that the kernel has established and nobody has accepted.
-  if (m_notifier) AcceptAll();
   m_retry_timer.stop();
   m_notifier.reset();
+  // Closing resets the connections that the kernel has established and nobody has accepted.
+  while (isListening()) {
+    const int descriptor = AcceptOne();
+    if (descriptor < 0) break;
+    incomingConnection(descriptor);
+  }
   close();
 }
 
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -135,8 +135,9 @@
   }
   if (Result<void> result = m_transport->Start(); !result) return result;
   if (Result<void> result = m_control->Start(); !result) return result;
-  if (Result<void> result = m_ingress->Listen(m_settings.listen, kCallerBacklog); !result)
+  if (Result<void> result = m_ingress->Listen(m_settings.listen, kCallerBacklog); !result) {
     return result;
+  }
 
   m_admin = std::make_unique<AdminServer>(
       m_metrics, m_bindings.ready_path, [this] { return Status(); }, [this] { return IsReady(); });
