--- a/tests/integration/tst_platformprogram.cpp
+++ b/tests/integration/tst_platformprogram.cpp
@@ -237,8 +237,8 @@
 }
 
 // Guards against a node without free descriptors that ends, leaves callers unanswered in its listen
-// queue, or does not recover when it has descriptors again: QTcpServer stops accepting when
-// accept() fails, and replacing a link needs a socket.
+// queue, or does not recover when it has descriptors again: QTcpServer takes the failure of
+// accept() for a temporary one, and replacing a link needs a socket.
 void RefusesCallersWithoutDescriptors(PlatformFleet& fleet) {
   fleet.Node(0).TakeFreeDescriptors();
   for (int call = 0; call < 20; ++call) {
