Make the test of passed-on signals fail without the handler

Its second row passed with the handler taken out: the first row had blocked the signal in the main thread, and the other thread inherited that. The other thread now unblocks the signal and says so before the descriptor is opened.

--- a/tests/auto/runtime/tst_signaldescriptor.cpp
+++ b/tests/auto/runtime/tst_signaldescriptor.cpp
@@ -31,12 +31,19 @@
 // kernel gives it to a thread that a library had started before the node blocked the signal.
 void ReadsSignal(const SignalRow& row) {
   std::atomic<bool> ended{false};
+  std::atomic<bool> ready{!row.has_other_thread};
   std::jthread other;
   if (row.has_other_thread) {
     other = std::jthread([&] {
+      sigset_t unblocked;
+      sigemptyset(&unblocked);
+      sigaddset(&unblocked, SIGUSR1);
+      pthread_sigmask(SIG_UNBLOCK, &unblocked, nullptr);
+      ready.store(true);
       while (!ended.load()) std::this_thread::sleep_for(std::chrono::milliseconds(1));
     });
   }
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return ready.load(); }));
   struct sigaction previous {};
   sigaction(SIGUSR1, nullptr, &previous);
   const std::array signals{SIGUSR1};
