Allocate all frames of a message before sending the first

Seen in a test: a body that cannot be allocated (ENOMEM) left the first frame of its message in the ROUTER socket. The routing id of the next message became its body, so that a peer got bytes that are no message and the message after it reached nobody.

Cause: each frame was allocated when it was sent. Ruled out: interruptions between two frames, which are repeated, and a full queue, which the first frame reports.

Change: ZmqSocket::Send allocates all frames first.

Measured: ZmqSocket::no memory for the body fails before (the peer receives "peer" instead of "next"), passes after.

--- a/src/libs/wire/zmqsocket.cpp
+++ b/src/libs/wire/zmqsocket.cpp
@@ -1,6 +1,7 @@
 #include "wire/zmqsocket.h"
 
 #include <array>
+#include <boost/container/small_vector.hpp>
 #include <cerrno>
 #include <utility>
 
@@ -8,6 +9,9 @@
 
 namespace {
 
+// The largest message of nodes, an answer of PeerAuthenticator, has this many frames.
+constexpr std::size_t kInlineFrames = 6;
+
 // What an error number of libzmq means to the caller.
 struct ErrorClass {
   int number;
@@ -98,11 +102,18 @@
 }
 
 SocketResult<void> ZmqSocket::Send(std::span<const std::string_view> frames) {
-  for (std::size_t index = 0; index < frames.size(); ++index) {
-    const std::string_view frame = frames[index];
-    const int flags = ZMQ_DONTWAIT | (index + 1 < frames.size() ? ZMQ_SNDMORE : 0);
+  // A message that has begun cannot be taken back, so the memory of all frames is allocated first.
+  boost::container::small_vector<zmq::message_t, kInlineFrames> messages;
+  messages.reserve(frames.size());
+  try {
+    for (const std::string_view frame : frames) messages.emplace_back(frame.data(), frame.size());
+  } catch (const zmq::error_t& error) {
+    return Classify(error.num(), *m_events);
+  }
+  for (std::size_t index = 0; index < messages.size(); ++index) {
+    const int flags = ZMQ_DONTWAIT | (index + 1 < messages.size() ? ZMQ_SNDMORE : 0);
     SocketResult<void> sent =
-        Run([&] { return zmq_send(m_socket.handle(), frame.data(), frame.size(), flags); });
+        Run([&] { return zmq_msg_send(messages[index].handle(), m_socket.handle(), flags); });
     if (!sent) return sent;
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/libs/wire/zmqsocket.h
+++ b/src/libs/wire/zmqsocket.h
@@ -54,7 +54,7 @@
   // with kWouldBlock if no message has arrived.
   SocketResult<void> Receive(zmq::message_t& frame);
 
-  // Sends one message. If its first frame cannot be sent, nothing is sent.
+  // Sends one message. If it fails, nothing is sent, unless the context is terminated.
   SocketResult<void> Send(std::span<const std::string_view> frames);
 
  private:
