Keep writing the log after a line that could not be written

And after one failed write (a disk that was full, a pipe that another program made non-blocking) std::cout kept its error state and Boost.Log wrote nothing any more, without a sign.

Change: both places count the line as dropped, and the error state is cleared before the next line.

Measured: Logger::output fails and Logger::output throws fail before (no line after the failed one; an exception at the end of the log), pass after. That a process of the users met it is not shown.

--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -62,11 +62,23 @@
   return sink;
 }
 
+// Runs instead of an exception that a line or its output throws. On the thread that writes the
+// lines nobody else would take it.
+void CountDroppedLine() { dropped_lines.fetch_add(1, std::memory_order_relaxed); }
+
 void WriteLine(LogLevel level, const std::string& line) {
   static boost::log::sources::severity_logger_mt<LogLevel> logger;
   BOOST_LOG_SEV(logger, level) << line;
 }
 
+// Lets the next line be written after a failed one, for instance to a disk that was full. Boost.Log
+// writes to a stream without errors only. Runs on the thread that writes the lines.
+void ClearOutputError() {
+  if (std::cout.good()) return;
+  std::cout.clear();
+  CountDroppedLine();
+}
+
 // Returns the fields that follow the time at the start of each line: level, part and event. The
 // formatter of the sink adds the time.
 std::string LinePrefix(LogPart part, LogLevel level, std::string_view event) {
@@ -114,10 +126,13 @@
   auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(
       [](const boost::log::record_view& record, boost::log::formatting_ostream& out) {
+        ClearOutputError();
         const auto time = boost::log::extract<boost::posix_time::ptime>("TimeStamp", record);
         if (time) out << "time=" << boost::posix_time::to_iso_extended_string(time.get()) << "Z ";
         out << record[boost::log::expressions::smessage];
       });
+  sink->set_exception_handler(&CountDroppedLine);
+  boost::log::core::get()->set_exception_handler(&CountDroppedLine);
   boost::log::core::get()->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
   boost::log::core::get()->add_sink(sink);
   RunningSink() = sink;
@@ -145,7 +160,12 @@
     : m_level(other.m_level), m_line(std::exchange(other.m_line, std::string())) {}
 
 EventLine::~EventLine() {
-  if (!m_line.empty()) WriteLine(m_level, m_line);
+  if (m_line.empty()) return;
+  try {
+    WriteLine(m_level, m_line);
+  } catch (...) {
+    CountDroppedLine();  // An exception that leaves a destructor ends the process.
+  }
 }
 
 EventLine& EventLine::With(std::string_view field, std::string_view value) {
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -36,7 +36,8 @@
 // Writes the queued lines and stops logging. Lines logged later are lost.
 void StopLogging();
 
-// Number of lines dropped because the queue was full, since the process started.
+// Number of lines that were dropped since the process started, because the queue was full or the
+// output failed.
 std::uint64_t DroppedLogLines();
 
 // Whether lines of this level are written.
