Close connections to a backend server whose address has changed

A call that ran during the change left its connection among the idle ones, so that the next call was sent to the old address.

Change: idle connections are closed as backendpool.h says, and a connection that was opened before the change is not used again.

--- a/src/libs/owner/backendpool.cpp
+++ b/src/libs/owner/backendpool.cpp
@@ -28,7 +28,8 @@
   void SetServer(const Endpoint& server) {
     if (server == m_server) return;
     m_server = server;
-    m_idle.clear();
+    m_first_to_server = m_next_connection;
+    for (const ConnectionId idle : std::exchange(m_idle, {})) DiscardConnection(idle);
   }
 
   void SendRequest(OwnedCallId call, const BackendRequest& request) {
@@ -62,7 +63,8 @@
   void OnBackendResponsePart(ConnectionId connection, ResponsePart part, bool reusable) override {
     if (!part.last) return m_handler.OnResponsePart(m_active_calls.at(connection), std::move(part));
     const OwnedCallId call = RemoveCall(connection);
-    if (reusable) {
+    // A call that outlasts a change of the address ends on a connection to the server before.
+    if (reusable && connection.value >= m_first_to_server) {
       m_idle.push_back(connection);
     } else {
       DiscardConnection(connection);
@@ -129,6 +131,7 @@
   BackendResponseHandler& m_handler;
   Endpoint m_server;
   std::uint64_t m_next_connection = 1;
+  std::uint64_t m_first_to_server = 1;  // Earlier connections lead to another address.
   std::unordered_map<ConnectionId, std::unique_ptr<BackendConnection>> m_connections;
   std::unordered_map<ConnectionId, OwnedCallId> m_active_calls;
   std::unordered_map<OwnedCallId, ConnectionId> m_connection_by_call;
