--- a/tests/auto/wire/tst_peertransport.cpp
+++ b/tests/auto/wire/tst_peertransport.cpp
@@ -1,5 +1,4 @@
 #include <cppunit/TestAssert.h>
-#include <sys/resource.h>
 #include <sys/syscall.h>
 #include <unistd.h>
 
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "support/freeport.h"
+#include "support/nofreedescriptors.h"
 #include "support/tabletest.h"
 #include "support/wait.h"
 #include "wire/peertransport.h"
@@ -32,13 +32,16 @@
 // A node's side of the transport: answers each ping-like call and records what it receives.
 class RecordingPeer : public PeerHandler {
  public:
-  explicit RecordingPeer(const std::string& id)
-      : m_endpoint(test::FreeEndpoint()),
+  explicit RecordingPeer(const std::string& id, LinkKeys keys = {})
+      : m_keys(std::move(keys)),
+        m_endpoint(test::FreeEndpoint()),
         m_transport(std::make_unique<PeerTransport>(
-            TransportOptions{BackendServerId(id), Incarnation{1}, m_endpoint, {}, {}}, *this)) {}
+            TransportOptions{BackendServerId(id), Incarnation{1}, m_endpoint, m_keys, {}}, *this)) {
+  }
 
   bool Start() { return static_cast<bool>(m_transport->Start()); }
   PeerTransport& Transport() { return *m_transport; }
+  const std::string& PublicKey() const { return m_keys.public_key; }
   const Endpoint& Address() const { return m_endpoint; }
   bool IsLinkedTo(const std::string& id) const {
     const std::lock_guard lock(m_lock);
@@ -50,6 +53,7 @@
     return m_answers;
   }
   int FailedSends() const { return m_failed_sends.load(); }
+  int OpenedLinks() const { return m_opened_links.load(); }
   std::uint64_t Events(SocketEvent event) const {
     return m_events[static_cast<std::size_t>(event)].load();
   }
@@ -62,8 +66,21 @@
     m_transport->Send(BackendServerId(peer), std::move(message));
   }
 
+  // Whether calls wait for messages, so that silence on a link is noticed within a second.
+  void SetOutstanding(bool has_outstanding) { m_has_outstanding.store(has_outstanding); }
+
+  // While the returned lock is held, the transport's thread stops at the next answer.
+  std::unique_lock<std::mutex> BlockAtAnswers() { return std::unique_lock(m_answer_gate); }
+
+  // Where the last call came from.
+  ReplyRoute LastRoute() const {
+    const std::lock_guard lock(m_lock);
+    return m_last_route;
+  }
+
   void OnLinkUp(const BackendServerId& peer, const wire::OwnerState&) override {
     const std::lock_guard lock(m_lock);
+    ++m_opened_links;
     m_linked.push_back(peer);
     m_thread.store(static_cast<int>(syscall(SYS_gettid)));
   }
@@ -73,16 +90,22 @@
   }
   void OnMessage(const ReplyRoute& route, wire::Envelope message) override {
     if (message.has_refused()) {
+      const std::lock_guard gate(m_answer_gate);
       const std::lock_guard lock(m_lock);
       m_answers.push_back(message.refused().call_id());
       return;
     }
+    if (!message.has_call_request()) return;
+    {
+      const std::lock_guard lock(m_lock);
+      m_last_route = route;
+    }
     wire::Envelope answer;
     answer.mutable_refused()->set_call_id(message.call_request().call_id());
     m_transport->Reply(route, std::move(answer));
   }
   void OnSendFailed(const BackendServerId&, wire::Envelope) override { ++m_failed_sends; }
-  bool HasOutstandingCalls(const BackendServerId&) const override { return false; }
+  bool HasOutstandingCalls(const BackendServerId&) const override { return m_has_outstanding; }
   wire::OwnerState LocalOwnerState() const override { return {}; }
   bool IsAllowedPeer(const BackendServerId&, const std::string&) const override { return true; }
   void OnSent(const BackendServerId&, const wire::Envelope&, std::size_t) override {}
@@ -92,8 +115,13 @@
   }
 
  private:
+  const LinkKeys m_keys;
   const Endpoint m_endpoint;
+  std::mutex m_answer_gate;
   mutable std::mutex m_lock;
+  ReplyRoute m_last_route;
+  std::atomic<bool> m_has_outstanding{false};
+  std::atomic<int> m_opened_links{0};
   std::vector<BackendServerId> m_linked;
   std::vector<std::uint64_t> m_answers;
   std::atomic<int> m_failed_sends{0};
@@ -130,35 +158,23 @@
   std::jthread m_sender;
 };
 
-// Takes all free descriptors away from this process until it is destroyed.
-class NoFreeDescriptors {
- public:
-  NoFreeDescriptors() {
-    getrlimit(RLIMIT_NOFILE, &m_previous);
-    rlimit limit = m_previous;
-    // The lowest free descriptor is the number of the first one that can't be opened any more.
-    const int free = dup(STDIN_FILENO);
-    close(free);
-    limit.rlim_cur = static_cast<rlim_t>(free);
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
-  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &m_previous); }
-  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
-  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
-
- private:
-  rlimit m_previous{};
-};
+// Keys of a node with encrypted links, or none.
+LinkKeys MakeKeys(bool is_encrypted) {
+  return is_encrypted ? GenerateLinkKeys().value() : LinkKeys{};
+}
 
 struct Pair {
-  RecordingPeer near{"a"};
-  RecordingPeer far{"b"};
+  RecordingPeer near;
+  RecordingPeer far;
+
+  explicit Pair(bool is_encrypted)
+      : near("a", MakeKeys(is_encrypted)), far("b", MakeKeys(is_encrypted)) {}
 
   void Link() {
     CPPUNIT_ASSERT(near.Start());
     CPPUNIT_ASSERT(far.Start());
-    near.Transport().OpenLink(BackendServerId("b"), far.Address(), "");
-    far.Transport().OpenLink(BackendServerId("a"), near.Address(), "");
+    near.Transport().OpenLink(BackendServerId("b"), far.Address(), far.PublicKey());
+    far.Transport().OpenLink(BackendServerId("a"), near.Address(), near.PublicKey());
     CPPUNIT_ASSERT(test::WaitUntil([this] { return near.IsLinkedTo("b") && far.IsLinkedTo("a"); }));
   }
 };
@@ -192,11 +208,11 @@
 // Guards against a process that ends when no descriptor is left for the socket of a link, and
 // against a link that is not opened when there are descriptors again.
 void OpensLinksWhenDescriptorsAreFree(Pair& pair) {
-  RecordingPeer other("c");
+  RecordingPeer other("c", MakeKeys(!pair.far.PublicKey().empty()));
   CPPUNIT_ASSERT(other.Start());
   {
-    const NoFreeDescriptors limit;
-    pair.near.Transport().OpenLink(BackendServerId("c"), other.Address(), "");
+    const test::NoFreeDescriptors limit;
+    pair.near.Transport().OpenLink(BackendServerId("c"), other.Address(), other.PublicKey());
     CPPUNIT_ASSERT(
         test::WaitUntil([&] { return pair.near.Events(SocketEvent::kNoResources) > 0; }));
     pair.near.Call("c", 1);
@@ -233,20 +249,55 @@
   ended.store(true);
 }
 
+// Guards against a call that waits until its deadline because the last reply to it was dropped: a
+// peer that reads too slowly must learn of the dropped reply by the loss of its link.
+void ReplacesLinkAfterDroppedReply(Pair& pair) {
+  constexpr std::size_t kReplyBytes = 8192;
+  constexpr int kBatch = 500;
+  constexpr int kMaxBatches = 60;
+  pair.near.Call("b", 1);
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.Answers().size() == 1; }));
+  const int opened_links = pair.near.OpenedLinks();
+  pair.near.SetOutstanding(true);
+  {
+    const std::unique_lock<std::mutex> blocked = pair.near.BlockAtAnswers();
+    pair.near.Call("b", 2);
+    wire::Envelope reply;
+    reply.mutable_response_chunk()->set_data(std::string(kReplyBytes, 'x'));
+    for (int batch = 0; batch < kMaxBatches && pair.far.Events(SocketEvent::kReplyDropped) == 0;
+         ++batch) {
+      for (int index = 0; index < kBatch; ++index) {
+        pair.far.Transport().Reply(pair.far.LastRoute(), reply);
+      }
+      test::RunFor(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(
+        test::WaitUntil([&] { return pair.far.Events(SocketEvent::kReplyDropped) > 0; }));
+  }
+  CPPUNIT_ASSERT(
+      test::WaitUntil([&] { return pair.near.OpenedLinks() > opened_links; }, kStability));
+  pair.near.Call("b", 3);
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return pair.near.Answers().back() == 3; }));
+}
+
 struct TransportCase {
   std::string_view name;
   void (*run)(Pair& pair);
+  bool is_encrypted = false;
 };
 
 constexpr std::array kCases{
     TransportCase{"interrupted calls", SurvivesInterruptedCalls},
+    TransportCase{"interrupted calls, encrypted links", SurvivesInterruptedCalls, true},
     TransportCase{"no free descriptors", OpensLinksWhenDescriptorsAreFree},
     TransportCase{"invalid address", KeepsOtherLinksBesideInvalidAddress},
+    TransportCase{"no free descriptors, encrypted links", OpensLinksWhenDescriptorsAreFree, true},
     TransportCase{"messages after stop", IgnoresMessagesAfterStop},
+    TransportCase{"dropped reply", ReplacesLinkAfterDroppedReply},
 };
 
 void TestTransport(const TransportCase& row) {
-  Pair pair;
+  Pair pair(row.is_encrypted);
   pair.Link();
   row.run(pair);
 }
--- a/tests/integration/tst_platformprogram.cpp
+++ b/tests/integration/tst_platformprogram.cpp
@@ -262,6 +262,25 @@
                          WaitUntil([&] { return fleet.SeesLive(0, 1); }, kStability));
 }
 
+// Guards against a node that a library aborts at its start, for want of a descriptor, without a
+// line that tells why.
+void RefusesToStartWithFewDescriptors(PlatformFleet& fleet) {
+  constexpr std::size_t kTooFewDescriptors = 39;
+  constexpr std::size_t kEnoughDescriptors = 64;
+  fleet.Node(0).Kill();
+  fleet.Node(0).SetDescriptorLimit(kTooFewDescriptors);
+  fleet.StartNode(0);
+  CPPUNIT_ASSERT(fleet.Node(0).WaitForExit(kExitTimeout));
+  const std::string output = fleet.Node(0).Output();
+  CPPUNIT_ASSERT_MESSAGE(output, !fleet.Node(0).EndedBySignal());
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(output, 1, fleet.Node(0).ExitStatus());
+  CPPUNIT_ASSERT_MESSAGE(output, output.find("event=start_failed") != std::string::npos);
+  CPPUNIT_ASSERT_MESSAGE(output, output.find("39 are allowed, at least 40") != std::string::npos);
+  fleet.Node(0).SetDescriptorLimit(kEnoughDescriptors);
+  fleet.StartNode(0);
+  CPPUNIT_ASSERT_MESSAGE(fleet.Output(), fleet.WaitUntilServing(0));
+}
+
 struct PlatformCase {
   std::string_view name;
   void (*run)(PlatformFleet& fleet);
@@ -279,6 +298,7 @@
     PlatformCase{"refuses until it has a configuration", RefusesUntilConfigured},
     PlatformCase{"refuses callers without descriptors", RefusesCallersWithoutDescriptors},
     PlatformCase{"stops without descriptors", StopsWithoutDescriptors},
+    PlatformCase{"refuses to start with few descriptors", RefusesToStartWithFewDescriptors},
     PlatformCase{"entry that can't be dialled", SurvivesEntryThatCannotBeDialled},
     PlatformCase{"log tells a lost answer", LogExplainsLostResponse},
     PlatformCase{"log tells an overload", LogExplainsOverload},
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -29,7 +29,12 @@
       m_log_file(std::move(log_file)) {
   m_process.setProcessChannelMode(QProcess::MergedChannels);
   m_process.setStandardOutputFile(QString::fromStdString(m_log_file), QIODevice::Append);
-  m_process.setChildProcessModifier([] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  m_process.setChildProcessModifier([this] {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (m_descriptor_limit == 0) return;
+    const rlimit limit{m_descriptor_limit, m_descriptor_limit};
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  });
 }
 
 Process::~Process() { Kill(); }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -53,12 +53,16 @@
   // Returns the output of all runs so far.
   std::string Output() const;
 
+  // Lets later runs open descriptors with numbers below `count` only, and never more; 0: no limit.
+  void SetDescriptorLimit(std::size_t count) { m_descriptor_limit = count; }
+
   void SetArguments(std::vector<std::string> arguments) { m_arguments = std::move(arguments); }
 
  private:
   std::string m_program;
   std::vector<std::string> m_arguments;
   std::string m_log_file;
+  std::size_t m_descriptor_limit = 0;
   QProcess m_process;
 };
 
