--- a/src/tools/damaskhollow/checkcommand.h
+++ b/src/tools/damaskhollow/checkcommand.h
@@ -5,8 +5,8 @@
 
 namespace damaskhollow {
 
-// `damaskhollow check`: validates a declaration and prints each error with its file and field
-// path.
+// `damaskhollow check`: validates a declaration and prints each error with its file and field path.
+// Also tells whether the descriptors that nodes may open suffice for it.
 const Command& CheckCommand();
 
 }  // namespace damaskhollow
--- a/tests/auto/tools/tst_operatorcommand.cpp
+++ b/tests/auto/tools/tst_operatorcommand.cpp
@@ -74,6 +74,9 @@
     RefusedCase{"chekc file", 2, "invalid_setting: chekc"},
     RefusedCase{"check", 2, "invalid_setting: arguments"},
     RefusedCase{"check /no/such/file", 2, "file_unreadable: /no/such/file"},
+    RefusedCase{"check --descriptors=0 file", 2, "invalid_setting: --descriptors"},
+    RefusedCase{"check --descriptors=many file", 2, "invalid_setting: --descriptors"},
+    RefusedCase{"check --caller-connections=-1 file", 2, "invalid_setting: --caller-connections"},
     RefusedCase{"diff /no/such/file /no/such/file", 2, "file_unreadable: /no/such/file"},
     RefusedCase{"diff --colour a b", 2, "invalid_setting: arguments"},
     RefusedCase{"explain no_such_reason", 2, "unknown_reference: no_such_reason"},
@@ -84,6 +87,19 @@
     RefusedCase{"keygen unexpected", 2, "invalid_setting: arguments"},
 };
 
+// Descriptors that nodes may open, and what `check` says to them for the breizh example.
+struct DescriptorCase {
+  const char* descriptors;
+  int status;
+  const char* message;
+};
+
+constexpr std::array kDescriptorCases{
+    DescriptorCase{"4100", 0, "caller connections: 1024 of 1024"},
+    DescriptorCase{"256", 1, " of 1024"},
+    DescriptorCase{"39", 1, "a node starts with 40 or more"},
+};
+
 }  // namespace
 
 class OperatorCommandTest : public CppUnit::TestFixture {
@@ -92,6 +108,7 @@
   CPPUNIT_TEST(PrintsHelpForEachCommand);
   CPPUNIT_TEST(CheckAcceptsExamples);
   CPPUNIT_TEST(CheckNamesFileAndFieldPath);
+  CPPUNIT_TEST(CheckTellsMissingDescriptors);
   CPPUNIT_TEST(DiffShowsEffectOfChange);
   CPPUNIT_TEST(ExplainCoversEachReason);
   CPPUNIT_TEST(KeygenNeverOverwrites);
@@ -137,6 +154,18 @@
     CPPUNIT_ASSERT(result.errors.contains("unknown_field: " + path + "z:"));
   }
 
+  // Guards against a fleet that is rolled out with a limit of descriptors too low for its size,
+  // which shows only when callers are refused.
+  void CheckTellsMissingDescriptors() {
+    for (const DescriptorCase& row : kDescriptorCases) {
+      const ProgramResult result =
+          RunProgram({"check", "--descriptors=" + QString(row.descriptors), ExamplePath("breizh")});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.descriptors, row.status, result.status);
+      const QByteArray& text = row.status == 0 ? result.output : result.errors;
+      CPPUNIT_ASSERT_MESSAGE(text.toStdString(), Contains(text, row.message));
+    }
+  }
+
   void DiffShowsEffectOfChange() {
     const QTemporaryDir folder;
     const QString file = WriteModifiedExample(folder, "\"slots\": 9", "\"slots\": 12");
