--- a/src/libs/http/listener.cpp
+++ b/src/libs/http/listener.cpp
@@ -51,7 +51,10 @@
   // Closing resets the connections that the kernel has established and nobody has accepted.
   while (isListening()) {
     const int descriptor = AcceptOne();
-    if (descriptor < 0) break;
+    if (descriptor < 0) {
+      OnLastAcceptFailed(errno);
+      break;
+    }
     incomingConnection(descriptor);
   }
   close();
@@ -84,4 +87,6 @@
 
 void Listener::OnAcceptFailed(int) {}
 
+void Listener::OnLastAcceptFailed(int) {}
+
 }  // namespace damaskhollow
--- a/src/libs/http/listener.h
+++ b/src/libs/http/listener.h
@@ -28,6 +28,9 @@
   // accept() failed with `error`, an errno. It is tried again after a short time.
   virtual void OnAcceptFailed(int error);
 
+  // The last accept() before the port is closed failed with `error`; EAGAIN if no connection waits.
+  virtual void OnLastAcceptFailed(int error);
+
   // Accepts one connection that waits and returns its descriptor; -1 and errno if there is none, or
   // on an error.
   int AcceptOne();
--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -1,12 +1,9 @@
 #include "ingress/ingressservice.h"
 
-#include <unistd.h>
-
 #include <system_error>
 #include <utility>
 
 #include "calls/callheaders.h"
-#include "ingress/refusedcaller.h"
 #include "logging/logger.h"
 #include "policy/descriptorbudget.h"
 
@@ -22,7 +19,8 @@
 constexpr std::chrono::seconds kAcceptWarningInterval{1};
 // Callers that can be refused at the same time while no descriptor is left.
 constexpr std::size_t kSpareDescriptors = 8;
-constexpr std::size_t kMaxRefusedCallers = 64;
+// Bounds the time for which a flood of new connections keeps a port from being closed.
+constexpr std::size_t kMaxLastRefusals = 2048;
 
 // The id of the call that an owner's message refers to; 0 if it refers to none.
 std::uint64_t CallIdOf(const wire::Envelope& message) {
@@ -70,7 +68,13 @@
   const std::size_t connections = m_context.caller_connections.load();
   const std::size_t limit = m_context.max_caller_connections.load();
   if (connections >= limit) CloseWaitingConnections();
-  if (connections >= UrgentConnectionLimit(limit)) return Refuse(descriptor, [] {});
+  if (connections >= UrgentConnectionLimit(limit)) {
+    if (m_refused_callers.size() < m_context.max_refused_connections.load()) {
+      return Refuse(descriptor, false);
+    }
+    m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
+    return RefuseAtOnce(static_cast<int>(descriptor), OverloadedResponse());
+  }
   m_context.caller_connections.fetch_add(1);
   Slot& slot = m_slots[m_next_slot++ % m_slots.size()];
   Post(slot, [descriptor](IngressShard& shard) { shard.AddCaller(descriptor); });
@@ -82,20 +86,20 @@
   return SerializeResponseHead(response.head, {}) + response.body;
 }
 
-void IngressService::Refuse(qintptr descriptor, std::function<void()> ended) {
+void IngressService::Refuse(qintptr descriptor, bool uses_spare) {
   m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
-  if (m_refused_callers >= kMaxRefusedCallers) {
-    ::close(static_cast<int>(descriptor));  // Unread, so that the caller may send it again.
-    return ended();
-  }
-  ++m_refused_callers;
-  new RefusedCaller(
-      descriptor, OverloadedResponse(),
-      [this, ended = std::move(ended)] {
-        --m_refused_callers;
-        ended();
-      },
-      this);
+  const std::uint64_t id = m_next_refused_caller++;
+  m_refused_callers[id] = std::make_unique<RefusedCaller>(
+      descriptor, OverloadedResponse(), [this, id, uses_spare] { OnRefused(id, uses_spare); });
+}
+
+void IngressService::OnRefused(std::uint64_t id, bool uses_spare) {
+  const auto found = m_refused_callers.find(id);
+  found->second.release()->deleteLater();  // It has emitted the current event.
+  m_refused_callers.erase(found);
+  if (!uses_spare) return;
+  m_spare_descriptors.Refill();
+  RefuseWaitingCallers();
 }
 
 void IngressService::OnAcceptFailed(int error) {
@@ -115,15 +119,30 @@
   while (isListening() && m_spare_descriptors.ReleaseOne()) {
     const int caller = AcceptOne();
     if (caller < 0) return m_spare_descriptors.Refill();
-    Refuse(caller, [this] {
-      m_spare_descriptors.Refill();
-      RefuseWaitingCallers();
-    });
+    Refuse(caller, true);
+  }
+}
+
+void IngressService::OnLastAcceptFailed(int error) {
+  if (IsLackOfResources(error)) RefuseLastCallers();
+}
+
+void IngressService::RefuseLastCallers() {
+  if (!m_spare_descriptors.ReleaseOne()) {
+    if (m_refused_callers.empty()) return;
+    m_refused_callers.erase(m_refused_callers.begin());
+  }
+  const std::string response = OverloadedResponse();
+  for (std::size_t count = 0; count < kMaxLastRefusals; ++count) {
+    const int caller = AcceptOne();
+    if (caller < 0) return;
+    m_context.metrics.CountRefusal(Reason::kIngressOverloaded);
+    RefuseAtOnce(caller, response);
   }
 }
 
 void IngressService::EnforceConnectionLimit() {
-  if (m_refused_callers == 0) m_spare_descriptors.Refill();
+  if (m_refused_callers.empty()) m_spare_descriptors.Refill();
   if (m_context.caller_connections.load() > m_context.max_caller_connections.load()) {
     CloseWaitingConnections();
   }
--- a/src/libs/ingress/ingressservice.h
+++ b/src/libs/ingress/ingressservice.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <span>
@@ -15,6 +16,7 @@
 #include "base/result.h"
 #include "http/listener.h"
 #include "ingress/ingressshard.h"
+#include "ingress/refusedcaller.h"
 #include "runtime/descriptorlimit.h"
 #include "runtime/eventthread.h"
 
@@ -60,6 +62,7 @@
  protected:
   void incomingConnection(qintptr descriptor) override;
   void OnAcceptFailed(int error) override;
+  void OnLastAcceptFailed(int error) override;
 
   // Called when the connection limit is reached: tells the shards to close connections on which
   // no complete request head has been received.
@@ -68,8 +71,12 @@
  private:
   // Accepts and refuses callers that wait while no descriptor is left.
   void RefuseWaitingCallers();
-  // Refuses the first request on a connection that has been accepted.
-  void Refuse(qintptr descriptor, std::function<void()> ended);
+  // Refuses the first request on a connection that has been accepted. `uses_spare` tells that its
+  // descriptor is a spare one, which the next waiting caller gets.
+  void Refuse(qintptr descriptor, bool uses_spare);
+  void OnRefused(std::uint64_t id, bool uses_spare);
+  // Refuses the callers that wait with a single descriptor, without waiting for their requests.
+  void RefuseLastCallers();
   std::string OverloadedResponse() const;
 
   struct Slot {
@@ -86,7 +93,9 @@
   std::vector<Slot> m_slots;
   std::size_t m_next_slot = 0;
   SpareDescriptors m_spare_descriptors;
-  std::size_t m_refused_callers = 0;  // Connections that wait for the end of their refusal.
+  std::uint64_t m_next_refused_caller = 1;
+  // Connections that wait for the end of their refusal, the oldest first.
+  std::map<std::uint64_t, std::unique_ptr<RefusedCaller>> m_refused_callers;
   TimePoint m_last_accept_warning{};
 };
 
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -40,6 +40,8 @@
   std::atomic<std::size_t>& caller_connections;
   // Above this number of connections, only calls of the most urgent priority are accepted.
   const std::atomic<std::size_t>& max_caller_connections;
+  // Connections that may wait for the end of their refusal beside those.
+  const std::atomic<std::size_t>& max_refused_connections;
   AbsentSince absent_since = {};
   const CallConvention& convention;
   ServiceId own_service;  // The service whose calls arrive at this node.
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -119,9 +119,9 @@
   m_owner.SetAbsentSince(absent_since);
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
-                     m_declaration, m_caller_connections, m_caller_connection_limit, absent_since,
-                     m_bindings.convention, m_bindings.own_service, m_request_log,
-                     m_configuration_version},
+                     m_declaration, m_caller_connections, m_caller_connection_limit,
+                     m_refused_connection_limit, absent_since, m_bindings.convention,
+                     m_bindings.own_service, m_request_log, m_configuration_version},
       m_workers);
   m_control = std::make_unique<ControlService>(
       ControlContext{m_settings, m_identity, m_metrics, *this, m_router, m_owner, *m_transport,
@@ -192,6 +192,7 @@
   }
   const std::size_t limit =
       CallerConnectionLimit(m_settings.caller_connections, descriptors, needs);
+  m_refused_connection_limit.store(RefusedConnectionLimit(limit, descriptors, needs));
   m_metrics.Set(Metric::kDescriptorLimit, descriptors);
   m_metrics.Set(Metric::kCallerConnectionLimit, limit);
   if (limit == m_caller_connection_limit.exchange(limit)) return;
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -98,6 +98,7 @@
   std::atomic<std::uint64_t> m_configuration_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
   std::atomic<std::size_t> m_caller_connection_limit{0};
+  std::atomic<std::size_t> m_refused_connection_limit{0};
   TimePoint m_descriptors_checked{};
   ViewGate m_view_gate;
   SharedRouter m_router;
--- a/src/libs/policy/descriptorbudget.cpp
+++ b/src/libs/policy/descriptorbudget.cpp
@@ -15,6 +15,7 @@
 // idle connection that is kept for the next call.
 constexpr std::size_t kDescriptorsPerSlot = 3;
 constexpr std::size_t kUrgentReserveDivisor = 4;
+constexpr std::size_t kMaxRefusedConnections = 64;
 
 }  // namespace
 
@@ -36,4 +37,10 @@
   return limit + limit / kUrgentReserveDivisor;
 }
 
+std::size_t RefusedConnectionLimit(std::size_t limit, std::size_t descriptors,
+                                   const DescriptorNeeds& needs) {
+  const std::size_t used = ReservedDescriptors(needs) + UrgentConnectionLimit(limit);
+  return descriptors > used ? std::min(descriptors - used, kMaxRefusedConnections) : 0;
+}
+
 }  // namespace damaskhollow
--- a/src/libs/policy/descriptorbudget.h
+++ b/src/libs/policy/descriptorbudget.h
@@ -28,6 +28,11 @@
 // The number of caller connections up to which calls of the most urgent priority are accepted.
 std::size_t UrgentConnectionLimit(std::size_t limit);
 
+// The number of connections that may wait for the end of their refusal beside `limit` and the
+// urgent ones.
+std::size_t RefusedConnectionLimit(std::size_t limit, std::size_t descriptors,
+                                   const DescriptorNeeds& needs);
+
 }  // namespace damaskhollow
 
 #endif  // DAMASKHOLLOW_POLICY_DESCRIPTORBUDGET_H_
--- a/tests/auto/policy/tst_descriptorbudget.cpp
+++ b/tests/auto/policy/tst_descriptorbudget.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_ASSERT_EQUAL(row.limit, limit);
   const std::size_t needed = UrgentConnectionLimit(limit) + ReservedDescriptors(row.needs);
   CPPUNIT_ASSERT(needed <= row.descriptors || limit == 1);
+  const std::size_t refused = RefusedConnectionLimit(limit, row.descriptors, row.needs);
+  CPPUNIT_ASSERT(refused == 0 || needed + refused <= row.descriptors);
 }
 
 const test::TableTest<BudgetRow> registration("DescriptorBudget", kRows,
