Answer a call whose processing fails before it is sent

The postmortem's statement that such a call ends by its deadline was wrong.

Change: the call is answered 503 as not run (internal_error, a new reason behind the others, as nodes exchange the numbers). Each call past its deadline is ended, also one without an attempt, and the timer runs from the receipt on.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -138,6 +138,9 @@
     {Reason::kNodeStopped, "node_stopped", kUnknown, 502, false,
      "The node was stopped before the answer arrived.",
      "Allow more time for the shutdown if calls take longer."},
+    {Reason::kInternalError, "internal_error", kNotRun, 503, false,
+     "The node failed unexpectedly before it sent the request.",
+     "Look for the log line unexpected_error; report it with the lines before it."},
 }};
 
 constexpr bool IsInEnumerationOrder() {
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -70,6 +70,8 @@
   kOwnerRestarted,
   kAnswerTruncated,
   kNodeStopped,
+  // Refused by the ingress; listed last, as nodes of other versions know the numeric values above.
+  kInternalError,
   kCount,
 };
 
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -6,6 +6,7 @@
 #include "calls/callheaders.h"
 #include "logging/logger.h"
 #include "policy/attemptverdict.h"
+#include "runtime/errorboundary.h"
 
 namespace damaskhollow {
 
@@ -107,6 +108,16 @@
   call.body_bytes = body_bytes;
   call.started = MonotonicNow();
   call.log_id = LogIdOf(call.request, m_context.convention);
+  if (!m_timer.isActive()) m_timer.start(kTickInterval);
+  const bool has_begun = RunGuarded("new call", [&] { Begin(exchange, call); });
+  // Nothing else would end a call that has no deadline yet. One that was sent ends by its deadline.
+  const PendingCall* failed = has_begun ? nullptr : FindCall(exchange);
+  if (failed != nullptr && failed->attempts.empty()) {
+    RespondWithReason(exchange, Reason::kInternalError);
+  }
+}
+
+void IngressShard::Begin(ExchangeId exchange, PendingCall& call) {
   m_log.RecordRequest(call.started);
   const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
   if (!declaration) return RespondWithReason(exchange, Reason::kNoConfiguration);
@@ -141,7 +152,6 @@
   }
   m_budgets = declaration->budgets;
   m_retries.RecordFirstAttempt(call.call_class.service, m_budgets, call.started);
-  if (!m_timer.isActive()) m_timer.start(kTickInterval);
   Route(exchange, call);
 }
 
@@ -781,7 +791,7 @@
 void IngressShard::CheckDeadlines(TimePoint now) {
   std::vector<ExchangeId> late;
   for (const auto& [exchange, call] : m_calls) {
-    if (!call.attempts.empty() && now > call.deadline) late.push_back(exchange);
+    if (now > call.deadline) late.push_back(exchange);
   }
   for (const ExchangeId exchange : late) {
     // Ending one call may close its connection and thereby end other calls in the list.
@@ -791,6 +801,7 @@
 }
 
 void IngressShard::CheckDeadline(ExchangeId exchange, PendingCall& call, TimePoint now) {
+  if (call.attempts.empty()) return RespondWithReason(exchange, Reason::kDeadlineExceeded);
   if (now > call.deadline + kDeadlineGrace) {
     if (call.relayed_attempt.value != 0) {
       return HandleUnknownOutcome(call.relayed_attempt, Reason::kAnswerTruncated);
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -136,6 +136,9 @@
     bool is_error = false;  // The response has a status of 500 or above.
   };
 
+  // Classifies a call that was received and sends it to an owner, or refuses it.
+  void Begin(ExchangeId exchange, PendingCall& call);
+
   // Whether the call must be refused because the node has too many caller connections. Calls of the
   // most urgent priority are exempt.
   bool ExceedsConnectionLimit(const CallClass& call_class) const;
