Bound the time that a stopping process waits for its log

So the platform kills it.

Change: StopLogging() waits a second, and the process then ends by std::_Exit.

--- a/src/app/node/main.cpp
+++ b/src/app/node/main.cpp
@@ -60,7 +60,7 @@
     damaskhollow::EventLine(damaskhollow::LogPart::kNode, damaskhollow::LogLevel::kError,
                             "start_failed")
         .With("detail", Describe(result.error()));
-    damaskhollow::StopLogging();
+    if (!damaskhollow::StopLogging()) std::_Exit(kStartFailedExitStatus);
     return kStartFailedExitStatus;
   }
   QSocketNotifier notifier(stop_signal_fd, QSocketNotifier::Read);
@@ -71,6 +71,6 @@
     node.StartDrain([&application] { application.quit(); });
   });
   const int status = QCoreApplication::exec();
-  damaskhollow::StopLogging();
+  if (!damaskhollow::StopLogging()) std::_Exit(status);
   return status;
 }
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -15,8 +15,11 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
+#include <chrono>
 #include <cstddef>
+#include <future>
 #include <iostream>
+#include <thread>
 #include <utility>
 
 namespace damaskhollow {
@@ -28,6 +31,8 @@
 // Capacity of the line queue, which fills up if the reader of standard output stalls. At about 300
 // bytes per line, a full queue takes about 600 KB of memory.
 constexpr std::size_t kMaxQueuedLines = 2000;
+// How long a process that ends waits for the reader of standard output.
+constexpr std::chrono::seconds kStopTime{1};
 
 constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info", "warning", "error"};
 constexpr std::array<std::string_view, 8> kPartNames{"node",          "ingress", "owner", "routing",
@@ -138,13 +143,22 @@
   RunningSink() = sink;
 }
 
-void StopLogging() {
-  boost::shared_ptr<Sink>& sink = RunningSink();
-  if (!sink) return;
+bool StopLogging() {
+  boost::shared_ptr<Sink> sink = std::exchange(RunningSink(), nullptr);
+  if (!sink) return true;
   boost::log::core::get()->remove_sink(sink);
-  sink->stop();
-  sink->flush();
-  sink.reset();
+  std::promise<void> stopped;
+  const std::future<void> result = stopped.get_future();
+  // The thread that writes the lines can't be told to give up, so another one waits for it.
+  std::thread waiter([sink = std::move(sink), stopped = std::move(stopped)]() mutable {
+    sink->stop();
+    sink->flush();
+    sink.reset();
+    stopped.set_value();
+  });
+  const bool is_written = result.wait_for(kStopTime) == std::future_status::ready;
+  is_written ? waiter.join() : waiter.detach();
+  return is_written;
 }
 
 std::uint64_t DroppedLogLines() { return dropped_lines.load(std::memory_order_relaxed); }
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -33,8 +33,10 @@
 // that a stalled reader never delays a call.
 void StartLogging(LogLevel level);
 
-// Writes the queued lines and stops logging. Lines logged later are lost.
-void StopLogging();
+// Writes the queued lines and stops logging. Lines logged later are lost. Returns false if they are
+// not written within a second, as the reader of standard output stalls. The process must then end
+// by std::_Exit, since the destructors of the log wait for the reader.
+bool StopLogging();
 
 // Number of lines that were dropped since the process started, because the queue was full or the
 // output failed.
