--- a/tests/integration/tst_closinglistener.cpp
+++ b/tests/integration/tst_closinglistener.cpp
@@ -26,10 +26,12 @@
 struct ClosingCase {
   std::string_view name;
   std::string_view target;
+  bool has_descriptors = true;  // While the port is closed.
 };
 
 constexpr std::array kCases{ClosingCase{"safe calls", "/look/x"},
-                            ClosingCase{"unsafe calls", "/order/x"}};
+                            ClosingCase{"unsafe calls", "/order/x"},
+                            ClosingCase{"no free descriptors", "/order/x", false}};
 
 // Guards against a node that stops and resets connections that it or its kernel has accepted: their
 // callers cannot know whether the request ran. Each call on a fresh connection must be refused a
@@ -48,6 +50,7 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return fleet.Call(0, "POST", "/order/x").status == 200; }));
     fleet.Node(0).Signal(SIGTERM);
     RunFor(kBeforeClosing);
+    if (!row.has_descriptors) fleet.Node(0).TakeFreeDescriptors();
     QTimer timer;
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
       for (int call = 0; call < kCallsPerInterval; ++call) {
@@ -68,6 +71,7 @@
   const std::string text = std::to_string(lost) + " of " + std::to_string(sent) +
                            " calls without an answer, " + std::to_string(answered) + " answered";
   CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{0}, lost);
+  CPPUNIT_ASSERT_MESSAGE(text, answered > 0);
 }
 
 const TableTest<ClosingCase> registration("ClosingListener", kCases, &AnswersFreshConnections);
--- a/tests/integration/tst_platformprogram.cpp
+++ b/tests/integration/tst_platformprogram.cpp
@@ -1,8 +1,10 @@
 #include <cppunit/TestAssert.h>
 #include <signal.h>
 
+#include <QTcpSocket>
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -216,6 +218,51 @@
   CPPUNIT_ASSERT_EQUAL(1, answered);
 }
 
+// Opens connections to a node on which no request is sent.
+std::vector<std::unique_ptr<QTcpSocket>> ConnectSilently(PlatformFleet& fleet, std::size_t count) {
+  std::vector<std::unique_ptr<QTcpSocket>> callers;
+  const Endpoint& address = fleet.OutboundAddress(0);
+  for (std::size_t index = 0; index < count; ++index) {
+    callers.push_back(std::make_unique<QTcpSocket>());
+    callers.back()->connectToHost(QString::fromStdString(address.address), address.port);
+  }
+  return callers;
+}
+
+// Guards against callers that wait for their refusal behind many others, or behind some that send
+// nothing, while a node has no free descriptors.
+void RefusesManyCallersWithoutDescriptors(PlatformFleet& fleet) {
+  constexpr std::size_t kCalls = 400;
+  constexpr std::size_t kSilentCallers = 200;
+  fleet.Node(0).TakeFreeDescriptors();
+  const auto silent = ConnectSilently(fleet, kSilentCallers);
+  const auto began = std::chrono::steady_clock::now();
+  std::size_t refused = 0;
+  std::size_t ended = 0;
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    fleet.Send(0, "GET", "/look/x", [&](const HttpResponse& response) {
+      ++ended;
+      refused += response.status == 503 && response.complete ? 1 : 0;
+    });
+  }
+  CPPUNIT_ASSERT(WaitUntil([&] { return ended == kCalls; }));
+  CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began <= kStability);
+  CPPUNIT_ASSERT_EQUAL(kCalls, refused);
+  CPPUNIT_ASSERT_MESSAGE(fleet.Output(), fleet.Node(0).IsRunning());
+}
+
+// Guards against a node that does not end after SIGTERM because nobody reads its log.
+void StopsBesideStalledLog(PlatformFleet& fleet) {
+  fleet.Node(0).Kill();
+  fleet.Node(0).StallOutput();
+  fleet.StartNode(0);
+  CPPUNIT_ASSERT(fleet.WaitUntilServing(0));
+  fleet.Node(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT(fleet.Node(0).WaitForExit(kExitTimeout));
+  CPPUNIT_ASSERT(!fleet.Node(0).EndedBySignal());
+  CPPUNIT_ASSERT_EQUAL(0, fleet.Node(0).ExitStatus());
+}
+
 // Guards against an entry of another writer whose address ends every process that dials it.
 void SurvivesEntryThatCannotBeDialled(PlatformFleet& fleet) {
   fleet.Store().Put("servers/i-odd",
@@ -298,6 +345,8 @@
     PlatformCase{"refuses until it has a configuration", RefusesUntilConfigured},
     PlatformCase{"refuses callers without descriptors", RefusesCallersWithoutDescriptors},
     PlatformCase{"stops without descriptors", StopsWithoutDescriptors},
+    PlatformCase{"refuses many callers without descriptors", RefusesManyCallersWithoutDescriptors},
+    PlatformCase{"stops beside a stalled log", StopsBesideStalledLog},
     PlatformCase{"refuses to start with few descriptors", RefusesToStartWithFewDescriptors},
     PlatformCase{"entry that can't be dialled", SurvivesEntryThatCannotBeDialled},
     PlatformCase{"log tells a lost answer", LogExplainsLostResponse},
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -1,13 +1,17 @@
 #include "support/process.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <QDir>
 #include <QFile>
 #include <QFileInfo>
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -31,13 +35,28 @@
   m_process.setStandardOutputFile(QString::fromStdString(m_log_file), QIODevice::Append);
   m_process.setChildProcessModifier([this] {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (m_full_pipe >= 0) ::dup2(m_full_pipe, STDOUT_FILENO);
     if (m_descriptor_limit == 0) return;
     const rlimit limit{m_descriptor_limit, m_descriptor_limit};
     ::setrlimit(RLIMIT_NOFILE, &limit);
   });
 }
 
-Process::~Process() { Kill(); }
+Process::~Process() {
+  Kill();
+  if (m_full_pipe >= 0) ::close(m_full_pipe);
+}
+
+void Process::StallOutput() {
+  // Opened for reading and writing, a FIFO has a reader.
+  const std::string path = m_log_file + ".fifo";
+  ::mkfifo(path.c_str(), S_IRUSR | S_IWUSR);
+  m_full_pipe = ::open(path.c_str(), O_RDWR | O_CLOEXEC | O_NONBLOCK);
+  constexpr std::array<char, 4096> kBytes{};
+  while (::write(m_full_pipe, kBytes.data(), kBytes.size()) > 0) {
+  }
+  ::fcntl(m_full_pipe, F_SETFL, O_RDWR);
+}
 
 void Process::Start() {
   QStringList arguments;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -56,6 +56,9 @@
   // Lets later runs open descriptors with numbers below `count` only, and never more; 0: no limit.
   void SetDescriptorLimit(std::size_t count) { m_descriptor_limit = count; }
 
+  // Lets later runs write to a pipe that is full and that nobody reads, instead of the log file.
+  void StallOutput();
+
   void SetArguments(std::vector<std::string> arguments) { m_arguments = std::move(arguments); }
 
  private:
@@ -63,6 +66,7 @@
   std::vector<std::string> m_arguments;
   std::string m_log_file;
   std::size_t m_descriptor_limit = 0;
+  int m_full_pipe = -1;
   QProcess m_process;
 };
 
