Send further signals to stopping nodes in the soak

A node that was stopping got no signal after its SIGTERM, so that nothing showed that a second one, a SIGHUP or a pause leaves its stop as it is.

Change: the fault "signal series" sends a node SIGHUP, SIGSTOP with SIGCONT, and SIGTERM if it is already stopping, 10 to 210 ms apart, for 0.2 to 1.7 s; half of the series begin at a stopping node if there is one. A pause counts as one of a serving node, from SIGSTOP to SIGCONT. No bound has changed: a stop still has to end with status 0 within the same time. ClosePeriod() ends only an open period, as a pause may now lie within that of a stop.

Ruled out: a second SIGTERM to a serving node (a stop of its own), and SIGHUP within 1 s of a start (it ends a process that has not yet blocked it).

--- a/tests/integration/tst_platformsoak.cpp
+++ b/tests/integration/tst_platformsoak.cpp
@@ -175,7 +175,8 @@
 };
 
 // Guards against nodes that end by themselves or break a guarantee of calls when faults overlap:
-// interrupted system calls, missing descriptors, odd entries of the store, kills, stops and pauses.
+// interrupted system calls, missing descriptors, odd entries of the store, kills, stops, pauses and
+// further signals while a node stops.
 void KeepsServing(const SoakCase& row) {
   PlatformSoak soak(row);
   try {
--- a/tests/support/platformfaults.cpp
+++ b/tests/support/platformfaults.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds kExitDetection{100};
 // More than the grace that the platform gives a process.
 constexpr milliseconds kExitTimeout{20000};
+// Short, so that several signals meet the time in which a node stops.
+constexpr std::size_t kSignalGapMs = 200;
+constexpr std::array kSeriesSignals{SIGTERM, SIGHUP, SIGSTOP};
 constexpr std::size_t kManyDescriptors = 4096;
 constexpr std::size_t kTooLongBytes = 17000;  // The limit is 16 KB.
 constexpr std::array kStoreModes{StandInStore::Mode::kBusy, StandInStore::Mode::kTooMany,
@@ -56,6 +59,8 @@
       m_is_down(fleet.Size()),
       m_is_stopping(fleet.Size()),
       m_started(fleet.Size(), m_began - kStability),
+      m_next_signal(fleet.Size()),
+      m_paused_since(fleet.Size()),
       m_most_descriptors(fleet.Size()) {}
 
 std::vector<PlatformFaults::Kind> PlatformFaults::AllKinds() {
@@ -70,6 +75,7 @@
       {"store down", false, &Faults::BeginStoreDown, &Faults::EndStoreDown},
       {"hang-up", false, &Faults::SendHangUp, nullptr},
       {"configuration", false, &Faults::ChangeConfiguration, nullptr},
+      {"signal series", false, &Faults::BeginSignalSeries, &Faults::EndSignalSeries},
   };
 }
 
@@ -86,6 +92,7 @@
     const Time now = std::chrono::steady_clock::now();
     if (!CheckRunning()) return;
     EndDue(now);
+    ContinueSignalSeries(now);
     if (now >= end && m_active.empty()) return;
     if (now >= next && now < end) {
       BeginOne();
@@ -101,7 +108,13 @@
 
 void PlatformFaults::BeginOne() {
   const Kind& kind = m_kinds[m_random.Below(m_kinds.size())];
-  const std::size_t node = m_random.Below(m_fleet.Size());
+  std::size_t node = m_random.Below(m_fleet.Size());
+  const auto stopping = std::find(m_is_stopping.begin(), m_is_stopping.end(), true);
+  // Half of the series go to a stopping node, as few nodes stop at a time.
+  if (kind.begin == &PlatformFaults::BeginSignalSeries && stopping != m_is_stopping.end() &&
+      m_random.Below(2) == 0) {
+    node = static_cast<std::size_t>(stopping - m_is_stopping.begin());
+  }
   const milliseconds length = kMinLength + milliseconds(m_random.Below(kLengthSpreadMs));
   if (!CanBegin(kind, node)) return;
   const Time now = std::chrono::steady_clock::now();
@@ -129,6 +142,12 @@
          2 * (static_cast<std::size_t>(claimed) + 1) <= m_fleet.Size();
 }
 
+bool PlatformFaults::IsActive(void (PlatformFaults::*begin)(std::size_t), std::size_t node) const {
+  return std::any_of(m_active.begin(), m_active.end(), [&](const ActiveFault& fault) {
+    return fault.kind->begin == begin && fault.node == node;
+  });
+}
+
 bool PlatformFaults::CanEnd(const ActiveFault& fault) {
   if (fault.kind->begin != &PlatformFaults::BeginStop) return true;
   if (!m_fleet.Node(fault.node).IsRunning()) return true;
@@ -200,8 +219,9 @@
 }
 
 void PlatformFaults::ClosePeriod(std::size_t node, Time end) {
-  const auto found = std::find_if(m_periods.rbegin(), m_periods.rend(),
-                                  [&](const Period& period) { return period.node == node; });
+  const auto found = std::find_if(m_periods.rbegin(), m_periods.rend(), [&](const Period& period) {
+    return period.node == node && period.end == Time::max();
+  });
   if (found != m_periods.rend()) found->end = end;
 }
 
@@ -290,4 +310,38 @@
   PutSoakConfiguration(m_fleet, ++m_version);
 }
 
+void PlatformFaults::BeginSignalSeries(std::size_t node) {
+  m_next_signal[node] = std::chrono::steady_clock::now();
+}
+
+void PlatformFaults::EndSignalSeries(std::size_t node) { ResumeNode(node); }
+
+void PlatformFaults::ContinueSignalSeries(Time now) {
+  for (const ActiveFault& fault : m_active) {
+    const std::size_t node = fault.node;
+    if (fault.kind->begin != &PlatformFaults::BeginSignalSeries || now < m_next_signal[node]) {
+      continue;
+    }
+    ResumeNode(node);
+    m_next_signal[node] = now + kTick + milliseconds(m_random.Below(kSignalGapMs));
+    const int signal = kSeriesSignals[m_random.Below(kSeriesSignals.size())];
+    const bool is_too_early = signal == SIGHUP && now - m_started[node] < kSignalsBlocked;
+    const bool is_stop = signal == SIGTERM && !m_is_stopping[node];
+    if (is_too_early || is_stop || !m_fleet.Node(node).IsRunning()) continue;
+    Log("signal " + std::to_string(signal) + (m_is_stopping[node] ? " to stopping" : ""), node);
+    m_fleet.Node(node).Signal(signal);
+    if (signal == SIGSTOP) m_paused_since[node] = now;
+  }
+}
+
+void PlatformFaults::ResumeNode(std::size_t node) {
+  if (!m_paused_since[node]) return;
+  // A node that a fault pauses meanwhile is resumed by the end of that fault.
+  if (!IsActive(&PlatformFaults::BeginPause, node)) m_fleet.Node(node).Signal(SIGCONT);
+  Log("end of signal pause", node);
+  m_periods.push_back(
+      {node, Effect::kNoAnswer, *m_paused_since[node], std::chrono::steady_clock::now()});
+  m_paused_since[node].reset();
+}
+
 }  // namespace damaskhollow::test
--- a/tests/support/platformfaults.h
+++ b/tests/support/platformfaults.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,10 +77,11 @@
   // Whether a fault can end now: a node that stops has to exit first.
   bool CanEnd(const ActiveFault& fault);
   bool CanBegin(const Kind& kind, std::size_t node) const;
+  bool IsActive(void (PlatformFaults::*begin)(std::size_t), std::size_t node) const;
   void Log(std::string_view what, std::size_t node);
   void Fail(std::size_t node, std::string_view what);
   void StartNode(std::size_t node);
-  // Begins a period without end; ClosePeriod() ends the last one of the node.
+  // Begins a period without end; ClosePeriod() ends the last such one of the node.
   void OpenPeriod(std::size_t node, Effect effect, Time begin);
   void ClosePeriod(std::size_t node, Time end);
 
@@ -99,15 +101,23 @@
   void EndStoreDown(std::size_t node);
   void SendHangUp(std::size_t node);
   void ChangeConfiguration(std::size_t node);
+  void BeginSignalSeries(std::size_t node);
+  void EndSignalSeries(std::size_t node);
+  // Sends the signals that are due.
+  void ContinueSignalSeries(Time now);
+  // Ends the pause of a signal series, if there is one.
+  void ResumeNode(std::size_t node);
 
   PlatformFleet& m_fleet;
   RandomSource m_random;
   const Time m_began;
   std::vector<Kind> m_kinds;  // Not changed during a run, as active faults refer to it.
   std::vector<ActiveFault> m_active;
-  std::vector<bool> m_is_down;      // Nodes that were ended by a fault.
-  std::vector<bool> m_is_stopping;  // Nodes that have not exited yet after SIGTERM.
-  std::vector<Time> m_started;      // Last start of each node.
+  std::vector<bool> m_is_down;                      // Nodes that were ended by a fault.
+  std::vector<bool> m_is_stopping;                  // Nodes that have not exited yet after SIGTERM.
+  std::vector<Time> m_started;                      // Last start of each node.
+  std::vector<Time> m_next_signal;                  // Of the signal series of each node.
+  std::vector<std::optional<Time>> m_paused_since;  // Nodes that a signal series has paused.
   std::vector<Period> m_periods;
   std::vector<std::size_t> m_most_descriptors;
   std::string m_history;
