Keep more connections in use in the soak

The soak sent its kept calls at fixed times to random nodes, so that a stop met few connections in use.

Change: beside them, 16 callers send their next request up to 20 ms after each response, over a kept connection, and stay at their node until it does not answer. After a refusal they wait 200 ms, so that they do not send most of the calls to nodes that refuse.

--- a/tests/support/platformcallledger.cpp
+++ b/tests/support/platformcallledger.cpp
@@ -11,10 +11,18 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr std::array<std::size_t, 4> kBodySizes{0, 10, 3000, 40000};
 // Longer than the deadline of a call, so that a call without an answer is the node's failure.
-constexpr std::chrono::milliseconds kCallTimeout{10000};
+constexpr milliseconds kCallTimeout{10000};
+// Their number does not depend on the number of nodes, as one thread serves all instances.
+constexpr std::size_t kBusyCallers = 16;
+constexpr std::size_t kBusyGapMs = 20;
+// Keeps callers of refusing nodes from sending most of the calls.
+constexpr milliseconds kRetryDelay{200};
 constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
 // Statuses with which a node says that the request did not run.
 constexpr std::array kNotRun{503, 429, 408, 421};
 // Statuses that leave open whether the request ran.
@@ -42,29 +50,47 @@
     : m_fleet(fleet), m_random(seed) {
   connect(&m_timer, &QTimer::timeout, this, &PlatformCallLedger::SendOne);
   m_timer.start(static_cast<int>(1000.0 / rate_per_second));
+  for (std::size_t caller = 0; caller < kBusyCallers; ++caller) {
+    Send(caller % fleet.Size(), m_busy);
+  }
 }
 
 void PlatformCallLedger::SendOne() {
+  HttpClient& client = m_random.Below(2) == 0 ? m_kept : m_fresh;
+  Send(m_random.Below(m_fleet.Size()), client);
+}
+
+void PlatformCallLedger::SendNext(std::size_t node, int last_status) {
+  const bool is_refused = last_status == 0 || last_status == kServiceUnavailable;
+  const milliseconds delay = is_refused ? kRetryDelay : milliseconds(m_random.Below(kBusyGapMs));
+  const std::size_t next = last_status == 0 ? m_random.Below(m_fleet.Size()) : node;
+  QTimer::singleShot(delay, Qt::PreciseTimer, this, [this, next] {
+    if (m_timer.isActive()) Send(next, m_busy);
+  });
+}
+
+void PlatformCallLedger::Send(std::size_t node, HttpClient& client) {
   const std::size_t index = m_calls.size();
   const Route& route = kRoutes[m_random.Below(kRoutes.size())];
   const std::string id = "call-" + std::to_string(index);
   Call call;
-  call.node = m_random.Below(m_fleet.Size());
+  call.node = node;
   call.safe = route.safe;
-  call.kept = m_random.Below(2) == 0;
+  call.kept = &client != &m_fresh;
   call.target = std::string(route.prefix) + id;
   call.body = PatternBody(id, kBodySizes[m_random.Below(kBodySizes.size())]);
   call.began = std::chrono::steady_clock::now();
   const HttpRequest request = m_fleet.MakeOutboundRequest("POST", call.target, call.body);
   call.request_id = std::string(FindHeader(request.headers, "Request-Id"));
-  HttpClient& client = call.kept ? m_kept : m_fresh;
   const Endpoint& address = m_fleet.OutboundAddress(call.node);
   m_calls.push_back(std::move(call));
-  client.Send(address, request, kCallTimeout, [this, index](const HttpResponse& response) {
+  const bool is_busy = &client == &m_busy;
+  client.Send(address, request, kCallTimeout, [=, this](const HttpResponse& response) {
     m_calls[index].response = response;
     m_calls[index].ended = std::chrono::steady_clock::now();
     m_calls[index].has_ended = true;
     ++m_ended;
+    if (is_busy) SendNext(m_calls[index].node, response.status);
   });
 }
 
@@ -92,12 +118,10 @@
         call.response.Describe() + ", failure " + std::string(InfoOf(call.response.failure).name) +
         ", sent body " + std::to_string(call.body.size()) + " bytes, steady time " +
         std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(call.began.time_since_epoch())
-                .count()) +
+            std::chrono::duration_cast<milliseconds>(call.began.time_since_epoch()).count()) +
         " to " +
         std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(call.ended.time_since_epoch())
-                .count()) +
+            std::chrono::duration_cast<milliseconds>(call.ended.time_since_epoch()).count()) +
         " ms, ran at instances";
     for (const std::size_t instance : ran) text += " " + std::to_string(instance);
     violations.push_back(std::move(text));
--- a/tests/support/platformcallledger.h
+++ b/tests/support/platformcallledger.h
@@ -60,6 +60,9 @@
 
  private:
   void SendOne();
+  // A call over m_busy is followed by another one of its caller.
+  void Send(std::size_t node, HttpClient& client);
+  void SendNext(std::size_t node, int last_status);
   std::string ViolationOf(const Call& call, const std::vector<std::size_t>& runs,
                           const MayLackAnswer& may_lack_answer) const;
 
@@ -67,6 +70,9 @@
   RandomSource m_random;
   HttpClient m_kept{true};
   HttpClient m_fresh{false};
+  // Connections of callers that send a request soon after each response, and stay at a node until
+  // it does not answer, so that a stopping node meets connections in use.
+  HttpClient m_busy{true};
   std::vector<Call> m_calls;
   std::size_t m_ended = 0;
   QTimer m_timer;
