Write the settings file of a node once

Cause: StartNode() truncated and rewrote the settings file at each restart, which waits for the disk. Beside the soak a probe did that and four other steps (append, create and delete a file, start a process, rewrite on a tmpfs) each 0.4 s: rewriting was held for 0.8, 1.8, 4.7 and 62 s in 8 minutes, the others never for more than 0.3 s.

Change: the file is written when it does not exist; the settings of a node do not change.

--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -128,7 +128,10 @@
 
 void PlatformFleet::StartNode(std::size_t index) {
   const std::string path = m_folder.filePath(QString("settings-%1.json").arg(index)).toStdString();
-  std::ofstream(path) << SettingsJson(m_servers[index]);
+  // Not written again: truncating a file may wait for the disk, and all instances with it.
+  if (!QFile::exists(QString::fromStdString(path))) {
+    std::ofstream(path) << SettingsJson(m_servers[index]);
+  }
   qputenv("DAMASKHOLLOW_CONFIG", QByteArray::fromStdString(path));
   if (m_with_interruptions) {
     qputenv(kPreload, DAMASKHOLLOW_INTERRUPTIONS_LIBRARY);
