Update the connection limits before connections are closed for them

Change: a caller beyond the limit makes the node compute its limits anew before it closes or refuses anything. The periodic check keeps its own time, so that it is not put off by such callers.

--- a/src/libs/ingress/ingressservice.cpp
+++ b/src/libs/ingress/ingressservice.cpp
@@ -66,6 +66,9 @@
 
 void IngressService::incomingConnection(qintptr descriptor) {
   const std::size_t connections = m_context.caller_connections.load();
+  // Descriptors may have become free since the limits were computed, so that no connection need be
+  // closed.
+  if (connections >= m_context.max_caller_connections.load()) m_context.update_connection_limits();
   const std::size_t limit = m_context.max_caller_connections.load();
   if (connections >= limit) CloseWaitingConnections();
   if (connections >= UrgentConnectionLimit(limit)) {
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -42,6 +42,8 @@
   const std::atomic<std::size_t>& max_caller_connections;
   // Connections that may wait for the end of their refusal beside those.
   const std::atomic<std::size_t>& max_refused_connections;
+  // Brings both limits up to date. Called on the thread of IngressService.
+  std::function<void()> update_connection_limits;
   AbsentSince absent_since = {};
   const CallConvention& convention;
   ServiceId own_service;  // The service whose calls arrive at this node.
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -120,8 +120,9 @@
   m_ingress = std::make_unique<IngressService>(
       IngressContext{m_identity, m_metrics, *this, m_router, m_crash_guard, m_body_budget,
                      m_declaration, m_caller_connections, m_caller_connection_limit,
-                     m_refused_connection_limit, absent_since, m_bindings.convention,
-                     m_bindings.own_service, m_request_log, m_configuration_version},
+                     m_refused_connection_limit, [this] { UpdateDescriptorLimit(); }, absent_since,
+                     m_bindings.convention, m_bindings.own_service, m_request_log,
+                     m_configuration_version},
       m_workers);
   m_control = std::make_unique<ControlService>(
       ControlContext{m_settings, m_identity, m_metrics, *this, m_router, m_owner, *m_transport,
@@ -182,7 +183,6 @@
 }
 
 void Node::UpdateDescriptorLimit() {
-  m_descriptors_checked = MonotonicNow();
   const std::size_t descriptors = DescriptorLimit(m_settings.max_descriptors);
   DescriptorNeeds needs;
   if (const std::shared_ptr<const Declaration> declaration = m_declaration.load()) {
@@ -211,6 +211,7 @@
   RunGuarded("owner tick", [&] { m_owner.Tick(now); });
   RunGuarded("crash check", [&] { CheckBackendCrashes(); });
   if (now - m_descriptors_checked >= kDescriptorCheckInterval) {
+    m_descriptors_checked = now;
     UpdateDescriptorLimit();
     m_ingress->EnforceConnectionLimit();
   }
--- a/tests/auto/ingress/tst_ingressshard.cpp
+++ b/tests/auto/ingress/tst_ingressshard.cpp
@@ -56,7 +56,7 @@
         m_body_budget(1UL << 20U),
         m_shard(IngressContext{NodeIdentity{m_own.id, Incarnation{1}, WallNow()}, m_metrics,
                                m_messenger, m_router, m_crash_guard, m_body_budget, m_declaration,
-                               m_connections, m_max_connections, m_max_refused,
+                               m_connections, m_max_connections, m_max_refused, [] {},
                                [throws](const BackendServerId&) -> std::optional<WallTime> {
                                  if (throws) throw std::bad_alloc();
                                  return std::nullopt;
--- a/tests/integration/tst_platformprogram.cpp
+++ b/tests/integration/tst_platformprogram.cpp
@@ -251,6 +251,32 @@
   CPPUNIT_ASSERT_MESSAGE(fleet.Output(), fleet.Node(0).IsRunning());
 }
 
+// Guards against idle connections that a node closes for want of descriptors when it has enough
+// again: a request that its caller sends at that moment gets no answer.
+void KeepsConnectionsWhenDescriptorsAreFree(PlatformFleet& fleet) {
+  constexpr std::size_t kIdleCallers = 20;
+  constexpr std::size_t kCalls = 10;
+  // More than the interval in which a node reads its limit of descriptors.
+  constexpr std::chrono::milliseconds kShortage{1500};
+  const auto idle = ConnectSilently(fleet, kIdleCallers);
+  const auto open = [&] {
+    return std::ranges::count_if(idle, [](const std::unique_ptr<QTcpSocket>& caller) {
+      return caller->state() == QAbstractSocket::ConnectedState;
+    });
+  };
+  CPPUNIT_ASSERT(WaitUntil([&] { return open() == kIdleCallers; }));
+  fleet.Node(0).TakeFreeDescriptors();
+  RunFor(kShortage);
+  const auto before = open();
+  CPPUNIT_ASSERT(before > 0);
+  fleet.Node(0).LimitDescriptors(kManyDescriptors);
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(0, "GET", "/look/x").status);
+  }
+  RunFor(kShortage);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.Output(), before, open());
+}
+
 // Guards against a node that does not end after SIGTERM because nobody reads its log.
 void StopsBesideStalledLog(PlatformFleet& fleet) {
   fleet.Node(0).Kill();
@@ -346,6 +372,8 @@
     PlatformCase{"refuses callers without descriptors", RefusesCallersWithoutDescriptors},
     PlatformCase{"stops without descriptors", StopsWithoutDescriptors},
     PlatformCase{"refuses many callers without descriptors", RefusesManyCallersWithoutDescriptors},
+    PlatformCase{"keeps connections when descriptors are free",
+                 KeepsConnectionsWhenDescriptorsAreFree},
     PlatformCase{"stops beside a stalled log", StopsBesideStalledLog},
     PlatformCase{"refuses to start with few descriptors", RefusesToStartWithFewDescriptors},
     PlatformCase{"entry that can't be dialled", SurvivesEntryThatCannotBeDialled},
