Check the mask of the signal handler at the end of its test

It was run now: without the change the row with another thread hung, as the check left the test before that thread was told to end. The check, unchanged, stands at the end.

--- a/tests/auto/runtime/tst_signaldescriptor.cpp
+++ b/tests/auto/runtime/tst_signaldescriptor.cpp
@@ -49,10 +49,8 @@
   const std::array signals{SIGUSR1};
   const int descriptor = OpenSignalDescriptor(signals);
   CPPUNIT_ASSERT(descriptor >= 0);
-  // The handler must leave the signals unblocked by which a library may answer system calls.
   struct sigaction installed {};
   sigaction(SIGUSR1, nullptr, &installed);
-  CPPUNIT_ASSERT_EQUAL(0, sigismember(&installed.sa_mask, SIGSYS));
   kill(getpid(), SIGUSR1);
   pollfd readable{descriptor, POLLIN, 0};
   // The signal of another thread interrupts poll() when it is passed on.
@@ -63,6 +61,8 @@
   ended.store(true);
   close(descriptor);
   sigaction(SIGUSR1, &previous, nullptr);
+  // The handler must leave the signals unblocked by which a library may answer system calls.
+  CPPUNIT_ASSERT_EQUAL(0, sigismember(&installed.sa_mask, SIGSYS));
 }
 
 const test::TableTest<SignalRow> registration("SignalDescriptor", kRows, &ReadsSignal);
