Refuse responses with a status outside 100 to 599

What callers saw: an instance in trouble answered with status 000, and the caller received it as a response. Through a node: "HTTP/1.1 000 <unknown-status>" with the instance's id, seal and body; 999 likewise.

Cause: Beast takes any three digits as a status, and BackendConnection took the parser's word. Neither a success nor a refusal, such a status passed all further checks, which apply to those two. HealthProbe counted it as healthy for the same reason.

Why this works: all readers of instances, probes and the store read through BackendConnection, which now fails the request with backend_malformed before any part is passed on. The request may have run, so the caller gets 502 or, for an idempotent request, the response of another instance; the connection is not used again.

Ruled out: mapping the status to 5xx, as RFC 9110 permits a client, since the seal would then stand beside another status than the instance gave.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -25,6 +25,9 @@
 constexpr unsigned kMaxInterimResponses = 16;
 // Bytes read of responses that belong to other requests, for one request.
 constexpr std::size_t kMaxSkippedBytes = 4UL * 1024UL * 1024UL;
+// RFC 9110, 15: other statuses are invalid.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -220,10 +223,11 @@
   for (const auto& field : message) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  if (HasStatusLine(message.reason()) || HoldsTwoHeads(head)) {
+  const bool is_valid_status = head.status >= kFirstStatus && head.status <= kLastStatus;
+  if (!is_valid_status || HasStatusLine(message.reason()) || HoldsTwoHeads(head)) {
     return Fail(Reason::kBackendMalformed);
   }
-  if (message.result_int() >= 100 && message.result_int() < 200) {
+  if (head.status < kFirstSuccess) {
     ++m_interim_responses;
     StartParser();  // The final response follows.
     return;
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -116,10 +116,10 @@
 
   // Sends a request, connecting first if needed. At most `credit` bytes of the response body are
   // read. After `timeout` the request fails with kBackendTimeout and the connection closes. A
-  // response with the id of another request is skipped. A success that lacks the id or the success
-  // marker or is marked as not run, a not-run response that lacks the id or has the status of a
-  // server error, and a head that another one was written into fail the request with
-  // kBackendMalformed.
+  // response with the id of another request is skipped. A status outside 100 to 599, a success that
+  // lacks the id or the success marker or is marked as not run, a not-run response that lacks the
+  // id or has the status of a server error, and a head that another one was written into fail the
+  // request with kBackendMalformed.
   void Send(const HttpRequest& request, std::size_t credit, std::chrono::milliseconds timeout,
             ResponseCheck check = {});
 
--- a/tests/auto/control/tst_healthprobe.cpp
+++ b/tests/auto/control/tst_healthprobe.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "support/freeport.h"
 #include "support/httpserver.h"
 #include "support/nofreedescriptors.h"
+#include "support/scriptedserver.h"
 #include "support/tabletest.h"
 #include "support/wait.h"
 
@@ -54,6 +56,32 @@
 
 const test::TableTest<ProbeRow> registration("HealthProbe", kRows, &ReportsResult);
 
+struct BrokenRow {
+  std::string_view name;
+  std::string_view response;
+};
+
+constexpr std::array kBrokenRows{
+    BrokenRow{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"},
+    BrokenRow{"status 600", "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n"},
+};
+
+// Guards against a malformed response that counts as healthy, so that a leaving server gets new
+// calls.
+void IgnoresBrokenResponse(const BrokenRow& row) {
+  const test::ScriptedServer server({std::string(row.response)}, test::ScriptedServer::End::kClose);
+  MetricsRegistry metrics;
+  std::vector<ProbeResult> results;
+  HealthProbe probe(metrics, [&](ProbeResult result) { results.push_back(result); });
+  probe.Configure(HealthCheck{"/health", kInterval}, server.Address(), kProbesPerSecond);
+  probe.Tick(MonotonicNow());
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !results.empty(); }));
+  CPPUNIT_ASSERT(results.front() == ProbeResult::kNoResponse);
+}
+
+const test::TableTest<BrokenRow> broken_test("HealthProbeBroken", kBrokenRows,
+                                             &IgnoresBrokenResponse);
+
 }  // namespace
 
 }  // namespace damaskhollow
