Name the rule that a malformed response breaks

Store and probes read through BackendConnection; StoreReaderBroken shows that the reader reports such a response as a failure and uses nothing of it. With status 000 it did so before, as "status 0". A blank inside a name was refused before.

--- a/src/libs/control/healthprobe.cpp
+++ b/src/libs/control/healthprobe.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "logging/logger.h"
+
 namespace damaskhollow {
 
 namespace {
@@ -72,6 +74,10 @@
 
 void HealthProbe::OnBackendFailed(ConnectionId, Reason reason, bool may_have_run) {
   const bool is_inconclusive = m_connection && m_connection->LacksDescriptor();
+  const ResponseFault fault = m_connection ? m_connection->Fault() : ResponseFault::kNone;
+  EventLine(LogPart::kFleet, LogLevel::kDebug, "health_probe_failed")
+      .With("reason", InfoOf(reason).name)
+      .With("rule", NameOf(fault));
   CloseConnection();
   const bool is_refused = !is_inconclusive && !may_have_run && reason != Reason::kBackendTimeout;
   m_result(is_refused ? ProbeResult::kRefused : ProbeResult::kNoResponse);
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -25,40 +25,8 @@
 constexpr unsigned kMaxInterimResponses = 16;
 // Bytes read of responses that belong to other requests, for one request.
 constexpr std::size_t kMaxSkippedBytes = 4UL * 1024UL * 1024UL;
-// RFC 9110, 15: other statuses are invalid.
-constexpr int kFirstStatus = 100;
-constexpr int kLastStatus = 599;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-
 // Requests refused on one connection, after which it is replaced.
 constexpr std::size_t kMaxRefusedIds = 64;
-constexpr int kFirstClientError = 400;
-constexpr int kFirstServerError = 500;
-constexpr int kServiceUnavailable = 503;
-constexpr int kMisdirected = 421;
-constexpr std::array kNotRunStatuses{408, 429, kServiceUnavailable};
-
-bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
-
-// Whether a status line begins in the text.
-bool HasStatusLine(std::string_view text) {
-  constexpr std::string_view kVersion = "HTTP/1.";
-  for (std::size_t start = text.find(kVersion); start != std::string_view::npos;
-       start = text.find(kVersion, start + 1)) {
-    const std::string_view rest = text.substr(start + kVersion.size());
-    if (rest.size() >= 3 && IsDigit(rest[0]) && rest[1] == ' ' && IsDigit(rest[2])) return true;
-  }
-  return false;
-}
-
-bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
-
-// Whether a server may answer a request that it did not run with this status.
-bool IsRefusal(int status) {
-  return (status >= kFirstClientError && status < kFirstServerError) ||
-         status == kServiceUnavailable;
-}
 
 // The `timeout` parameter of a Keep-Alive field, which is in whole seconds.
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view field) {
@@ -198,12 +166,12 @@
       StartParser();
     }
   }
-  if (error && error != http::error::need_more) return Fail(Reason::kBackendMalformed);
+  if (error && error != http::error::need_more) return Reject(ResponseFault::kSyntax);
   // What the parser leaves is an incomplete head, chunk header or trailer.
   const bool is_endless = m_input.size() > kHeaderLimitBytes ||
                           m_skipped_bytes > kMaxSkippedBytes ||
                           m_interim_responses > kMaxInterimResponses;
-  if (is_endless) return Fail(Reason::kBackendMalformed);
+  if (is_endless) return Reject(ResponseFault::kTooLong);
   if (m_parser->is_done()) return Finish();
   if (m_head_parsed && m_parser->need_eof()) StartCloseDelimitedBody();
 }
@@ -223,66 +191,28 @@
   for (const auto& field : message) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  const bool is_valid_status = head.status >= kFirstStatus && head.status <= kLastStatus;
-  if (!is_valid_status || HasStatusLine(message.reason()) || HoldsTwoHeads(head)) {
-    return Fail(Reason::kBackendMalformed);
-  }
-  if (head.status < kFirstSuccess) {
+  const ResponseFault head_fault = FindHeadFault(head, message.reason(), m_check);
+  if (head_fault != ResponseFault::kNone) return Reject(head_fault);
+  if (IsInterim(head.status)) {
     ++m_interim_responses;
     StartParser();  // The final response follows.
     return;
   }
   if (const auto length = m_parser->content_length()) head.content_length = *length;
-  m_skipping_response = BelongsToOtherRequest(head);
-  if (!m_skipping_response && !IsValidResponse(head)) return Fail(Reason::kBackendMalformed);
+  m_skipping_response = BelongsToOtherRequest(head, m_check);
+  if (!m_skipping_response) {
+    const ResponseFault mark_fault = FindMarkFault(head, m_check);
+    if (mark_fault != ResponseFault::kNone) return Reject(mark_fault);
+  }
   m_keep_alive_timeout = ParseKeepAliveTimeout(FindHeader(head.headers, "Keep-Alive"));
   const bool is_refusal =
-      HasHeader(head.headers, m_check.not_run_field) || head.status == kMisdirected;
+      HasHeader(head.headers, m_check.not_run_field) || head.status == kMisdirectedStatus;
   if (!m_skipping_response && is_refusal && !m_check.id.empty()) m_refused_ids.insert(m_check.id);
   if (!m_skipping_response) m_part.head = std::move(head);
   m_head_parsed = true;
   m_state = State::kReading;
 }
 
-bool BackendConnection::HoldsTwoHeads(const HttpResponseHead& head) const {
-  // The server broke off one head and went on with another, or wrote one into the other.
-  std::size_t ids = 0;
-  for (const HttpHeader& header : head.headers) {
-    if (HasStatusLine(header.value)) return true;
-    const bool is_id =
-        !m_check.id_field.empty() && boost::beast::iequals(header.name, m_check.id_field);
-    if (is_id) ++ids;
-  }
-  return ids > 1;
-}
-
-bool BackendConnection::BelongsToOtherRequest(const HttpResponseHead& head) const {
-  if (m_check.id_field.empty() || m_check.id.empty()) return false;
-  const std::string_view id = FindHeader(head.headers, m_check.id_field);
-  return !id.empty() && id != m_check.id;
-}
-
-bool BackendConnection::IsValidResponse(const HttpResponseHead& head) const {
-  const bool needs_id = !m_check.id_field.empty() && !m_check.id.empty();
-  const bool lacks_id = needs_id && !HasHeader(head.headers, m_check.id_field);
-  const bool is_marked =
-      !m_check.not_run_field.empty() && HasHeader(head.headers, m_check.not_run_field);
-  if (!IsSuccess(head.status)) {
-    const bool is_promise =
-        std::ranges::find(kNotRunStatuses, head.status) != kNotRunStatuses.end();
-    if (m_check.status_means_not_run && is_promise && !is_marked) return false;
-    const bool means_not_run =
-        is_marked || (m_check.status_means_not_run && head.status == kMisdirected);
-    // Without an id, it may be a late copy of the response to an earlier request.
-    return !means_not_run || (!lacks_id && IsRefusal(head.status));
-  }
-  if (lacks_id || is_marked) return false;
-  if (m_check.success_marker_field.empty()) return true;
-  // Callers request no content encoding, so the success marker does not vouch for an encoded body.
-  return HasHeader(head.headers, m_check.success_marker_field) &&
-         !HasHeader(head.headers, "Content-Encoding");
-}
-
 void BackendConnection::StartCloseDelimitedBody() {
   if (m_close_delimited_descriptor >= 0) return;
   m_close_delimited_descriptor = ::dup(static_cast<int>(m_socket.socketDescriptor()));
@@ -351,6 +281,11 @@
   m_part.last = true;
 }
 
+void BackendConnection::Reject(ResponseFault fault) {
+  m_response_fault = fault;
+  Fail(Reason::kBackendMalformed);
+}
+
 void BackendConnection::Fail(Reason reason) {
   if (m_state == State::kClosed) return;
   m_timer.stop();
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -22,6 +22,7 @@
 #include "base/reason.h"
 #include "base/time.h"
 #include "http/message.h"
+#include "http/responsecheck.h"
 
 namespace damaskhollow {
 
@@ -35,17 +36,6 @@
   bool IsEmpty() const { return !head && data.empty() && !last; }
 };
 
-// Header fields that tie a response to its request. Fields with an empty name are not checked.
-struct ResponseCheck {
-  std::string id_field;              // Field in which the response repeats the request's id.
-  std::string id;                    // Id of the request; empty if it has none.
-  std::string success_marker_field;  // Field present in every success response.
-  std::string not_run_field;         // Field of a response that says the request was not run.
-  // Callers take the statuses 408, 429 and 503 to say that the request was not run, so a response
-  // may have them only together with `not_run_field`.
-  bool status_means_not_run = false;
-};
-
 // Receives the events of connections to the backend server. Members are called on the connection's
 // thread.
 class BackendEvents {
@@ -116,10 +106,8 @@
 
   // Sends a request, connecting first if needed. At most `credit` bytes of the response body are
   // read. After `timeout` the request fails with kBackendTimeout and the connection closes. A
-  // response with the id of another request is skipped. A status outside 100 to 599, a success that
-  // lacks the id or the success marker or is marked as not run, a not-run response that lacks the
-  // id or has the status of a server error, and a head that another one was written into fail the
-  // request with kBackendMalformed.
+  // response with the id of another request is skipped. One that breaks a rule of ResponseFault
+  // fails the request with kBackendMalformed.
   void Send(const HttpRequest& request, std::size_t credit, std::chrono::milliseconds timeout,
             ResponseCheck check = {});
 
@@ -133,6 +121,9 @@
   // which tells nothing about the server.
   bool LacksDescriptor() const { return m_lacks_descriptor; }
 
+  // The rule that the response broke if the request failed with kBackendMalformed.
+  ResponseFault Fault() const { return m_response_fault; }
+
   bool IsIdle() const { return m_state == State::kIdle; }
   TimePoint IdleSince() const { return m_idle_since; }
 
@@ -159,19 +150,19 @@
   void Parse();
   void StartParser();
   void AcceptHead();
-  bool HoldsTwoHeads(const HttpResponseHead& head) const;
-  bool BelongsToOtherRequest(const HttpResponseHead& head) const;
-  bool IsValidResponse(const HttpResponseHead& head) const;
   void StartCloseDelimitedBody();
   void ReadCloseDelimitedBody();
   void EndCloseDelimitedBody();
   void CollectBody();
   void EmitPart();
   void Finish();
+  // Fails the request with kBackendMalformed.
+  void Reject(ResponseFault fault);
   void Fail(Reason reason);
   void OnClosed();
 
   bool m_lacks_descriptor = false;
+  ResponseFault m_response_fault = ResponseFault::kNone;
   const ConnectionId m_id;
   const Endpoint m_server;
   BackendEvents& m_events;
--- a/src/libs/owner/backendpool.cpp
+++ b/src/libs/owner/backendpool.cpp
@@ -74,8 +74,9 @@
 
   void OnBackendFailed(ConnectionId connection, Reason reason, bool may_have_run) override {
     const OwnedCallId call = RemoveCall(connection);
+    const ResponseFault fault = m_connections.at(connection)->Fault();
     DiscardConnection(connection);
-    m_handler.OnRequestFailed(call, reason, may_have_run);
+    m_handler.OnRequestFailed(call, {reason, may_have_run, fault});
   }
 
   void OnBackendIdleClosed(ConnectionId connection) override {
--- a/src/libs/owner/backendpool.h
+++ b/src/libs/owner/backendpool.h
@@ -16,6 +16,13 @@
 
 namespace damaskhollow {
 
+// Why a request to the backend server failed.
+struct RequestFailure {
+  Reason reason = Reason::kNone;
+  bool may_have_run = true;  // False only if the server cannot have received the request.
+  ResponseFault fault = ResponseFault::kNone;  // The rule that a malformed response broke.
+};
+
 // Receives the responses of the backend server. Member functions are called on worker threads, and
 // always on the same thread for one call.
 class BackendResponseHandler {
@@ -24,9 +31,8 @@
 
   // Called with each part of the response, in order.
   virtual void OnResponsePart(OwnedCallId call, ResponsePart part) = 0;
-  // Called once if the request failed; no parts follow. `may_have_run` is false only if the server
-  // cannot have received the request.
-  virtual void OnRequestFailed(OwnedCallId call, Reason reason, bool may_have_run) = 0;
+  // Called once if the request failed; no parts follow.
+  virtual void OnRequestFailed(OwnedCallId call, const RequestFailure& failure) = 0;
 };
 
 // A request to the backend server and the conditions for its response.
--- a/src/libs/owner/loadprobe.cpp
+++ b/src/libs/owner/loadprobe.cpp
@@ -2,6 +2,8 @@
 
 #include <QMetaObject>
 
+#include "logging/logger.h"
+
 namespace damaskhollow {
 
 namespace {
@@ -63,7 +65,10 @@
   m_owner.OnProbeFailed();
 }
 
-void LoadProbe::OnBackendFailed(ConnectionId, Reason, bool) {
+void LoadProbe::OnBackendFailed(ConnectionId, Reason reason, bool) {
+  EventLine(LogPart::kOwner, LogLevel::kDebug, "load_probe_failed")
+      .With("reason", InfoOf(reason).name)
+      .With("rule", NameOf(m_connection->Fault()));
   m_is_running = false;
   DiscardConnection();
   m_owner.OnProbeFailed();
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -16,8 +16,6 @@
 // Covers the detection of a silent link plus the handshake of its replacement between regions.
 constexpr std::chrono::seconds kRetransmitCacheMaxAge{3};
 constexpr std::chrono::seconds kEndedCallSweepInterval{1};
-// HTTP 421 Misdirected Request: the request was meant for another server.
-constexpr int kMisdirectedStatus = 421;
 
 }  // namespace
 
@@ -554,7 +552,7 @@
   Finish(id, SlotResult::kCompleted);
 }
 
-void OwnerService::OnRequestFailed(OwnedCallId id, Reason reason, bool may_have_run) {
+void OwnerService::OnRequestFailed(OwnedCallId id, const RequestFailure& failure) {
   const std::lock_guard lock(m_lock);
   OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) return;
@@ -562,6 +560,10 @@
   const std::uint64_t call_id = call->key.call.value;
   const bool discard = call->discard_answer;
   const std::string log_id = call->log_id;
+  const auto [reason, may_have_run, fault] = failure;
+  if (fault != ResponseFault::kNone) {
+    m_log.Failure("response_rejected", log_id, reason).With("rule", NameOf(fault));
+  }
   if (reason == Reason::kBackendClosed && may_have_run) {
     m_crash_guard.RecordAborted(call->request.digest());
   }
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -107,7 +107,7 @@
   bool IsIdle() const;
 
   void OnResponsePart(OwnedCallId call, ResponsePart part) override;
-  void OnRequestFailed(OwnedCallId call, Reason reason, bool may_have_run) override;
+  void OnRequestFailed(OwnedCallId call, const RequestFailure& failure) override;
 
  private:
   // All member functions below expect m_lock to be held.
--- a/tests/auto/http/tst_responsehead.cpp
+++ b/tests/auto/http/tst_responsehead.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(text, row.accepted ? status : 0, answer.status);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(text, row.accepted, answer.complete);
     CPPUNIT_ASSERT_MESSAGE(text, row.accepted || answer.failure == Reason::kBackendMalformed);
+    CPPUNIT_ASSERT_MESSAGE(text, row.accepted || answer.fault == ResponseFault::kStatus);
   }
 }
 
--- a/tests/auto/owner/tst_backendpool.cpp
+++ b/tests/auto/owner/tst_backendpool.cpp
@@ -54,7 +54,7 @@
 class CountingHandler : public BackendResponseHandler {
  public:
   void OnResponsePart(OwnedCallId, ResponsePart part) override { m_answers += part.last ? 1 : 0; }
-  void OnRequestFailed(OwnedCallId, Reason, bool) override { ++m_failures; }
+  void OnRequestFailed(OwnedCallId, const RequestFailure&) override { ++m_failures; }
   int Answers() const { return m_answers; }
   int Failures() const { return m_failures; }
 
--- a/tests/auto/platform/tst_storereader.cpp
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -2,10 +2,12 @@
 
 #include <array>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "platform/storereader.h"
 #include "support/fulllistener.h"
+#include "support/scriptedserver.h"
 #include "support/standinstore.h"
 #include "support/tabletest.h"
 #include "support/wait.h"
@@ -83,6 +85,34 @@
 
 const test::TableTest<FailureRow> failure_test("StoreReaderFailure", failure_rows, TestFailure);
 
+struct BrokenRow {
+  std::string_view name;
+  std::string response;
+  std::string_view failure;
+};
+
+const std::string empty_page = "Content-Length: 2\r\n\r\n{}";
+const std::array broken_rows{
+    BrokenRow{"status 000", "HTTP/1.1 000 OK\r\n" + empty_page, "backend_malformed: status"},
+    BrokenRow{"status 600", "HTTP/1.1 600 OK\r\n" + empty_page, "backend_malformed: status"},
+    BrokenRow{"blank in a name", "HTTP/1.1 200 OK\r\nStore Era: 7\r\n" + empty_page,
+              "backend_malformed: syntax"},
+};
+
+// Guards against a malformed response of the store that is used, and against a log that does not
+// say what is wrong with it.
+void TestBrokenResponse(const BrokenRow& row) {
+  const test::ScriptedServer store({row.response}, test::ScriptedServer::End::kClose);
+  Events events;
+  StoreReader reader(store.Address(), "servers/", FirstRead::kCurrent, JoinValues, events);
+  reader.Start(StoreRead{0, seconds(30)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !events.Failure().empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string(row.failure), events.Failure());
+  CPPUNIT_ASSERT(events.Texts().empty());
+}
+
+const test::TableTest<BrokenRow> broken_test("StoreReaderBroken", broken_rows, TestBrokenResponse);
+
 struct RestorationRow {
   std::string_view name;
   int lost_changes;   // Changes that the reader has seen and the restored store lacks.
--- a/tests/integration/tst_brokenanswers.cpp
+++ b/tests/integration/tst_brokenanswers.cpp
@@ -79,15 +79,16 @@
 
 struct BrokenCase {
   std::string_view name;
+  std::string_view rule;  // As logged.
   std::string_view response;
 };
 
 constexpr std::array kCases{
-    BrokenCase{"status 000",
+    BrokenCase{"status 000", "status",
                "HTTP/1.1 000 OK\r\nRequest-Id: {id}\r\nResponse-Seal: broken-{id}\r\n"
                "Content-Length: 6\r\n\r\nbroken"},
-    BrokenCase{"status 000 without id, seal and length", "HTTP/1.1 000 OK\r\n\r\nbroken"},
-    BrokenCase{"status 999",
+    BrokenCase{"status 000 without id, seal and length", "status", "HTTP/1.1 000 OK\r\n\r\nbroken"},
+    BrokenCase{"status 999", "status",
                "HTTP/1.1 999 OK\r\nRequest-Id: {id}\r\nResponse-Seal: broken-{id}\r\n"
                "Content-Length: 6\r\n\r\nbroken"},
 };
@@ -146,6 +147,8 @@
       CheckReceived(id, CallRaw(fleet, calls % fleet.Size(), line, id));
       return ++calls >= kMinCalls && instance.Requests() > 0;
     }));
+    const std::string line_end = " rule=" + std::string(row.rule) + "\n";
+    CPPUNIT_ASSERT_MESSAGE(fleet.Output(), fleet.Output().find(line_end) != std::string::npos);
   }
 }
 
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -133,7 +133,9 @@
   connection.Send(request, credit, timeout, ResponseCheck{"Request-Id", "mine", "Seal", "Not-Run"});
   CPPUNIT_ASSERT(
       WaitUntil([&] { return collector.Response().complete || collector.Response().failure; }));
-  return collector.Response();
+  CollectedResponse response = collector.Response();
+  response.fault = connection.Fault();
+  return response;
 }
 
 }  // namespace damaskhollow::test
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -70,6 +70,7 @@
   bool refused = false;  // The head says that the request was not run.
   std::string body;
   std::optional<Reason> failure;
+  ResponseFault fault = ResponseFault::kNone;
   std::size_t body_bytes = 0;
 };
 
