Keep trailer fields out of the head of a response

What callers saw: a success whose head had no seal, passed on with the seal of the trailer; the same for the request's id. The other way round, a sound response whose trailer repeated an id, a mark or a content encoding was refused. Which of them happened depended on how the response was split in transit.

Cause: with eager(true), Beast parses all that has arrived and stores trailer fields among those of the head, before AcceptHead looks at them. RFC 9110, 6.5.1, allows no merge unless a field's definition does.

Why this works: the parser now returns after each element (head, chunk header, chunk, last chunk with trailer), so that the head is examined when only its own fields are known, however the bytes arrive. Consumed bytes are erased once for each read, as many small chunks would otherwise move the input for each of them.

ResponseFields keeps what was handled before: a blank, control byte or zero byte within a name, a blank behind it, an empty name, bare CR or LF, also in interim heads and trailers and with each split in two. ResponseTrailer, ResponseFields, the other tables of BackendConnection and BrokenAnswers pass.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -150,9 +150,10 @@
 
 void BackendConnection::Parse() {
   boost::system::error_code error;
-  while (!m_parser->is_done() && !m_input.empty() && !error) {
-    const std::size_t used = m_parser->put(boost::asio::buffer(m_input), error);
-    m_input.erase(0, used);
+  std::string_view rest = m_input;
+  while (!m_parser->is_done() && !rest.empty() && !error) {
+    const std::size_t used = m_parser->put(boost::asio::buffer(rest), error);
+    rest.remove_prefix(used);
     if (!m_head_parsed && m_parser->is_header_done()) {
       AcceptHead();
       if (m_state == State::kClosed) return;
@@ -166,6 +167,7 @@
       StartParser();
     }
   }
+  m_input.erase(0, m_input.size() - rest.size());
   if (error && error != http::error::need_more) return Reject(ResponseFault::kSyntax);
   // What the parser leaves is an incomplete head, chunk header or trailer.
   const bool is_endless = m_input.size() > kHeaderLimitBytes ||
@@ -180,7 +182,9 @@
   m_parser.emplace();
   m_parser->header_limit(kHeaderLimitBytes);
   m_parser->body_limit(boost::none);
-  m_parser->eager(true);
+  // One element at a time (head, chunk header, chunk, last chunk with trailer), so that the head is
+  // examined before the fields of the trailer are added to it.
+  m_parser->eager(false);
   if (m_method == "HEAD") m_parser->skip(true);
 }
 
@@ -260,7 +264,8 @@
 void BackendConnection::CollectBody() {
   if (!m_head_parsed) return;
   if (m_skipping_response) return m_parser->get().body().clear();
-  m_part.data += std::exchange(m_parser->get().body(), std::string());
+  m_part.data += m_parser->get().body();
+  m_parser->get().body().clear();
 }
 
 void BackendConnection::EmitPart() {
--- a/tests/auto/http/tst_responsehead.cpp
+++ b/tests/auto/http/tst_responsehead.cpp
@@ -56,6 +56,96 @@
 
 const test::TableTest<StatusRow> status_test("ResponseStatus", kStatusRows, TestStatus);
 
+struct FieldRow {
+  std::string_view name;
+  std::string bytes;
+  ResponseFault fault;
+};
+
+const std::string own_start = "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n";
+const std::string own_end = "Content-Length: 3\r\n\r\nabc";
+const std::string own_chunked =
+    "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n";
+
+const std::array field_rows{
+    FieldRow{"well-formed", own_start + "Seal: s\r\n" + own_end, ResponseFault::kNone},
+    FieldRow{"empty value", own_start + "Seal:\r\n" + own_end, ResponseFault::kNone},
+    FieldRow{"blanks around a value", own_start + "Seal: \t s \t \r\n" + own_end,
+             ResponseFault::kNone},
+    FieldRow{"well-formed trailer", own_chunked + "0\r\nX: 1\r\n\r\n", ResponseFault::kNone},
+    FieldRow{"blank before the first name",
+             "HTTP/1.1 200 OK\r\n Request-Id: mine\r\nSeal: s\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"blank in a name", own_start + "Se al: s\r\n" + own_end, ResponseFault::kSyntax},
+    FieldRow{"blank behind a name", own_start + "Seal : s\r\n" + own_end, ResponseFault::kSyntax},
+    FieldRow{"control byte in a name", own_start + "Seal: s\r\nX\x01Y: 1\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"escape before a name", own_start + "Seal: s\r\n\x1bX: 1\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"delete in a name", own_start + "Seal: s\r\nX\x7fY: 1\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"zero byte in a name", own_start + std::string("Seal: s\r\nX\0Y: 1\r\n", 17) + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"empty name", own_start + "Seal: s\r\n: 1\r\n" + own_end, ResponseFault::kSyntax},
+    FieldRow{"no colon", own_start + "Seal: s\r\nX\r\n" + own_end, ResponseFault::kSyntax},
+    FieldRow{"control byte in a value", own_start + "Seal: s\x01\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"carriage return in a value", own_start + "Seal: s\rx\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"line feed alone", own_start + "Seal: s\nX: 1\r\n" + own_end, ResponseFault::kSyntax},
+    FieldRow{"blank in the name of an interim head",
+             "HTTP/1.1 103 Early Hints\r\nLi nk: a\r\n\r\n" + own_start + "Seal: s\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"blank in the name of a trailer", own_chunked + "0\r\nX Y: 1\r\n\r\n",
+             ResponseFault::kSyntax},
+};
+
+// Guards against a field line that is not valid and changes the fields or the body that a caller
+// gets, however the response is split in transit.
+void TestFields(const FieldRow& row) {
+  std::vector<std::vector<std::string>> splits{{row.bytes}};
+  std::vector<std::string> bytes;
+  for (const char byte : row.bytes) bytes.emplace_back(1, byte);
+  splits.push_back(bytes);
+  for (std::size_t at = 1; at < row.bytes.size(); ++at) {
+    splits.push_back({row.bytes.substr(0, at), row.bytes.substr(at)});
+  }
+  for (const std::vector<std::string>& pieces : splits) {
+    const ScriptedServer server(pieces, ScriptedServer::End::kClose);
+    const test::CollectedResponse answer = test::FetchFrom(server);
+    const bool is_accepted = row.fault == ResponseFault::kNone;
+    const std::string text = "split at " + std::to_string(pieces.front().size());
+    const bool has_whole_head = row.bytes.starts_with(own_chunked);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, is_accepted, answer.complete);
+    CPPUNIT_ASSERT_MESSAGE(text, is_accepted || has_whole_head || answer.status == 0);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(NameOf(row.fault)),
+                                 std::string(NameOf(answer.fault)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(is_accepted ? "abc" : ""),
+                                 answer.complete ? answer.body : std::string());
+  }
+}
+
+const test::TableTest<FieldRow> field_test("ResponseFields", field_rows, TestFields);
+
+const std::string unsealed_chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+
+// Fields of a trailer do not belong to the head (RFC 9110, 6.5.1), also if both arrive together.
+const std::array trailer_rows{
+    FieldRow{"seal", own_start + unsealed_chunks + "Seal: s\r\n\r\n",
+             ResponseFault::kMissingMarker},
+    FieldRow{"id", "HTTP/1.1 200 OK\r\nSeal: s\r\n" + unsealed_chunks + "Request-Id: mine\r\n\r\n",
+             ResponseFault::kMissingId},
+    FieldRow{"id of another request", own_chunked + "0\r\nRequest-Id: other\r\n\r\n",
+             ResponseFault::kNone},
+    FieldRow{"mark of a refusal", own_chunked + "0\r\nNot-Run: 1\r\n\r\n", ResponseFault::kNone},
+    FieldRow{"content encoding", own_chunked + "0\r\nContent-Encoding: gzip\r\n\r\n",
+             ResponseFault::kNone},
+    FieldRow{"length", own_chunked + "0\r\nContent-Length: 1\r\n\r\n", ResponseFault::kSyntax},
+};
+
+const test::TableTest<FieldRow> trailer_test("ResponseTrailer", trailer_rows, TestFields);
+
 }  // namespace
 
 }  // namespace damaskhollow
--- a/tests/integration/tst_brokenanswers.cpp
+++ b/tests/integration/tst_brokenanswers.cpp
@@ -91,6 +91,9 @@
     BrokenCase{"status 999", "status",
                "HTTP/1.1 999 OK\r\nRequest-Id: {id}\r\nResponse-Seal: broken-{id}\r\n"
                "Content-Length: 6\r\n\r\nbroken"},
+    BrokenCase{"seal in the trailer", "missing_marker",
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "6\r\nbroken\r\n0\r\nResponse-Seal: seal-{id}\r\n\r\n"},
 };
 
 // Replaces an instance in the store by one at another address.
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -61,6 +61,7 @@
 
 void ScriptedServer::WritePiece(QTcpSocket& socket, std::size_t index) {
   if (index == m_pieces.size()) return EndConnection(socket);
+  if (socket.state() != QAbstractSocket::ConnectedState) return;
   const std::string& piece = m_pieces[index];
   socket.write(piece.data(), static_cast<qint64>(piece.size()));
   socket.flush();
