Refuse responses with a folded field line

What callers saw: a line that begins with a blank, that is, a field name with a blank in front, was joined to the field before it. Behind the seal, callers got another seal than the instance's ("seal-raw-26 X: broken"); with " Transfer-Encoding: chunked" they got the chunk headers as part of the body.

Cause: Beast unfolds such lines (obs-fold; RFC 9112, 5.2) inside its parser, so that no field shows what was there.

Why this works: LineFoldingDetector looks at the bytes that the parser consumed as head or trailer, where they are read, and keeps its state between pieces; each row of ResponseFields is played whole, byte by byte and in each split in two. The parser returns after each element, so that no byte of a body is taken for one of a field line.

Ruled out: replacing the fold by a blank, which RFC 9112 permits too, as the seal and the framing fields are what callers rely on.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -152,7 +152,12 @@
   boost::system::error_code error;
   std::string_view rest = m_input;
   while (!m_parser->is_done() && !rest.empty() && !error) {
+    const bool is_head = !m_parser->is_header_done();
     const std::size_t used = m_parser->put(boost::asio::buffer(rest), error);
+    // The element that ends a chunked body is the last chunk with the trailer.
+    const bool is_trailer = !is_head && m_parser->chunked() && m_parser->is_done();
+    const bool is_folded = (is_head || is_trailer) && m_line_folding.Add(rest.substr(0, used));
+    if (is_folded) return Reject(ResponseFault::kLineFolding);
     rest.remove_prefix(used);
     if (!m_head_parsed && m_parser->is_header_done()) {
       AcceptHead();
@@ -180,6 +185,7 @@
 
 void BackendConnection::StartParser() {
   m_parser.emplace();
+  m_line_folding = LineFoldingDetector();
   m_parser->header_limit(kHeaderLimitBytes);
   m_parser->body_limit(boost::none);
   // One element at a time (head, chunk header, chunk, last chunk with trailer), so that the head is
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -186,6 +186,7 @@
   int m_close_delimited_descriptor = -1;
   std::unique_ptr<QSocketNotifier> m_close_delimited_notifier;
   std::optional<Parser> m_parser;
+  LineFoldingDetector m_line_folding;
   std::size_t m_credit = 0;
   bool m_head_parsed = false;
   ResponsePart m_part;  // Read but not passed to m_events yet.
--- a/src/libs/http/responsecheck.cpp
+++ b/src/libs/http/responsecheck.cpp
@@ -21,8 +21,8 @@
 
 // In the order of the enumeration.
 constexpr std::array<std::string_view, static_cast<std::size_t>(ResponseFault::kCount)> kNames{
-    "none",       "syntax",         "too_long",         "status",      "second_head",
-    "missing_id", "missing_marker", "content_encoding", "not_run_mark"};
+    "none",        "syntax",     "too_long",       "status",           "line_folding",
+    "second_head", "missing_id", "missing_marker", "content_encoding", "not_run_mark"};
 
 bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
 
@@ -81,6 +81,15 @@
 
 std::string_view NameOf(ResponseFault fault) { return kNames.at(static_cast<std::size_t>(fault)); }
 
+bool LineFoldingDetector::Add(std::string_view piece) {
+  bool is_folded = false;
+  for (const char byte : piece) {
+    is_folded = is_folded || (m_is_line_start && (byte == ' ' || byte == '\t'));
+    m_is_line_start = byte == '\n';
+  }
+  return is_folded;
+}
+
 bool IsInterim(int status) { return status >= kFirstStatus && status < kFirstSuccess; }
 
 ResponseFault FindHeadFault(const HttpResponseHead& head, std::string_view reason_phrase,
--- a/src/libs/http/responsecheck.h
+++ b/src/libs/http/responsecheck.h
@@ -28,6 +28,7 @@
   kSyntax,
   kTooLong,
   kStatus,
+  kLineFolding,
   kSecondHead,
   kMissingId,
   kMissingMarker,
@@ -39,6 +40,18 @@
 // Returns the name of a fault in log lines.
 std::string_view NameOf(ResponseFault fault);
 
+// Finds a line that begins with a blank or tab (obs-fold; RFC 9112, 5.2) in a head or trailer that
+// is read in pieces. The parser joins such a line to the value of the line before, which hides a
+// field or changes one.
+class LineFoldingDetector {
+ public:
+  // Adds the next piece. Returns whether a folded line has begun in it.
+  bool Add(std::string_view piece);
+
+ private:
+  bool m_is_line_start = false;
+};
+
 bool IsInterim(int status);
 
 // Returns the rule that the head of an interim or final response breaks, whichever request it
--- a/tests/integration/tst_brokenanswers.cpp
+++ b/tests/integration/tst_brokenanswers.cpp
@@ -94,6 +94,18 @@
     BrokenCase{"seal in the trailer", "missing_marker",
                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
                "6\r\nbroken\r\n0\r\nResponse-Seal: seal-{id}\r\n\r\n"},
+    BrokenCase{"blank before a name behind the seal", "line_folding",
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\n X: broken\r\n"
+               "Content-Length: 6\r\n\r\nbroken"},
+    BrokenCase{"blank before the name of the coding", "line_folding",
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\n"
+               " Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+    BrokenCase{"blank in a name", "syntax",
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\nX Y: 1\r\n"
+               "Content-Length: 6\r\n\r\nbroken"},
+    BrokenCase{"control byte in a name", "syntax",
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\nX\x01Y: 1\r\n"
+               "Content-Length: 6\r\n\r\nbroken"},
 };
 
 // Replaces an instance in the store by one at another address.
