Refuse a response that switches protocols

What callers saw: what an instance sent behind "101 Switching Protocols", if it looked like a response, was passed on as one.

Cause: 101 was skipped like the other interim responses. Nodes never pass Upgrade on, so no request asks for another protocol, and after 101 the bytes of the connection are not HTTP/1.1 (RFC 9110, 7.8 and 15.2.2).

Why this works: FindHeadFault refuses the head itself, so nothing behind it is read. Other interim responses are skipped as before.

The other rows of ResponsePromise keep what was handled before: chunked twice, with a length or behind one, two lengths, a length with a sign or over 64 bits are refused.

--- a/src/libs/http/responsecheck.cpp
+++ b/src/libs/http/responsecheck.cpp
@@ -11,6 +11,7 @@
 
 // RFC 9110, 15: other statuses are invalid.
 constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstClientError = 400;
@@ -21,8 +22,9 @@
 
 // In the order of the enumeration.
 constexpr std::array<std::string_view, static_cast<std::size_t>(ResponseFault::kCount)> kNames{
-    "none",        "syntax",     "too_long",       "status",           "line_folding",
-    "second_head", "missing_id", "missing_marker", "content_encoding", "not_run_mark"};
+    "none",           "syntax",           "too_long",        "status",
+    "line_folding",   "second_head",      "protocol_switch", "missing_id",
+    "missing_marker", "content_encoding", "not_run_mark"};
 
 bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
 
@@ -96,6 +98,8 @@
                             const ResponseCheck& check) {
   if (head.status < kFirstStatus || head.status > kLastStatus) return ResponseFault::kStatus;
   if (HoldsTwoHeads(head, reason_phrase, check)) return ResponseFault::kSecondHead;
+  // Requests never ask for another protocol: Upgrade is not passed on.
+  if (head.status == kSwitchingProtocols) return ResponseFault::kProtocolSwitch;
   return ResponseFault::kNone;
 }
 
--- a/src/libs/http/responsecheck.h
+++ b/src/libs/http/responsecheck.h
@@ -30,6 +30,7 @@
   kStatus,
   kLineFolding,
   kSecondHead,
+  kProtocolSwitch,
   kMissingId,
   kMissingMarker,
   kContentEncoding,
--- a/tests/auto/http/tst_responsehead.cpp
+++ b/tests/auto/http/tst_responsehead.cpp
@@ -173,6 +173,45 @@
 
 const test::TableTest<FieldRow> trailer_test("ResponseTrailer", trailer_rows, TestFields);
 
+const std::string own_sealed = own_start + "Seal: s\r\n";
+const std::string chunks = "\r\n3\r\nabc\r\n0\r\n\r\n";
+
+// Heads that promise a protocol, a coding or a body that this connection cannot carry.
+const std::array promise_rows{
+    // What follows is in a protocol that the request did not ask for (RFC 9110, 7.8).
+    FieldRow{"switched protocol",
+             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" +
+                 own_sealed + own_end,
+             ResponseFault::kProtocolSwitch},
+    FieldRow{"other interim response", "HTTP/1.1 102 Processing\r\n\r\n" + own_sealed + own_end,
+             ResponseFault::kNone},
+    FieldRow{"upgrade offered in a final response",
+             own_sealed + "Upgrade: x\r\nConnection: upgrade\r\n" + own_end, ResponseFault::kNone},
+    FieldRow{"chunked", own_sealed + "Transfer-Encoding: chunked\r\n" + chunks,
+             ResponseFault::kNone},
+    FieldRow{"chunked in other case", own_sealed + "transfer-encoding: Chunked\r\n" + chunks,
+             ResponseFault::kNone},
+    FieldRow{"chunked twice",
+             own_sealed + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks,
+             ResponseFault::kSyntax},
+    FieldRow{"chunked with a length", own_sealed + "Transfer-Encoding: chunked\r\n" + own_end,
+             ResponseFault::kSyntax},
+    FieldRow{"length and chunked",
+             own_sealed + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" + chunks,
+             ResponseFault::kSyntax},
+    FieldRow{"two lengths", own_sealed + "Content-Length: 2\r\n" + own_end, ResponseFault::kSyntax},
+    FieldRow{"the same length twice", own_sealed + "Content-Length: 3\r\n" + own_end,
+             ResponseFault::kNone},
+    FieldRow{"length with a sign", own_sealed + "Content-Length: +3\r\n\r\nabc",
+             ResponseFault::kSyntax},
+    FieldRow{"length over 64 bits", own_sealed + "Content-Length: 18446744073709551619\r\n\r\nabc",
+             ResponseFault::kSyntax},
+    FieldRow{"other field named by Connection", own_sealed + "X: 1\r\nConnection: X\r\n" + own_end,
+             ResponseFault::kNone},
+};
+
+const test::TableTest<FieldRow> promise_test("ResponsePromise", promise_rows, TestFields);
+
 }  // namespace
 
 }  // namespace damaskhollow
--- a/tests/integration/tst_brokenanswers.cpp
+++ b/tests/integration/tst_brokenanswers.cpp
@@ -100,6 +100,10 @@
     BrokenCase{"blank before the name of the coding", "line_folding",
                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\n"
                " Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+    BrokenCase{"switched protocol", "protocol_switch",
+               "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\n"
+               "Content-Length: 6\r\n\r\nbroken"},
     BrokenCase{"blank in a name", "syntax",
                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\nX Y: 1\r\n"
                "Content-Length: 6\r\n\r\nbroken"},
