Refuse responses with a transfer coding that is not decoded

What callers saw: the body of a response with "Transfer-Encoding: gzip, chunked" without its coding undone and without the field that names it; with "gzip" alone, all bytes up to the end of the connection, or as many as Content-Length said.

Cause: Beast undoes chunked if it comes last and ignores all other codings; the field itself belongs to the connection and is not passed on. An HTTP/1.0 response with the field is framed by one side only (RFC 9112, 6.1).

Why this works: FindHeadFault accepts Transfer-Encoding only as the single word chunked, in HTTP/1.1. Nodes send no TE field, so that a server has no reason to use another coding.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -201,7 +201,8 @@
   for (const auto& field : message) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  const ResponseFault head_fault = FindHeadFault(head, message.reason(), m_check);
+  const ResponseFault head_fault =
+      FindHeadFault(head, {message.version(), message.reason()}, m_check);
   if (head_fault != ResponseFault::kNone) return Reject(head_fault);
   if (IsInterim(head.status)) {
     ++m_interim_responses;
--- a/src/libs/http/responsecheck.cpp
+++ b/src/libs/http/responsecheck.cpp
@@ -22,9 +22,9 @@
 
 // In the order of the enumeration.
 constexpr std::array<std::string_view, static_cast<std::size_t>(ResponseFault::kCount)> kNames{
-    "none",           "syntax",           "too_long",        "status",
-    "line_folding",   "second_head",      "protocol_switch", "missing_id",
-    "missing_marker", "content_encoding", "not_run_mark"};
+    "none",         "syntax",         "too_long",         "status",
+    "line_folding", "second_head",    "protocol_switch",  "transfer_coding",
+    "missing_id",   "missing_marker", "content_encoding", "not_run_mark"};
 
 bool IsDigit(char byte) { return byte >= '0' && byte <= '9'; }
 
@@ -53,6 +53,16 @@
   return ids > 1;
 }
 
+// Whether the body has no transfer coding but chunked. Any other would reach the caller undecoded,
+// as the field itself is not passed on. HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
+bool HasKnownCoding(const HttpResponseHead& head, unsigned version) {
+  constexpr unsigned kHttp11 = 11;
+  return std::ranges::all_of(head.headers, [&](const HttpHeader& header) {
+    if (!boost::beast::iequals(header.name, "Transfer-Encoding")) return true;
+    return version >= kHttp11 && boost::beast::iequals(header.value, "chunked");
+  });
+}
+
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
 
 // Whether a server may answer a request that it did not run with this status.
@@ -94,12 +104,13 @@
 
 bool IsInterim(int status) { return status >= kFirstStatus && status < kFirstSuccess; }
 
-ResponseFault FindHeadFault(const HttpResponseHead& head, std::string_view reason_phrase,
+ResponseFault FindHeadFault(const HttpResponseHead& head, const StatusLineRest& status_line,
                             const ResponseCheck& check) {
   if (head.status < kFirstStatus || head.status > kLastStatus) return ResponseFault::kStatus;
-  if (HoldsTwoHeads(head, reason_phrase, check)) return ResponseFault::kSecondHead;
+  if (HoldsTwoHeads(head, status_line.reason_phrase, check)) return ResponseFault::kSecondHead;
   // Requests never ask for another protocol: Upgrade is not passed on.
   if (head.status == kSwitchingProtocols) return ResponseFault::kProtocolSwitch;
+  if (!HasKnownCoding(head, status_line.version)) return ResponseFault::kTransferCoding;
   return ResponseFault::kNone;
 }
 
--- a/src/libs/http/responsecheck.h
+++ b/src/libs/http/responsecheck.h
@@ -31,6 +31,7 @@
   kLineFolding,
   kSecondHead,
   kProtocolSwitch,
+  kTransferCoding,
   kMissingId,
   kMissingMarker,
   kContentEncoding,
@@ -55,9 +56,15 @@
 
 bool IsInterim(int status);
 
+// What the status line of a response says apart from the status. `version` is 10 or 11.
+struct StatusLineRest {
+  unsigned version;
+  std::string_view reason_phrase;
+};
+
 // Returns the rule that the head of an interim or final response breaks, whichever request it
-// belongs to. `reason_phrase` is the rest of its status line.
-ResponseFault FindHeadFault(const HttpResponseHead& head, std::string_view reason_phrase,
+// belongs to.
+ResponseFault FindHeadFault(const HttpResponseHead& head, const StatusLineRest& status_line,
                             const ResponseCheck& check);
 
 // Whether a response has the id of another request than that of `check`.
