Refuse a success whose Connection field names its seal or id

What callers saw: a success without a seal. An instance that listed the seal among the options of Connection had its response accepted, and the field was then left out on the way to the caller.

Cause: the check looked for the field in the head as received, but fields that Connection names are of the connection (RFC 9110, 7.6.1) and are not passed on.

Evidence: ResponsePromise, rows "seal named by Connection" and "id named by Connection", failed before; BrokenAnswers, row "seal named by Connection", failed with the node of: status 200, no seal.

Why this works: the check asks for fields that callers will get. It uses the rule by which fields are left out, which is now a function of its own.

--- a/src/libs/http/message.cpp
+++ b/src/libs/http/message.cpp
@@ -51,15 +51,19 @@
                      [&](const HttpHeader& header) { return IsSameName(header.name, name); });
 }
 
-std::vector<HttpHeader> EndToEndHeaders(std::span<const HttpHeader> headers) {
+bool IsNamedByConnection(std::span<const HttpHeader> headers, std::string_view name) {
   const std::string_view connection = FindHeader(headers, "Connection");
   boost::beast::http::token_list named({connection.data(), connection.size()});
+  return named.exists({name.data(), name.size()});
+}
+
+std::vector<HttpHeader> EndToEndHeaders(std::span<const HttpHeader> headers) {
   std::vector<HttpHeader> kept;
   for (const HttpHeader& header : headers) {
     const bool is_hop_by_hop =
         std::any_of(kConnectionFields.begin(), kConnectionFields.end(),
                     [&](std::string_view name) { return IsSameName(header.name, name); }) ||
-        named.exists({header.name.data(), header.name.size()});
+        IsNamedByConnection(headers, header.name);
     if (!is_hop_by_hop) kept.push_back(header);
   }
   return kept;
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -46,6 +46,9 @@
 
 bool HasHeader(std::span<const HttpHeader> headers, std::string_view name);
 
+// Whether the Connection field names the field as one of the connection.
+bool IsNamedByConnection(std::span<const HttpHeader> headers, std::string_view name);
+
 // The fields that an intermediary may forward: without connection-specific fields (RFC 9110, 7.6.1)
 // and without lengths, which the sender of a message sets itself.
 std::vector<HttpHeader> EndToEndHeaders(std::span<const HttpHeader> headers);
--- a/src/libs/http/responsecheck.cpp
+++ b/src/libs/http/responsecheck.cpp
@@ -71,8 +71,13 @@
          status == kServiceUnavailable;
 }
 
+// Whether the caller gets the field: those that Connection names are not passed on.
+bool HasForwardedHeader(const HttpResponseHead& head, std::string_view name) {
+  return HasHeader(head.headers, name) && !IsNamedByConnection(head.headers, name);
+}
+
 bool LacksId(const HttpResponseHead& head, const ResponseCheck& check) {
-  return !check.id_field.empty() && !check.id.empty() && !HasHeader(head.headers, check.id_field);
+  return !check.id_field.empty() && !check.id.empty() && !HasForwardedHeader(head, check.id_field);
 }
 
 bool IsMarkedNotRun(const HttpResponseHead& head, const ResponseCheck& check) {
@@ -83,7 +88,7 @@
   if (IsMarkedNotRun(head, check)) return ResponseFault::kNotRunMark;
   if (LacksId(head, check)) return ResponseFault::kMissingId;
   if (check.success_marker_field.empty()) return ResponseFault::kNone;
-  if (!HasHeader(head.headers, check.success_marker_field)) return ResponseFault::kMissingMarker;
+  if (!HasForwardedHeader(head, check.success_marker_field)) return ResponseFault::kMissingMarker;
   // Callers request no content encoding, so the success marker does not vouch for an encoded body.
   if (HasHeader(head.headers, "Content-Encoding")) return ResponseFault::kContentEncoding;
   return ResponseFault::kNone;
--- a/tests/auto/http/tst_responsehead.cpp
+++ b/tests/auto/http/tst_responsehead.cpp
@@ -226,6 +226,12 @@
              ResponseFault::kSyntax},
     FieldRow{"length over 64 bits", own_sealed + "Content-Length: 18446744073709551619\r\n\r\nabc",
              ResponseFault::kSyntax},
+    // The connection's own fields are not passed on, so the caller would get a success without
+    // seal.
+    FieldRow{"seal named by Connection", own_sealed + "Connection: seal\r\n" + own_end,
+             ResponseFault::kMissingMarker},
+    FieldRow{"id named by Connection", own_sealed + "Connection: close, Request-Id\r\n" + own_end,
+             ResponseFault::kMissingId},
     FieldRow{"other field named by Connection", own_sealed + "X: 1\r\nConnection: X\r\n" + own_end,
              ResponseFault::kNone},
 };
--- a/tests/integration/tst_brokenanswers.cpp
+++ b/tests/integration/tst_brokenanswers.cpp
@@ -107,6 +107,9 @@
     BrokenCase{"unknown transfer coding", "transfer_coding",
                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\n"
                "Transfer-Encoding: gzip, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+    BrokenCase{"seal named by Connection", "missing_marker",
+               "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\n"
+               "Connection: close, Response-Seal\r\nContent-Length: 6\r\n\r\nbroken"},
     BrokenCase{"blank in a name", "syntax",
                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\nX Y: 1\r\n"
                "Content-Length: 6\r\n\r\nbroken"},
