Test malformed responses of the configuration service

Handled already: the reader takes only status 200 with a version header, and Qt's network access keeps a folded or misnamed version from being one. PlatformReaderBroken, 5 rows, passes without a change of the product.

--- a/tests/auto/configuration/tst_platformreader.cpp
+++ b/tests/auto/configuration/tst_platformreader.cpp
@@ -2,11 +2,15 @@
 
 #include <QUrl>
 #include <QUrlQuery>
+#include <array>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "configuration/platformreader.h"
 #include "support/httpserver.h"
+#include "support/scriptedserver.h"
+#include "support/tabletest.h"
 #include "support/wait.h"
 
 namespace damaskhollow {
@@ -140,4 +144,36 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformReaderTest);
 
+namespace {
+
+struct BrokenRow {
+  std::string_view name;
+  std::string_view head;
+};
+
+constexpr std::array kBrokenRows{
+    BrokenRow{"status 000", "HTTP/1.1 000 OK\r\nDamaskhollow-Version: 7\r\n"},
+    BrokenRow{"status 600", "HTTP/1.1 600 OK\r\nDamaskhollow-Version: 7\r\n"},
+    BrokenRow{"status 999", "HTTP/1.1 999 OK\r\nDamaskhollow-Version: 7\r\n"},
+    BrokenRow{"folded version", "HTTP/1.1 200 OK\r\nDamaskhollow-Version: 7\r\n 8\r\n"},
+    BrokenRow{"blank in the name of the version", "HTTP/1.1 200 OK\r\nDamaskhollow Version: 7\r\n"},
+};
+
+// Guards against a malformed response of the configuration service that is used.
+void TestBrokenResponse(const BrokenRow& row) {
+  const test::ScriptedServer server({std::string(row.head) + "Content-Length: 3\r\n\r\nabc"},
+                                    test::ScriptedServer::End::kClose);
+  Events events;
+  PlatformReader reader("http://" + ToString(server.Address()), "/v1/configuration", events);
+  reader.Start(StoreRead{0, milliseconds(0)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return events.Count() > 0; }));
+  CPPUNIT_ASSERT(!events.Failure().empty());
+  CPPUNIT_ASSERT_EQUAL(std::string(), events.Text());
+}
+
+const test::TableTest<BrokenRow> broken_test("PlatformReaderBroken", kBrokenRows,
+                                             &TestBrokenResponse);
+
+}  // namespace
+
 }  // namespace damaskhollow
