Accept only status 200 in the status command

What operators saw: `damaskhollow status` showed the body of a response with status 000 as the status of a node, and ended with 0.

Cause: Qt's network access reports an error for statuses from 400 on; the command took all others with a JSON object as a success.

Why this works: the command takes nothing but the one status that nodes send. StatusBroken, 5 rows, and OperatorCommand pass.

--- a/src/tools/damaskhollow/statuscommand.cpp
+++ b/src/tools/damaskhollow/statuscommand.cpp
@@ -7,11 +7,13 @@
 #include <QNetworkAccessManager>
 #include <QNetworkProxy>
 #include <QNetworkReply>
+#include <QNetworkRequest>
 #include <algorithm>
 #include <array>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -37,6 +39,7 @@
 )";
 
 constexpr int kMaxTimeoutMs = 600000;
+constexpr int kStatusOk = 200;
 
 // The body of a /status response of one node, or the failure if there is no valid response.
 struct NodeResponse {
@@ -45,13 +48,20 @@
   std::optional<Failure> failure;
 };
 
-// Converts a finished reply. A network error and a body that is not a JSON object are failures.
+// Converts a finished reply. A network error, another status than 200 and a body that is not a JSON
+// object are failures.
 NodeResponse ReadResponse(const std::string& node, QNetworkReply& reply) {
   NodeResponse response{node, {}, std::nullopt};
   if (reply.error() != QNetworkReply::NoError) {
     response.failure = Failure{FailureCode::kUnavailable, node, reply.errorString().toStdString()};
     return response;
   }
+  const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  if (status != kStatusOk) {
+    response.failure = Failure{FailureCode::kUnavailable, node,
+                               "the response has the status " + std::to_string(status)};
+    return response;
+  }
   const QJsonDocument document = QJsonDocument::fromJson(reply.readAll());
   if (!document.isObject()) {
     response.failure = Failure{FailureCode::kSyntax, node, "the response is not a JSON object"};
--- a/tests/auto/tools/tst_operatorcommand.cpp
+++ b/tests/auto/tools/tst_operatorcommand.cpp
@@ -12,8 +12,11 @@
 #include <QTemporaryDir>
 #include <array>
 #include <string>
+#include <string_view>
 
 #include "base/reason.h"
+#include "support/scriptedserver.h"
+#include "support/tabletest.h"
 
 namespace damaskhollow {
 
@@ -240,4 +243,36 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OperatorCommandTest);
 
+namespace {
+
+struct BrokenStatusRow {
+  std::string_view name;
+  std::string_view status_line;
+  int exit_status;
+};
+
+constexpr std::array kBrokenStatusRows{
+    BrokenStatusRow{"success", "HTTP/1.1 200 OK\r\n", 0},
+    BrokenStatusRow{"status 000", "HTTP/1.1 000 OK\r\n", 1},
+    BrokenStatusRow{"no content", "HTTP/1.1 204 No Content\r\n", 1},
+    BrokenStatusRow{"redirect", "HTTP/1.1 302 Found\r\n", 1},
+    BrokenStatusRow{"status 600", "HTTP/1.1 600 OK\r\n", 1},
+};
+
+// Guards against a response without success that is shown as the status of a node.
+void TestBrokenStatus(const BrokenStatusRow& row) {
+  const test::ScriptedServer node(
+      {std::string(row.status_line) + "Content-Length: 14\r\n\r\n{\"server\":\"x\"}"},
+      test::ScriptedServer::End::kClose);
+  const ProgramResult result =
+      RunProgram({"status", "--json", QString::fromStdString(ToString(node.Address()))});
+  CPPUNIT_ASSERT_EQUAL(row.exit_status, result.status);
+  CPPUNIT_ASSERT_EQUAL(row.exit_status == 0, Contains(result.output, "\"server\""));
+}
+
+const test::TableTest<BrokenStatusRow> broken_test("StatusBroken", kBrokenStatusRows,
+                                                   &TestBrokenStatus);
+
+}  // namespace
+
 }  // namespace damaskhollow
