Decode the reasons that other nodes send

What callers saw, or could: after a failure without a reason, or with one of a refusal, "503, not run" for a call that may have run. A number that this version has no reason for ended the whole process.

Cause: the number in a refusal or failure was cast to Reason, and used as an index, as it came. What a caller may conclude then followed from the number, not from the kind of message. ClaimService alone checked the number.

Evidence: PeerReason (scripted owners, the bytes on the caller's socket): of its 8 rows, the two with number 9999 ended the test program by a segmentation fault before, three more failed, among them the two false 503.

Why this works: a reason is taken only if it exists and has the outcome of the message it came in. Otherwise a refusal counts as backend_shed, which draws on the attempts of the call, and a failure as backend_closed. 8 of 8 rows pass, PeerResponse too.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -162,6 +162,11 @@
 
 const ReasonInfo& InfoOf(Reason reason) { return kTable[static_cast<std::size_t>(reason)]; }
 
+Reason ReasonFromNumber(std::uint32_t number, Outcome outcome, Reason fallback) {
+  const bool is_valid = number < kTable.size() && kTable[number].outcome == outcome;
+  return is_valid ? kTable[number].reason : fallback;
+}
+
 std::optional<Reason> ReasonFromName(std::string_view name) {
   for (const ReasonInfo& info : kTable) {
     if (info.name == name) return info.reason;
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKHOLLOW_BASE_REASON_H_
 #define DAMASKHOLLOW_BASE_REASON_H_
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -92,6 +93,10 @@
 // Returns the properties of a reason.
 const ReasonInfo& InfoOf(Reason reason);
 
+// Decodes a reason that another node sent for a call with this outcome. A number that stands for no
+// reason, or for one with another outcome, gives `fallback`.
+Reason ReasonFromNumber(std::uint32_t number, Outcome outcome, Reason fallback);
+
 // Finds a reason by its name. Returns nothing if there is no such reason.
 std::optional<Reason> ReasonFromName(std::string_view name);
 
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -321,12 +321,15 @@
       if (message.refused().request_id_not_run()) {
         RecordRequestIdNotRun(CallId{message.refused().call_id()});
       }
-      return HandleNotRun(CallId{message.refused().call_id()},
-                          static_cast<Reason>(message.refused().reason()));
+      // The server may have been reached.
+      return HandleNotRun(
+          CallId{message.refused().call_id()},
+          ReasonFromNumber(message.refused().reason(), Outcome::kNotRun, Reason::kBackendShed));
     case wire::Envelope::kCallFailed:
       m_context.router.RecordOwnerState(owner, message.call_failed().state());
       return HandleUnknownOutcome(CallId{message.call_failed().call_id()},
-                                  static_cast<Reason>(message.call_failed().reason()));
+                                  ReasonFromNumber(message.call_failed().reason(),
+                                                   Outcome::kUnknown, Reason::kBackendClosed));
     case wire::Envelope::kLoadAnswer:
       return HandleLoadAnswer(owner, message.load_answer());
     case wire::Envelope::kStatusResult:
--- a/tests/auto/ingress/tst_ingressshard.cpp
+++ b/tests/auto/ingress/tst_ingressshard.cpp
@@ -25,19 +25,17 @@
 
 namespace {
 
-// Stands in for the links to the owners, which respond to each call with the same chunks; without
-// chunks, not at all.
+// Stands in for the links to the owners, which respond to each call with the same messages; without
+// messages, not at all.
 class ScriptedOwners : public Messenger {
  public:
-  void RespondWith(std::vector<wire::ResponseChunk> chunks) { m_chunks = std::move(chunks); }
+  void RespondWith(std::vector<wire::Envelope> messages) { m_messages = std::move(messages); }
   void SetShard(IngressShard& shard) { m_shard = &shard; }
 
   void Send(const BackendServerId& owner, wire::Envelope message) override {
     if (!message.has_call_request()) return;
-    for (wire::ResponseChunk chunk : m_chunks) {
-      chunk.set_call_id(message.call_request().call_id());
-      wire::Envelope response;
-      *response.mutable_response_chunk() = std::move(chunk);
+    for (wire::Envelope response : m_messages) {
+      SetCallId(response, message.call_request().call_id());
       // An owner never responds before the call has been sent.
       QTimer::singleShot(0,
                          [this, owner, response] { m_shard->HandleOwnerMessage(owner, response); });
@@ -46,7 +44,13 @@
   void Reply(const ReplyRoute&, wire::Envelope) override {}
 
  private:
-  std::vector<wire::ResponseChunk> m_chunks;
+  static void SetCallId(wire::Envelope& response, std::uint64_t call) {
+    if (response.has_response_chunk()) response.mutable_response_chunk()->set_call_id(call);
+    if (response.has_refused()) response.mutable_refused()->set_call_id(call);
+    if (response.has_call_failed()) response.mutable_call_failed()->set_call_id(call);
+  }
+
+  std::vector<wire::Envelope> m_messages;
   IngressShard* m_shard = nullptr;
 };
 
@@ -91,9 +95,9 @@
     m_owners.SetShard(m_shard);
   }
 
-  // Makes all owners reachable and lets them respond to each call with `chunks`.
-  void LetOwnersRespond(std::vector<wire::ResponseChunk> chunks) {
-    m_owners.RespondWith(std::move(chunks));
+  // Makes all owners reachable and lets them respond to each call with `response`.
+  void LetOwnersRespond(const wire::Envelope& response) {
+    m_owners.RespondWith({response});
     wire::OwnerState state;
     state.set_incarnation(1);
     state.set_limit(9);
@@ -214,7 +218,8 @@
 // Guards against a response head that a node of another version sends and that reaches a caller,
 // or ends the process, though no parser would take it.
 void ChecksHeadsOfPeers(const PeerRow& row) {
-  wire::ResponseChunk chunk;
+  wire::Envelope message;
+  wire::ResponseChunk& chunk = *message.mutable_response_chunk();
   if (row.has_head) {
     chunk.mutable_head()->set_status(row.status);
     for (const HttpHeader& header : row.headers) {
@@ -226,7 +231,7 @@
   chunk.set_data("abc");
   chunk.set_last(true);
   ShardFixture fixture(false);
-  fixture.LetOwnersRespond({chunk});
+  fixture.LetOwnersRespond(message);
   const std::string response = fixture.CallOnce();
   CPPUNIT_ASSERT_MESSAGE(response, test::StartsWithValidHead(response));
   if (!row.rule.empty()) {
@@ -241,6 +246,50 @@
 
 const test::TableTest<PeerRow> peer_test("PeerResponse", peer_rows, &ChecksHeadsOfPeers);
 
+constexpr std::uint32_t kUnknownReason = 9999;
+
+struct ReasonRow {
+  std::string_view name;
+  bool refused;  // Otherwise failed.
+  std::uint32_t reason;
+  std::string_view status;
+  std::string_view outcome;
+};
+
+constexpr std::array kReasonRows{
+    ReasonRow{"refused", true, static_cast<std::uint32_t>(Reason::kQueueFullTime), "HTTP/1.1 503 ",
+              "not-run"},
+    ReasonRow{"refused without reason", true, 0, "HTTP/1.1 503 ", "not-run"},
+    ReasonRow{"refused for an unknown reason", true, kUnknownReason, "HTTP/1.1 503 ", "not-run"},
+    ReasonRow{"refused for the reason of a failure", true,
+              static_cast<std::uint32_t>(Reason::kBackendClosed), "HTTP/1.1 503 ", "not-run"},
+    ReasonRow{"failed", false, static_cast<std::uint32_t>(Reason::kBackendClosed), "HTTP/1.1 502 ",
+              "unknown"},
+    ReasonRow{"failed without reason", false, 0, "HTTP/1.1 502 ", "unknown"},
+    ReasonRow{"failed for an unknown reason", false, kUnknownReason, "HTTP/1.1 502 ", "unknown"},
+    ReasonRow{"failed for the reason of a refusal", false,
+              static_cast<std::uint32_t>(Reason::kQueueFullTime), "HTTP/1.1 502 ", "unknown"},
+};
+
+// Guards against a reason that a node of another version sends and from which this one makes a
+// success, or a false statement on whether the call was run.
+void ChecksReasonsOfPeers(const ReasonRow& row) {
+  wire::Envelope message;
+  if (row.refused) {
+    message.mutable_refused()->set_reason(row.reason);
+  } else {
+    message.mutable_call_failed()->set_reason(row.reason);
+  }
+  ShardFixture fixture(false);
+  fixture.LetOwnersRespond(message);
+  const std::string response = fixture.CallOnce();
+  CPPUNIT_ASSERT_MESSAGE(response, response.starts_with(row.status));
+  const std::string outcome = "\r\nDamaskhollow-Outcome: " + std::string(row.outcome) + "\r\n";
+  CPPUNIT_ASSERT_MESSAGE(response, response.find(outcome) != std::string::npos);
+}
+
+const test::TableTest<ReasonRow> reason_test("PeerReason", kReasonRows, &ChecksReasonsOfPeers);
+
 }  // namespace
 
 }  // namespace damaskhollow
