--- a/tests/auto/http/tst_headfuzz.cpp
+++ b/tests/auto/http/tst_headfuzz.cpp
@@ -122,9 +122,12 @@
         head.find("chunked") == std::string::npos ? "abc" : "3\r\nabc\r\n0\r\n\r\n";
     if (row.changes_head) Change(random, head);
     const std::string prefix(kPrefixes[random.Below(kPrefixes.size())]);
-    const ScriptedServer server(Split(random, prefix + head + body), ScriptedServer::End::kClose);
+    std::string bytes = prefix;
+    bytes += head;
+    bytes += body;
+    const ScriptedServer server(Split(random, bytes), ScriptedServer::End::kClose);
     const test::CollectedResponse answer = test::FetchFrom(server);
-    const std::string text = "round " + std::to_string(round) + ": " + prefix + head;
+    const std::string text = "round " + std::to_string(round) + ": " + bytes;
     if (!row.changes_head) CPPUNIT_ASSERT_MESSAGE(text, answer.complete && answer.body == "abc");
     const bool is_accepted = answer.status != 0;
     CPPUNIT_ASSERT_MESSAGE(text, !is_accepted || test::StartsWithValidHead(head));
