Do not reuse a connection after a 204 that promises a body

What callers could see: a 204 with a length or chunks has no body (RFC 9112, 6.3), and its caller gets none. A server that sends one all the same, after the connection was taken for the next request, spoils the response to that: a caller gets 502 for a request that ran.

Cause: the connection was kept if nothing had arrived behind the head yet.

Evidence: ResponseNoBody, rows "no content, body awaited" and "no content, chunks awaited", failed before. Its other five rows passed: bytes that are there already end the connection, and no body is passed on for 204 and 304.

Why this works: the head itself says that bytes may follow which belong to no request. A 204 without them, and a 304, which may name the length that it saves, keep their connection. 7 of 7 rows pass.

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -282,9 +282,15 @@
   m_events.OnBackendResponsePart(m_id, std::move(part), m_reusable);
 }
 
+bool BackendConnection::MaySendForbiddenBody() const {
+  if (m_parser->get().result() != http::status::no_content) return false;
+  return m_parser->chunked() || m_parser->content_length().value_or(0) > 0;
+}
+
 void BackendConnection::Finish() {
   m_timer.stop();
-  m_reusable = m_parser->keep_alive() && m_input.empty() && m_refused_ids.size() < kMaxRefusedIds &&
+  m_reusable = m_parser->keep_alive() && m_input.empty() && !MaySendForbiddenBody() &&
+               m_refused_ids.size() < kMaxRefusedIds &&
                m_socket.state() == QAbstractSocket::ConnectedState;
   m_parser.reset();
   EndCloseDelimitedBody();
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -155,6 +155,8 @@
   void EndCloseDelimitedBody();
   void CollectBody();
   void EmitPart();
+  // Whether a body may follow although the status permits none.
+  bool MaySendForbiddenBody() const;
   void Finish();
   // Fails the request with kBackendMalformed.
   void Reject(ResponseFault fault);
--- a/tests/auto/http/tst_responsehead.cpp
+++ b/tests/auto/http/tst_responsehead.cpp
@@ -238,6 +238,42 @@
 
 const test::TableTest<FieldRow> promise_test("ResponsePromise", promise_rows, TestFields);
 
+struct NoBodyRow {
+  std::string_view name;
+  std::string_view head;
+  std::string_view body;
+  bool reusable;
+};
+
+constexpr std::array kNoBodyRows{
+    NoBodyRow{"no content", "HTTP/1.1 204 No Content\r\n", "", true},
+    NoBodyRow{"no content, length 0", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n", "", true},
+    NoBodyRow{"not modified", "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n", "", true},
+    NoBodyRow{"no content, with a body", "HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n", "abc",
+              false},
+    NoBodyRow{"not modified, with a body", "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n",
+              "abc", false},
+    // The body may arrive when the connection carries the next request.
+    NoBodyRow{"no content, body awaited", "HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n", "",
+              false},
+    NoBodyRow{"no content, chunks awaited",
+              "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n", "", false},
+};
+
+// Guards against a body where there may be none (RFC 9112, 6.3) that is passed on, or taken for the
+// response to the next request on the connection.
+void TestNoBody(const NoBodyRow& row) {
+  const std::string bytes =
+      std::string(row.head) + "Request-Id: mine\r\nSeal: s\r\n\r\n" + std::string(row.body);
+  const ScriptedServer server({bytes}, ScriptedServer::End::kKeepOpen);
+  const test::CollectedResponse answer = test::FetchFrom(server);
+  CPPUNIT_ASSERT(answer.complete);
+  CPPUNIT_ASSERT_EQUAL(std::string(), answer.body);
+  CPPUNIT_ASSERT_EQUAL(row.reusable, answer.reusable);
+}
+
+const test::TableTest<NoBodyRow> no_body_test("ResponseNoBody", kNoBodyRows, TestNoBody);
+
 }  // namespace
 
 }  // namespace damaskhollow
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -24,7 +24,7 @@
 // Records the response or failure of one request.
 class ResponseCollector : public BackendEvents {
  public:
-  void OnBackendResponsePart(ConnectionId, ResponsePart part, bool) override {
+  void OnBackendResponsePart(ConnectionId, ResponsePart part, bool reusable) override {
     if (part.head) {
       m_response.status = part.head->status;
       m_response.refused = HasHeader(part.head->headers, "Not-Run");
@@ -32,6 +32,7 @@
     m_response.body += part.data;
     m_response.body_bytes += part.data.size();
     m_response.complete = part.last;
+    m_response.reusable = reusable;
   }
   void OnBackendFailed(ConnectionId, Reason reason, bool) override { m_response.failure = reason; }
   void OnBackendIdleClosed(ConnectionId) override {}
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -68,6 +68,7 @@
   bool complete = false;
   int status = 0;        // 0: no response head was accepted.
   bool refused = false;  // The head says that the request was not run.
+  bool reusable = false;
   std::string body;
   std::optional<Reason> failure;
   ResponseFault fault = ResponseFault::kNone;
