Accept the reason of a request that ran before

Cause: I took each failure to have an unknown outcome. An owner sends as failures all that it cannot call not run, and already_ran has the outcome "answered".

The owner's log has reason=already_ran, the caller got backend_closed.

Why this works: a reason now only has to agree with its message on whether the call may have run; 0, which means success, stays no reason.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -163,8 +163,10 @@
 const ReasonInfo& InfoOf(Reason reason) { return kTable[static_cast<std::size_t>(reason)]; }
 
 Reason ReasonFromNumber(std::uint32_t number, Outcome outcome, Reason fallback) {
-  const bool is_valid = number < kTable.size() && kTable[number].outcome == outcome;
-  return is_valid ? kTable[number].reason : fallback;
+  const bool exists = number > 0 && number < kTable.size();
+  if (!exists) return fallback;
+  const ReasonInfo& info = kTable[number];
+  return (info.outcome == kNotRun) == (outcome == kNotRun) ? info.reason : fallback;
 }
 
 std::optional<Reason> ReasonFromName(std::string_view name) {
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -93,8 +93,8 @@
 // Returns the properties of a reason.
 const ReasonInfo& InfoOf(Reason reason);
 
-// Decodes a reason that another node sent for a call with this outcome. A number that stands for no
-// reason, or for one with another outcome, gives `fallback`.
+// Decodes a reason that another node sent. A number that stands for no reason, or for one that does
+// not agree with `outcome` on whether the call may have run, gives `fallback`.
 Reason ReasonFromNumber(std::uint32_t number, Outcome outcome, Reason fallback);
 
 // Finds a reason by its name. Returns nothing if there is no such reason.
--- a/tests/auto/ingress/tst_ingressshard.cpp
+++ b/tests/auto/ingress/tst_ingressshard.cpp
@@ -265,6 +265,8 @@
               static_cast<std::uint32_t>(Reason::kBackendClosed), "HTTP/1.1 503 ", "not-run"},
     ReasonRow{"failed", false, static_cast<std::uint32_t>(Reason::kBackendClosed), "HTTP/1.1 502 ",
               "unknown"},
+    ReasonRow{"ran before", false, static_cast<std::uint32_t>(Reason::kAlreadyRan), "HTTP/1.1 409 ",
+              "answered"},
     ReasonRow{"failed without reason", false, 0, "HTTP/1.1 502 ", "unknown"},
     ReasonRow{"failed for an unknown reason", false, kUnknownReason, "HTTP/1.1 502 ", "unknown"},
     ReasonRow{"failed for the reason of a refusal", false,
