Serve routes that name regions, and let one unreadable entry harm only itself

Ruled out: keeping the last readable form of a route, which differs between nodes; a check at the owner, where the body has arrived.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -141,6 +141,9 @@
     {Reason::kInternalError, "internal_error", kNotRun, 503, false,
      "The node failed unexpectedly before it sent the request.",
      "Look for the log line unexpected_error; report it with the lines before it."},
+    {Reason::kRouteUnreadable, "route_unreadable", kNotRun, 503, false,
+     "The configuration has a route for the request, but a field of the route cannot be read.",
+     "Look for the log line route_refused of a reader, which names the field, and correct it."},
 }};
 
 constexpr bool IsInEnumerationOrder() {
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -73,6 +73,7 @@
   kNodeStopped,
   // Refused by the ingress; listed last, as nodes of other versions know the numeric values above.
   kInternalError,
+  kRouteUnreadable,
   kCount,
 };
 
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -192,6 +192,7 @@
   const TimePoint now = MonotonicNow();
   m_bootstrap.reset();
   m_declaration = declaration;
+  m_context.metrics.Set(Metric::kUnreadableEntries, declaration->unreadable_entries);
   m_apply(declaration, version);
   const std::vector<FleetNode> nodes = NodesOf(*declaration);
   auto locations = std::make_shared<LocationMap>();
@@ -631,6 +632,10 @@
   configuration.insert("highest_known_version", static_cast<qint64>(plan.HighestKnown()));
   configuration.insert("service_failure",
                        QString::fromStdString(m_configuration_sync.StoreFailure()));
+  if (m_declaration) {
+    configuration.insert("unreadable_entries",
+                         static_cast<qint64>(m_declaration->unreadable_entries));
+  }
   status.insert("configuration", configuration);
   QJsonObject list;
   const HistoryPosition position = PositionOf(m_vm_list.HeldVersion());
--- a/src/libs/declaration/declaration.cpp
+++ b/src/libs/declaration/declaration.cpp
@@ -15,6 +15,8 @@
 
 }  // namespace
 
+const Region* Declaration::FindRegion(const RegionId& id) const { return FindById(regions, id); }
+
 const Service* Declaration::FindService(const ServiceId& id) const {
   return FindById(services, id);
 }
--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -75,7 +75,12 @@
   bool idempotent = false;
   Duration timeout{};            // Maximum time until the caller receives an answer.
   std::size_t attempts = 1;      // Maximum number of backend servers that a call may reach.
-  std::vector<RoutePart> parts;  // At least one.
+  std::vector<RoutePart> parts;  // At least one, unless the route is unreadable.
+  // Regions whose backend servers may receive its calls; empty: all.
+  std::vector<RegionId> allowed_regions;
+  // Whether a field of the route could not be read, so that its calls are refused. Only id, host
+  // and path prefix are then set.
+  bool unreadable = false;
 };
 
 // Size limits and time-outs for caller connections. Zero means the default of the node.
@@ -129,9 +134,13 @@
   std::vector<BackendServer> backend_servers;
   Budgets budgets;
   CallerBounds caller_bounds;
+  // Entries of the operator's configuration that the translation to this declaration left out or
+  // replaced by unreadable routes.
+  std::size_t unreadable_entries = 0;
 
   // Look-up functions. They return null if there is no such entry. The pointers are valid as long
   // as the declaration is neither changed nor destroyed.
+  const Region* FindRegion(const RegionId& id) const;
   const Service* FindService(const ServiceId& id) const;
   // `host` may include a port, which is ignored unless the service declares it.
   const Service* FindServiceByHost(std::string_view host) const;
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kMaxRouteAttempts = 100;
 constexpr std::size_t kMaxBytesPerSecond = 10UL * 1000UL * 1000UL * 1000UL;
 constexpr std::size_t kMaxServers = 100000;
+// Above the number of entries that a configuration of one megabyte can have.
+constexpr std::size_t kMaxUnreadableEntries = 1000000;
 // Allows for rounding errors in the sum of the guaranteed shares.
 constexpr double kShareTolerance = 1e-9;
 
@@ -153,18 +155,28 @@
   return part;
 }
 
+void CheckPathPrefix(JsonReader& reader, const Route& route) {
+  if (!route.path_prefix.empty() && route.path_prefix.front() == '/') return;
+  reader.AddFailure(FailureCode::kOutOfRange, "path_prefix", "must begin with /");
+}
+
 Route ReadRoute(JsonReader& reader) {
   Route route;
   route.id = RouteId(reader.String("id"));
   route.host = reader.String("host");
   route.path_prefix = reader.String("path_prefix");
+  CheckPathPrefix(reader, route);
+  if (reader.Has("unreadable")) route.unreadable = reader.Bool("unreadable");
+  if (route.unreadable) return route;
   route.priority = PriorityId(reader.String("priority"));
   route.idempotent = reader.Bool("idempotent");
   route.timeout = reader.Milliseconds("timeout_ms", 1, kDayMs);
   route.attempts = reader.Integer("attempts", 1, kMaxRouteAttempts);
   route.parts = ReadList<RoutePart>(reader, "parts", ReadPart);
-  if (route.path_prefix.empty() || route.path_prefix.front() != '/') {
-    reader.AddFailure(FailureCode::kOutOfRange, "path_prefix", "must begin with /");
+  if (reader.Has("allowed_regions")) {
+    for (const std::string& region : reader.StringList("allowed_regions")) {
+      route.allowed_regions.emplace_back(region);
+    }
   }
   double sum = 0.0;
   for (const RoutePart& part : route.parts) sum += part.weight;
@@ -263,6 +275,11 @@
       root.AddFailure(FailureCode::kUnknownReference, path() + ".priority",
                       "\"" + route.priority.Value() + "\" is not a declared priority");
     }
+    for (const RegionId& region : route.allowed_regions) {
+      if (declaration.FindRegion(region) != nullptr) continue;
+      root.AddFailure(FailureCode::kUnknownReference, path() + ".allowed_regions",
+                      "\"" + region.Value() + "\" is not a declared region");
+    }
     for (const RoutePart& part : route.parts) {
       if (part.service.IsEmpty() || declaration.FindService(part.service) != nullptr) continue;
       root.AddFailure(FailureCode::kUnknownReference, path() + ".parts",
@@ -318,6 +335,9 @@
     declaration.caller_bounds = ReadCallerBounds(root.Object("caller_bounds"));
   }
   declaration.budgets = ReadBudgets(root.Object("budgets"));
+  if (root.Has("unreadable_entries")) {
+    declaration.unreadable_entries = root.Integer("unreadable_entries", 0, kMaxUnreadableEntries);
+  }
   root.RejectUnknownFields();
 
   RejectDuplicates(root, "regions", declaration.regions);
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -170,6 +170,7 @@
   request.may_cross_regions = may_cross_regions;
   request.bytes = call.request.body.size();
   request.excluded = call.tried;
+  request.allowed_regions = call.call_class.allowed_regions;
   request.priority_index = call.call_class.priority_index;
   request.target_left = call.started + call.call_class.target - MonotonicNow();
   return request;
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -76,6 +76,8 @@
     {Metric::kServers, "servers", "gauge", "Backend servers in the inventory in force."},
     {Metric::kSlownessPercent, "slowness_percent", "gauge",
      "Time that work takes on this VM now; 100 is as usual."},
+    {Metric::kUnreadableEntries, "unreadable_entries", "gauge",
+     "Entries of the configuration in force that cannot be read."},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(BytePurpose::kCount)> kPurposeNames{
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -55,6 +55,7 @@
   kFailureLinesDropped,
   kServers,
   kSlownessPercent,
+  kUnreadableEntries,
   kCount,
 };
 
--- a/src/libs/policy/callclassifier.cpp
+++ b/src/libs/policy/callclassifier.cpp
@@ -68,6 +68,7 @@
 Classification ClassifyByRoute(const Declaration& declaration, const CallDescription& call) {
   const Route* route = declaration.FindRoute(call.host, PathOf(call.target));
   if (route == nullptr) return Refuse(Reason::kNoRule);
+  if (route->unreadable) return Refuse(Reason::kRouteUnreadable);
   Classification classification;
   CallClass& call_class = classification.call_class;
   classification.route = route;
@@ -75,6 +76,7 @@
   SetPriority(declaration, *declaration.FindPriority(route->priority), call_class);
   call_class.idempotent = route->idempotent;
   call_class.attempts = route->attempts;
+  call_class.allowed_regions = route->allowed_regions;
   call_class.deadline = route->timeout;
   classification.refusal = ReadLimits(call, call_class);
   return classification;
--- a/src/libs/policy/callclassifier.h
+++ b/src/libs/policy/callclassifier.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/reason.h"
@@ -43,6 +44,7 @@
   Duration target{};         // Target response time.
   std::size_t attempts = 0;  // Backend servers that the call may reach; 0: the node's default.
   std::string request_id;
+  std::vector<RegionId> allowed_regions;  // Regions that may receive the call; empty: all.
 };
 
 // Classification of a call, or the reason why it is refused (kNone if it is not).
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -39,10 +39,11 @@
   }
   for (const BackendServer& server : m_declaration->backend_servers) {
     ServerState& state = m_servers[server.id];
-    // A score belongs to one subset and its tier is fixed, so a server whose service or tier
-    // changes gets a new score.
+    // A score belongs to one subset and its location is fixed, so a server whose service or
+    // location changes gets a new score.
     const bool moved =
         state.score && (m_scores[*state.score].Tier() != TierOf(m_location, server) ||
+                        m_scores[*state.score].Region() != server.region ||
                         previous_services[server.id] != server.service);
     if (moved) ReleaseScore(state);
     state.service = server.service;
@@ -86,7 +87,8 @@
 }
 
 std::size_t Router::AddScore(const BackendServer& server, ServerState& state, TimePoint now) {
-  ServerScore score(server.id, TierOf(m_location, server), server.id == m_location.server);
+  ServerScore score(server.id, TierOf(m_location, server), server.id == m_location.server,
+                    server.region);
   score.SetReachable(state.reachable, now);
   if (m_free_scores.empty()) {
     m_scores.push_back(std::move(score));
@@ -177,14 +179,19 @@
   if (choice.crosses_regions) m_paid_link.Spend(request.bytes + kCallOverheadBytes, now);
 }
 
+bool Router::MayCrossRegions(const RoutingRequest& request) const {
+  return request.may_cross_regions || !IsRegionAllowed(request.allowed_regions, m_location.region);
+}
+
 RoutingChoice Router::SelectServer(const RoutingRequest& request, TimePoint now) {
   const auto found = m_subsets.find(request.service);
   if (found == m_subsets.end()) return RoutingChoice{Reason::kNoServer, {}, false};
-  const bool has_room = request.may_cross_regions && m_paid_link.HasRoom(now);
+  const bool may_cross = MayCrossRegions(request);
+  const bool has_room = may_cross && m_paid_link.HasRoom(now);
   const RoutingPool pool(m_scores, found->second, request, has_room ? kTierCount : kNearTiers);
   const std::optional<std::size_t> picked = m_strategy->Pick(pool, m_random, now);
   if (!picked) {
-    const bool lacks_bytes = request.may_cross_regions && !has_room && HasOpenRemoteServer(pool);
+    const bool lacks_bytes = may_cross && !has_room && HasOpenRemoteServer(pool);
     return RoutingChoice{lacks_bytes ? Reason::kPaidLinkBudget : Reason::kNoServer, {}, false};
   }
   const ServerScore& score = m_scores[*picked];
@@ -272,7 +279,7 @@
 
 std::optional<RoutingChoice> Router::ChooseOtherRegion(const RoutingRequest& request,
                                                        Duration latest, TimePoint now) {
-  if (!request.may_cross_regions || !m_paid_link.HasRoom(now)) return std::nullopt;
+  if (!MayCrossRegions(request) || !m_paid_link.HasRoom(now)) return std::nullopt;
   RoutingRequest anywhere = request;
   anywhere.target_left = Duration(0);  // No server of the region can meet the target.
   const RoutingChoice other = SelectServer(anywhere, now);
--- a/src/libs/policy/router.h
+++ b/src/libs/policy/router.h
@@ -114,6 +114,8 @@
                                                  TimePoint now);
   // Returns `near`, which is outside the own data centre, if it is worth its bytes; else `own`.
   static Offer PreferOwn(const Offer& own, const Offer& near, Duration target_left);
+  // Whether a call may leave the region. One that no server of the region may receive always may.
+  bool MayCrossRegions(const RoutingRequest& request) const;
   // Like Choose, but does not charge the budget of the paid link.
   RoutingChoice SelectServer(const RoutingRequest& request, TimePoint now);
   void ChargePaidLink(const RoutingRequest& request, const RoutingChoice& choice, TimePoint now);
--- a/src/libs/policy/routingpool.cpp
+++ b/src/libs/policy/routingpool.cpp
@@ -16,8 +16,13 @@
   });
 }
 
+bool IsRegionAllowed(std::span<const RegionId> allowed, const RegionId& region) {
+  return allowed.empty() || std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
 bool RoutingPool::IsOpen(std::size_t index) const {
   const ServerScore& score = m_scores[index];
+  if (!IsRegionAllowed(m_request.allowed_regions, score.Region())) return false;
   return score.IsOpen() && std::find(m_request.excluded.begin(), m_request.excluded.end(),
                                      score.Id()) == m_request.excluded.end();
 }
--- a/src/libs/policy/routingpool.h
+++ b/src/libs/policy/routingpool.h
@@ -21,8 +21,14 @@
   std::span<const BackendServerId> excluded;  // Servers already tried for this call.
   std::size_t priority_index = 0;             // 0 is the most urgent.
   Duration target_left{};                     // Time left to meet the target of the call.
+  // Regions whose servers may receive the call; empty: all.
+  std::span<const RegionId> allowed_regions{};
 };
 
+// Whether a call whose servers are restricted to `allowed` (empty: not restricted) may be sent to a
+// server in `region`.
+bool IsRegionAllowed(std::span<const RegionId> allowed, const RegionId& region);
+
 // Servers of one service that this node uses.
 struct ServiceSubset {
   std::array<std::vector<std::size_t>, kTierCount> tiers;  // Indices of scores.
@@ -47,8 +53,8 @@
   const RoutingRequest& Request() const { return m_request; }
   Duration TypicalServiceTime() const { return m_subset.typical_service_time; }
 
-  // Whether a message can be sent to the server, it is not draining, and the call has not been sent
-  // to it before.
+  // Whether a message can be sent to the server, it is not draining, the call may be sent to its
+  // region, and the call has not been sent to it before.
   bool IsOpen(std::size_t index) const;
 
  private:
--- a/src/libs/policy/serverscores.cpp
+++ b/src/libs/policy/serverscores.cpp
@@ -38,9 +38,10 @@
 
 }  // namespace
 
-ServerScore::ServerScore(BackendServerId id, ServerTier tier, bool is_self)
+ServerScore::ServerScore(BackendServerId id, ServerTier tier, bool is_self, RegionId region)
     : m_id(std::move(id)),
       m_tier(tier),
+      m_region(std::move(region)),
       m_round_trip(is_self ? Duration(0) : kRoundTrips[static_cast<std::size_t>(tier)]) {}
 
 void ServerScore::SetReachable(bool reachable, TimePoint now) {
--- a/src/libs/policy/serverscores.h
+++ b/src/libs/policy/serverscores.h
@@ -42,7 +42,7 @@
   // that it must complete.
   enum class State { kNormal, kSuspended, kTrialDue, kTrialRunning };
 
-  ServerScore(BackendServerId id, ServerTier tier, bool is_self);
+  ServerScore(BackendServerId id, ServerTier tier, bool is_self, RegionId region = {});
 
   // Sets whether messages can be sent to the owner. A server that becomes reachable again is due
   // for a trial unless it is suspended.
@@ -76,6 +76,7 @@
 
   const BackendServerId& Id() const { return m_id; }
   ServerTier Tier() const { return m_tier; }
+  const RegionId& Region() const { return m_region; }
   State CurrentState() const { return m_state; }
   // Whether the server is ejected because of its failures.
   bool IsEjected() const { return m_ejected; }
@@ -103,6 +104,7 @@
 
   BackendServerId m_id;
   ServerTier m_tier;
+  RegionId m_region;
   Duration m_round_trip;
   bool m_reachable = false;
   bool m_was_reachable = false;
--- a/tests/auto/policy/tst_routes.cpp
+++ b/tests/auto/policy/tst_routes.cpp
@@ -34,6 +34,12 @@
   };
   add("pages", "/pages/", true, 1200);
   add("drafts", "/pages/drafts/", false, 1500);
+  Route unreadable;
+  unreadable.id = RouteId("unreadable:portal.example/pages/new/");
+  unreadable.host = "portal.example";
+  unreadable.path_prefix = "/pages/new/";
+  unreadable.unreadable = true;
+  declaration.routes.push_back(unreadable);
   return declaration;
 }
 
@@ -58,6 +64,8 @@
              "pages", 1200},
     RouteRow{"prefix without its slash", "portal.example", "/pages", "", Reason::kNoRule, "", 0},
     RouteRow{"other host", "other.example", "/pages/1", "", Reason::kNoRule, "", 0},
+    RouteRow{"unreadable route below another", "portal.example", "/pages/new/1", "",
+             Reason::kRouteUnreadable, "", 0},
     RouteRow{"deadline that is no number", "portal.example", "/pages/1", "soon",
              Reason::kDeadlineInvalid, "", 0},
 };
