Evacuate a data centre at the operator's request

Change: readers take the set from the watch that they have, gossip spreads it by the version of the store's history, ingresses leave the servers out, owners refuse what waits, and status, log and a gauge show it.

--- a/src/libs/base/reason.cpp
+++ b/src/libs/base/reason.cpp
@@ -144,6 +144,9 @@
     {Reason::kRouteUnreadable, "route_unreadable", kNotRun, 503, false,
      "The configuration has a route for the request, but a field of the route cannot be read.",
      "Look for the log line route_refused of a reader, which names the field, and correct it."},
+    {Reason::kEvacuated, "evacuated", kNotRun, 503, true,
+     "The backend servers that could take the call are in evacuated data centres.",
+     "End the evacuation of one of these data centres, or add capacity elsewhere."},
 }};
 
 constexpr bool IsInEnumerationOrder() {
--- a/src/libs/base/reason.h
+++ b/src/libs/base/reason.h
@@ -74,6 +74,8 @@
   // Refused by the ingress; listed last, as nodes of other versions know the numeric values above.
   kInternalError,
   kRouteUnreadable,
+  // Refused while routing, or by the owner before dispatch.
+  kEvacuated,
   kCount,
 };
 
--- a/src/libs/configuration/platformreader.h
+++ b/src/libs/configuration/platformreader.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "configuration/evacuations.h"
 #include "configuration/fetchplan.h"
 
 namespace damaskhollow {
@@ -29,6 +30,10 @@
 
   // The read failed: no response in time, an unexpected response, or one of more than 1 MB.
   virtual void OnPlatformFailed(std::string_view detail) = 0;
+
+  // The service told which data centres are evacuated. A reader whose service has no evacuations
+  // never calls it; it does not end a read.
+  virtual void OnEvacuationsRead(const EvacuationSet& /*evacuations*/) {}
 };
 
 // Interface for reading one document of the platform.
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -75,7 +75,10 @@
       m_reader_duty(m_self, context.settings.configuration_region,
                     context.bindings.has_live_inventory),
       m_probe(context.metrics,
-              [this](ProbeResult result) { m_drain.OnProbe(result, MonotonicNow()); }) {
+              [this](ProbeResult result) { m_drain.OnProbe(result, MonotonicNow()); }),
+      m_evacuations(context.metrics, [this] { ReapplyRules(); }) {
+  m_configuration_sync.SetEvacuationsFunction(
+      [this](const EvacuationSet& evacuations) { m_evacuations.Offer(evacuations); });
   const RegionId& store_region = context.settings.configuration_region;
   const bool is_far = !store_region.IsEmpty() && store_region != m_self.region;
   m_configuration_sync.SetStoreAcrossPaidLink(is_far);
@@ -119,7 +122,11 @@
                                      std::uint64_t version) {
   m_rules = rules;
   m_rules_version = version;
-  ApplyDeclaration(WithInventory(rules), version);
+  ReapplyRules();
+}
+
+void ControlService::ReapplyRules() {
+  if (m_rules) ApplyDeclaration(m_evacuations.Apply(WithInventory(m_rules)), m_rules_version);
 }
 
 void ControlService::LogInventoryChange(std::span<const BackendServer> after) const {
@@ -167,7 +174,7 @@
   LogInventoryChange(*list.inventory);
   m_membership.OfferList(std::move(list.entries));
   m_inventory = std::move(list.inventory);
-  if (m_rules) ApplyDeclaration(WithInventory(m_rules), m_rules_version);
+  ReapplyRules();
 }
 
 std::shared_ptr<const Declaration> ControlService::WithInventory(
@@ -445,6 +452,7 @@
   own.set_store_unreachable(m_reader_duty.IsUnable());
   gossip.set_vm_list_version(m_vm_list.HeldVersion());
   gossip.set_known_vm_list_version(m_vm_list_sync.Plan().HighestKnown());
+  m_evacuations.AddTo(gossip);
   // The version of a declaration file is local to this node, so it is not sent to peers.
   if (!m_context.settings.declaration_file.empty()) return gossip;
   gossip.set_configuration_version(m_configuration.HeldVersion());
@@ -477,7 +485,7 @@
 
 void ControlService::TickGossip(TimePoint now) {
   const AnnouncedVersions versions{m_configuration_sync.Plan().HighestKnown(),
-                                   m_vm_list.HeldVersion()};
+                                   m_vm_list.HeldVersion(), m_evacuations.ChangedAt()};
   if (std::exchange(m_announce, false)) AnnounceToAll(now);
   const bool is_due = now >= m_next_gossip;
   if (is_due) m_next_gossip = now + kGossipPeriod;
@@ -579,6 +587,7 @@
   RecordPeerVersions(route.peer, gossip.configuration_version(), gossip.vm_list_version(), now);
   m_configuration_sync.Plan().RecordReportedVersion(gossip.known_configuration_version(), now);
   m_vm_list_sync.Plan().RecordReportedVersion(gossip.known_vm_list_version(), now);
+  m_evacuations.HandleGossip(gossip);
   if (gossip.answers_refresh_id() == m_refresh_id) m_refresh_answered = true;
   if (gossip.refresh_id() == 0) return;
   wire::Gossip reply = OwnGossip();
@@ -644,6 +653,9 @@
   list.insert("doubted", m_membership.IsListSuspect());
   list.insert("service_failure", QString::fromStdString(m_vm_list_sync.StoreFailure()));
   status.insert("vm_list", list);
+  if (m_declaration) {
+    m_evacuations.AddStatus(status, *m_declaration, m_context.owner.State().in_flight());
+  }
   status.insert("backend_server_leaving", m_drain.IsLeaving());
   status.insert("view_refreshing", m_context.gate.IsRefreshing());
   status.insert("peers", m_membership.Status());
--- a/src/libs/control/controlservice.h
+++ b/src/libs/control/controlservice.h
@@ -22,6 +22,7 @@
 #include "configuration/readerduty.h"
 #include "control/configurationholder.h"
 #include "control/documentsync.h"
+#include "control/evacuationservice.h"
 #include "control/healthprobe.h"
 #include "control/membership.h"
 #include "control/peerlinks.h"
@@ -91,6 +92,8 @@
   void AddStatus(QJsonObject& status) const;
 
  private:
+  // Activates the rules with the present inventory and evacuations, if rules have been accepted.
+  void ReapplyRules();
   // Activates accepted rules, combined with the live inventory if there is one.
   void OnRulesAccepted(const std::shared_ptr<const Declaration>& rules, std::uint64_t version);
   void OnInventoryReceived(const VmList& list, TimePoint now);
@@ -136,6 +139,7 @@
   struct AnnouncedVersions {
     std::uint64_t configuration = 0;
     std::uint64_t vm_list = 0;
+    std::uint64_t evacuations = 0;
 
     bool operator==(const AnnouncedVersions&) const = default;
   };
@@ -159,10 +163,11 @@
   HealthProbe m_probe;
   std::optional<ConfigurationBootstrap> m_bootstrap;
   InventoryRetention m_retention;
+  EvacuationService m_evacuations;
   std::shared_ptr<const Declaration> m_rules;  // Accepted declaration, without live inventory.
   std::uint64_t m_rules_version = 0;
   std::optional<std::vector<BackendServer>> m_inventory;  // Live inventory; empty if declared.
-  std::shared_ptr<const Declaration> m_declaration;       // Active rules and inventory.
+  std::shared_ptr<const Declaration> m_declaration;  // Active rules, inventory and evacuations.
   std::atomic<std::shared_ptr<const LocationMap>> m_locations;
 
   std::vector<FleetNode> m_overlay_nodes;        // Nodes that the overlay was computed from.
--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -294,4 +294,8 @@
   m_plan.OnStoreReadFailed(m_random, MonotonicNow());
 }
 
+void DocumentSync::OnEvacuationsRead(const EvacuationSet& evacuations) {
+  if (m_handle_evacuations) m_handle_evacuations(evacuations);
+}
+
 }  // namespace damaskhollow
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -42,6 +42,7 @@
 class DocumentSync : public PlatformEvents {
  public:
   using SendFunction = std::function<void(const BackendServerId& peer, wire::Envelope message)>;
+  using EvacuationsFunction = std::function<void(const EvacuationSet& evacuations)>;
 
   // If `make_reader` is empty, the service is not read and the document comes from peers only.
   DocumentSync(wire::Document document, const FleetNode& self,
@@ -54,6 +55,11 @@
   // Sets whether the service is across the paid link; its responses then count as traffic on it.
   void SetStoreAcrossPaidLink(bool is_far) { m_is_store_across_paid_link = is_far; }
 
+  // Sets the function that gets the evacuated data centres that the reader tells.
+  void SetEvacuationsFunction(EvacuationsFunction handle) {
+    m_handle_evacuations = std::move(handle);
+  }
+
   // Starts the reads and transfers that are due.
   void Tick(TimePoint now);
 
@@ -73,6 +79,7 @@
   void OnPlatformChanged(std::uint64_t version, std::string_view text) override;
   void OnPlatformUnchanged() override;
   void OnPlatformFailed(std::string_view detail) override;
+  void OnEvacuationsRead(const EvacuationSet& evacuations) override;
 
   // A version that this node holds or held before.
   struct HeldText {
@@ -117,6 +124,7 @@
   DocumentHolder& m_holder;
   MetricsRegistry& m_metrics;
   SendFunction m_send;
+  EvacuationsFunction m_handle_evacuations;
   RandomSource m_random;
   FetchPlan m_plan;
   std::unique_ptr<DocumentReader> m_reader;
--- a/src/libs/declaration/declaration.cpp
+++ b/src/libs/declaration/declaration.cpp
@@ -64,6 +64,11 @@
   return best;
 }
 
+bool Declaration::IsEvacuated(const DataCentreId& data_centre) const {
+  return std::find(evacuated_data_centres.begin(), evacuated_data_centres.end(), data_centre) !=
+         evacuated_data_centres.end();
+}
+
 std::vector<const BackendServer*> Declaration::ServersOf(const ServiceId& service) const {
   std::vector<const BackendServer*> servers;
   for (const BackendServer& server : backend_servers) {
--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -132,6 +132,8 @@
   std::vector<Service> services;
   std::vector<Route> routes;
   std::vector<BackendServer> backend_servers;
+  // Data centres whose backend servers get no new calls.
+  std::vector<DataCentreId> evacuated_data_centres;
   Budgets budgets;
   CallerBounds caller_bounds;
   // Entries of the operator's configuration that the translation to this declaration left out or
@@ -155,6 +157,9 @@
   // Returns the route of this host with the longest matching path prefix, or null.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
 
+  // Whether the backend servers of a data centre get no new calls.
+  bool IsEvacuated(const DataCentreId& data_centre) const;
+
   // Returns the backend servers of a service, in the order of the declaration.
   std::vector<const BackendServer*> ServersOf(const ServiceId& service) const;
 };
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -318,6 +318,19 @@
   }
 }
 
+void CheckEvacuations(JsonReader& root, const Declaration& declaration) {
+  for (const DataCentreId& evacuated : declaration.evacuated_data_centres) {
+    const bool is_declared = std::any_of(
+        declaration.regions.begin(), declaration.regions.end(), [&](const auto& region) {
+          return std::find(region.data_centres.begin(), region.data_centres.end(), evacuated) !=
+                 region.data_centres.end();
+        });
+    if (is_declared) continue;
+    root.AddFailure(FailureCode::kUnknownReference, "evacuated_data_centres",
+                    "\"" + evacuated.Value() + "\" is not a declared data centre");
+  }
+}
+
 using ReadRoutes = std::function<std::vector<Route>(JsonReader& root)>;
 
 // Reads and checks the fields of a declaration. `read_routes` reads the routes of the root object.
@@ -331,6 +344,11 @@
   declaration.services = ReadList<Service>(root, "services", ReadService);
   if (root.Has("routes")) declaration.routes = read_routes(root);
   declaration.backend_servers = ReadList<BackendServer>(root, "backend_servers", ReadServer);
+  if (root.Has("evacuated_data_centres")) {
+    for (const std::string& data_centre : root.StringList("evacuated_data_centres")) {
+      declaration.evacuated_data_centres.emplace_back(data_centre);
+    }
+  }
   if (root.Has("caller_bounds")) {
     declaration.caller_bounds = ReadCallerBounds(root.Object("caller_bounds"));
   }
@@ -349,6 +367,7 @@
   CheckServices(root, declaration);
   CheckRoutes(root, declaration);
   CheckServers(root, declaration);
+  CheckEvacuations(root, declaration);
 }
 
 QJsonDocument ParseJson(std::string_view text, QJsonParseError* error = nullptr) {
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -264,6 +264,8 @@
   }
   if (!call.attempts.empty()) return;  // A suspect attempt may still get a response.
   const Reason reason = choice.refusal == Reason::kNone ? Reason::kLinkUnavailable : choice.refusal;
+  // An evacuation lasts longer than a call can wait.
+  if (reason == Reason::kEvacuated) return RespondWithReason(exchange, reason);
   if (!call.waiting) {
     call.waiting = true;
     call.waiting_until = std::min<TimePoint>(call.deadline, now + kMaxServerWait);
@@ -428,7 +430,7 @@
   AllowRetryOnServer(call, attempt->server, reason);
   // The call may have waited at a server that now leaves, so servers that refused it earlier may
   // have room.
-  if (reason == Reason::kDraining) call.tried = {attempt->server};
+  if (reason == Reason::kDraining || reason == Reason::kEvacuated) call.tried = {attempt->server};
   ++(ReachedServer(reason) ? call.arrivals : call.refusals);
   // Owners retain ended calls for a limited time, so a refusal this late is no proof of not-run.
   if (MonotonicNow() > call.deadline + kDeadlineGrace) {
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -78,6 +78,8 @@
      "Time that work takes on this VM now; 100 is as usual."},
     {Metric::kUnreadableEntries, "unreadable_entries", "gauge",
      "Entries of the configuration in force that cannot be read."},
+    {Metric::kEvacuatedDataCentres, "evacuated_data_centres", "gauge",
+     "Data centres whose backend servers get no new calls."},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(BytePurpose::kCount)> kPurposeNames{
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -56,6 +56,7 @@
   kServers,
   kSlownessPercent,
   kUnreadableEntries,
+  kEvacuatedDataCentres,
   kCount,
 };
 
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -46,6 +46,7 @@
     return RefuseWaiting(Reason::kDraining);
   }
   RefuseCallsOfOtherServices();
+  SetEvacuated(m_declaration->IsEvacuated(server->data_centre));
   if (m_instance != server->instance) m_pacer.Reset();
   m_instance = server->instance;
   m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
@@ -103,6 +104,7 @@
   const SendDecision decision = m_calls.CheckArrival(key, request, now);
   if (decision.refusal != Reason::kNone || decision.ignore) return decision;
   if (IsLeaving()) return {Reason::kDraining, false};
+  if (m_evacuated) return {Reason::kEvacuated, false};
   return {IsViewFresh(now) ? Reason::kNone : Reason::kViewRefreshing, false};
 }
 
@@ -209,7 +211,7 @@
 }
 
 bool OwnerService::WouldRefuse(const wire::LoadQuery& query) const {
-  if (IsLeaving() || m_service == nullptr) return true;
+  if (IsLeaving() || m_evacuated || m_service == nullptr) return true;
   if (query.deadline_left_us() == 0) return false;
   const TimePoint now = MonotonicNow();
   AdmissionCall call;
@@ -517,6 +519,13 @@
   if (leaving) RefuseWaiting(Reason::kDraining);
 }
 
+void OwnerService::SetEvacuated(bool evacuated) {
+  if (std::exchange(m_evacuated, evacuated) == evacuated) return;
+  LogEvent(LogPart::kOwner, LogLevel::kInfo,
+           evacuated ? "own_server_evacuated" : "own_server_taken_back");
+  if (evacuated) RefuseWaiting(Reason::kEvacuated);
+}
+
 void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, ResponsePart part,
                             const wire::ResponseHead* replayed_head) {
   wire::Envelope message;
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -190,6 +190,9 @@
   // Whether the node or its backend server is leaving, by whatever source.
   bool IsLeaving() const { return m_draining || m_backend_leaving || m_listed_as_leaving; }
 
+  // Refuses new and waiting calls while the data centre of the backend server is evacuated.
+  void SetEvacuated(bool evacuated);
+
   // Refuses waiting calls whose service is not the one of the present backend server. This happens
   // when the VM's address is reassigned to a server of another service after the calls arrived.
   void RefuseCallsOfOtherServices();
@@ -237,6 +240,7 @@
   bool m_draining = false;  // Set by StartDrain.
   bool m_backend_leaving = false;
   bool m_listed_as_leaving = false;
+  bool m_evacuated = false;
   std::optional<bool> m_drain_header;
 };
 
--- a/src/libs/policy/retrypolicy.cpp
+++ b/src/libs/policy/retrypolicy.cpp
@@ -94,10 +94,10 @@
                                 TimePoint now) {
   if (!InfoOf(failed.reason).try_another_server) return failed.reason;
   if (!failed.proved_not_run && !failed.idempotent) return failed.reason;
-  // A refusal by an owner without a connection to its server, or whose server leaves, causes no
-  // load, and more calls do not make it worse.
+  // A refusal by an owner without a connection to its server, or whose server leaves or is
+  // evacuated, causes no load, and more calls do not make it worse.
   const bool is_free = budgets.refusals_are_free || failed.reason == Reason::kBackendUnreachable ||
-                       failed.reason == Reason::kDraining;
+                       failed.reason == Reason::kDraining || failed.reason == Reason::kEvacuated;
   if (!failed.reached_server && is_free) {
     return failed.refusals < kMaxRefusals ? Reason::kNone : failed.reason;
   }
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -66,10 +66,16 @@
 void Router::RebuildSubset(const Service& service, TimePoint now) {
   std::vector<const BackendServer*> servers = m_declaration->ServersOf(service.id);
   const std::size_t size = SubsetSize(service, servers.size());
+  const bool is_listed = !servers.empty();
+  std::erase_if(servers, [this](const BackendServer* server) {
+    return m_declaration->IsEvacuated(server->data_centre);
+  });
+  const bool is_evacuated = is_listed && servers.empty();
   std::erase_if(servers,
                 [this](const BackendServer* server) { return !m_servers.at(server->id).eligible; });
   const std::vector<const BackendServer*> chosen = SelectSubset(m_location, size, servers);
   ServiceSubset& subset = m_subsets[service.id];
+  subset.is_evacuated = is_evacuated;
   const auto previous = std::exchange(subset.tiers, {});
   for (const BackendServer* server : chosen) {
     ServerState& state = m_servers.at(server->id);
@@ -186,6 +192,7 @@
 RoutingChoice Router::SelectServer(const RoutingRequest& request, TimePoint now) {
   const auto found = m_subsets.find(request.service);
   if (found == m_subsets.end()) return RoutingChoice{Reason::kNoServer, {}, false};
+  if (found->second.is_evacuated) return RoutingChoice{Reason::kEvacuated, {}, false};
   const bool may_cross = MayCrossRegions(request);
   const bool has_room = may_cross && m_paid_link.HasRoom(now);
   const RoutingPool pool(m_scores, found->second, request, has_room ? kTierCount : kNearTiers);
--- a/src/libs/policy/routingpool.h
+++ b/src/libs/policy/routingpool.h
@@ -33,6 +33,7 @@
 struct ServiceSubset {
   std::array<std::vector<std::size_t>, kTierCount> tiers;  // Indices of scores.
   Duration typical_service_time{};                         // Smoothed over all responses.
+  bool is_evacuated = false;  // Whether all servers are in evacuated data centres.
 
   std::size_t Size() const;
   bool Contains(std::size_t index) const;
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -250,6 +250,7 @@
 struct LeavingRow {
   std::string_view name;
   void (*leave)(OwnerService& owner);
+  Reason reason = Reason::kDraining;
 };
 
 void SetLeaving(OwnerService& owner) { owner.SetBackendLeaving(true); }
@@ -262,10 +263,18 @@
   owner.ApplyDeclaration(declaration, 2);
 }
 
+void Evacuate(OwnerService& owner) {
+  auto declaration = std::make_shared<Declaration>(*DeclarationOf("portal"));
+  declaration->backend_servers[0].data_centre = DataCentreId("south-a");
+  declaration->evacuated_data_centres = {DataCentreId("south-a")};
+  owner.ApplyDeclaration(declaration, 2);
+}
+
 constexpr std::array kLeavingRows{
     LeavingRow{"leaving", SetLeaving},
     LeavingRow{"listed as leaving", SetListedAsLeaving},
     LeavingRow{"removed from the inventory", RemoveFromInventory},
+    LeavingRow{"evacuated", Evacuate, Reason::kEvacuated},
 };
 
 // Guards against calls that wait for a leaving server although another one could run them, and
@@ -283,7 +292,7 @@
   fixture.Call("portal", 2);
   CPPUNIT_ASSERT(fixture.Refusals().empty());
   row.leave(fixture.Owner());
-  CPPUNIT_ASSERT(fixture.Refusals() == std::vector<Reason>{Reason::kDraining});
+  CPPUNIT_ASSERT(fixture.Refusals() == std::vector<Reason>{row.reason});
   CPPUNIT_ASSERT_EQUAL(std::string("refused"), fixture.ResultOf(2));
   release();
   CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(1).empty(); }));
--- a/tests/auto/platform/tst_storereader.cpp
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -83,6 +83,44 @@
   CPPUNIT_ASSERT_EQUAL(std::string("A"), events.Texts().back());
 }
 
+struct ObservedRow {
+  std::string_view name;
+  bool is_put;  // Whether a key is written or, having been there from the start, deleted.
+};
+
+constexpr std::array kObservedRows{ObservedRow{"put", true}, ObservedRow{"deleted", false}};
+
+// Guards against a change beside the document that no one is told of because the text of the
+// document stays the same.
+void TestObservedChange(const ObservedRow& row) {
+  StandInStore store;
+  store.Put("op/config", "A");
+  if (!row.is_put) store.Put("op/evacuate/a", "{}");
+  Events events;
+  std::vector<std::pair<std::size_t, HistoryPosition>> observed;
+  const auto translate = [](const StoreItems& items) {
+    return TranslatedDocument{1, items.at("op/config").value};
+  };
+  StoreReader reader(store.Address(), "op/", FirstRead::kCurrent, translate, events,
+                     [&](const StoreItems& items, const HistoryPosition& position) {
+                       observed.emplace_back(items.size(), position);
+                     });
+  reader.Start(StoreRead{0, seconds(30)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !events.Texts().empty(); }));
+  const std::pair before = observed.back();
+  if (row.is_put) {
+    store.Put("op/evacuate/a", "{}");
+  } else {
+    store.Delete("op/evacuate/a");
+  }
+  reader.Start(StoreRead{1, seconds(30)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return observed.back().first != before.first; }));
+  CPPUNIT_ASSERT(observed.back().second > before.second);
+}
+
+const test::TableTest<ObservedRow> observed_test("StoreReaderObserver", kObservedRows,
+                                                 TestObservedChange);
+
 const test::TableTest<FailureRow> failure_test("StoreReaderFailure", failure_rows, TestFailure);
 
 struct BrokenRow {
