--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -455,10 +455,11 @@
   OwnedCall* call = m_calls.Find(id);
   if (call == nullptr) return;
   if (part.head) {
-    call->shed = IsMarkedNotRun(*part.head);
-    call->server_was_full = call->shed && IsServerFull(*part.head);
-    RecordDrainHeader(*part.head);
-    RecordLoadHeader(*part.head);
+    const ResponseMarks marks =
+        ReadMarks(*part.head, m_convention, m_service ? m_service->shed_status : std::nullopt);
+    call->shed = marks.not_run;
+    call->server_was_full = marks.server_was_full;
+    RecordMarks(marks);
     m_log.Step("server_answered", call->log_id)
         .With("status", part.head->status)
         .With("time_us", (MonotonicNow() - call->dispatched_at).count())
@@ -469,34 +470,13 @@
   if (last) FinishAnswered(id, *call);
 }
 
-bool OwnerService::IsMarkedNotRun(const HttpResponseHead& head) const {
-  if (!m_convention.not_run.empty()) return HasHeader(head.headers, m_convention.not_run);
-  return m_service != nullptr && m_service->shed_status == head.status;
-}
-
-std::optional<ServerLoad> OwnerService::ParseLoad(const HttpResponseHead& head) const {
-  if (m_convention.decode_load == nullptr) return std::nullopt;
-  const std::string_view text = FindHeader(head.headers, m_convention.load);
-  return text.empty() ? std::nullopt : m_convention.decode_load(text);
-}
-
-bool OwnerService::IsServerFull(const HttpResponseHead& head) const {
-  if (head.status == kMisdirectedStatus) return false;
-  const std::optional<ServerLoad> load = ParseLoad(head);
-  return !load || load->running + load->waiting >= load->slots;
-}
-
-void OwnerService::RecordLoadHeader(const HttpResponseHead& head) {
-  if (const std::optional<ServerLoad> load = ParseLoad(head)) RecordLoad(*load, MonotonicNow());
-}
-
-void OwnerService::RecordDrainHeader(const HttpResponseHead& head) {
-  if (m_convention.drain.empty()) return;
-  const std::string_view value = FindHeader(head.headers, m_convention.drain);
-  if (value.empty()) return;
-  const bool is_leaving = value == "1";
-  m_drain_header = m_drain_header.value_or(false) || is_leaving;
-  if (is_leaving && !std::exchange(m_backend_leaving, true)) RefuseWaiting(Reason::kDraining);
+void OwnerService::RecordMarks(const ResponseMarks& marks) {
+  if (marks.load) RecordLoad(*marks.load, MonotonicNow());
+  if (!marks.is_leaving) return;
+  m_drain_header = m_drain_header.value_or(false) || *marks.is_leaving;
+  if (*marks.is_leaving && !std::exchange(m_backend_leaving, true)) {
+    RefuseWaiting(Reason::kDraining);
+  }
 }
 
 std::optional<bool> OwnerService::PopDrainHeader() {
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -22,6 +22,7 @@
 #include "owner/backendpool.h"
 #include "owner/claimservice.h"
 #include "owner/ownedcalls.h"
+#include "owner/responsemarks.h"
 #include "owner/retransmitcache.h"
 #include "policy/admissionqueue.h"
 #include "policy/pausedetector.h"
@@ -112,17 +113,8 @@
  private:
   // All member functions below expect m_lock to be held.
 
-  void RecordDrainHeader(const HttpResponseHead& head);
-  void RecordLoadHeader(const HttpResponseHead& head);
-
-  // Whether a response states that the backend server did not run the request: by the header that
-  // the convention defines, else by the service's shed status.
-  bool IsMarkedNotRun(const HttpResponseHead& head) const;
-  std::optional<ServerLoad> ParseLoad(const HttpResponseHead& head) const;
-
-  // Whether the response to a rejected call shows that the server had no free slot. Assumed if the
-  // response has no load header, except for status 421.
-  bool IsServerFull(const HttpResponseHead& head) const;
+  // Takes over what the head of a response tells about the server.
+  void RecordMarks(const ResponseMarks& marks);
 
   bool IsViewFresh(TimePoint now) const {
     return m_view_gate == nullptr || m_view_gate->IsOpen(now);
