Bound the calls that a cold backend server gets

Ruled out: sharing the bound out over ingresses; the state in the inventory, which lags. Change: the owner bounds how many calls start while its server is or may be cold, counts the delay in the expected wait, asks for the state while calls wait, and leaves out slots that an earlier process of the node may still occupy. Only where the settings have a bound and the service a rate.

--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -56,6 +56,9 @@
       shed_status;  // Status with which a backend server reports that it did not run a request.
   std::size_t subset_size = 0;  // Servers that one ingress uses; 0: derived from the fleet size.
   std::optional<HealthCheck> health;
+  // Calls a second that a cold backend server tolerates; 0: no bound.
+  double cold_calls_per_second = 0.0;
+  double cold_burst = 0.0;  // Calls that it tolerates in any second in addition to that rate.
   std::vector<Rule> rules;
 };
 
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kMaxRouteAttempts = 100;
 constexpr std::size_t kMaxBytesPerSecond = 10UL * 1000UL * 1000UL * 1000UL;
 constexpr std::size_t kMaxServers = 100000;
+constexpr double kMaxColdCalls = 1e6;
 // Above the number of entries that a configuration of one megabyte can have.
 constexpr std::size_t kMaxUnreadableEntries = 1000000;
 // Allows for rounding errors in the sum of the guaranteed shares.
@@ -113,6 +114,10 @@
     JsonReader health = reader.Object("health");
     service.health = ReadHealth(health);
   }
+  if (reader.Has("cold_calls_per_second")) {
+    service.cold_calls_per_second = reader.Number("cold_calls_per_second", 0.0, kMaxColdCalls);
+    service.cold_burst = reader.Number("cold_burst", 1.0, kMaxColdCalls);
+  }
   service.rules = ReadList<Rule>(reader, "rules", ReadRule);
   return service;
 }
--- a/src/libs/http/callconvention.h
+++ b/src/libs/http/callconvention.h
@@ -43,6 +43,8 @@
   std::string not_run;                       // The request was not run, regardless of the status.
   std::string load;
   std::optional<ServerLoad> (*decode_load)(std::string_view) = nullptr;
+  std::string
+      cold;  // On responses of the health path: milliseconds for which the server stays cold.
 
   // Whether callers infer from the status alone that a call is guaranteed not to have run. Refusals
   // of calls that were not run then have status 503, regardless of the reason's own status.
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -80,6 +80,8 @@
      "Entries of the configuration in force that cannot be read."},
     {Metric::kEvacuatedDataCentres, "evacuated_data_centres", "gauge",
      "Data centres whose backend servers get no new calls."},
+    {Metric::kColdStartDelays, "cold_start_delays_total", "counter",
+     "Rounds in which a waiting call was held back as the own backend server may be cold."},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(BytePurpose::kCount)> kPurposeNames{
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -57,6 +57,7 @@
   kSlownessPercent,
   kUnreadableEntries,
   kEvacuatedDataCentres,
+  kColdStartDelays,
   kCount,
 };
 
--- a/src/libs/owner/loadprobe.cpp
+++ b/src/libs/owner/loadprobe.cpp
@@ -1,6 +1,9 @@
 #include "owner/loadprobe.h"
 
 #include <QMetaObject>
+#include <algorithm>
+#include <charconv>
+#include <string_view>
 
 #include "logging/logger.h"
 
@@ -11,6 +14,21 @@
 // The health path answers immediately; a later response does not reflect the present load.
 constexpr std::chrono::milliseconds kProbeTimeout{20};
 constexpr std::size_t kProbeBodyBytes = 64UL * 1024UL;
+// Longer times would not fit; no server stays cold for a day.
+constexpr double kMaxColdMs = 86400000.0;
+
+// Returns how long the server stays cold according to a response of its health path; zero if the
+// response does not tell.
+Duration ColdTimeOf(const HttpResponseHead& head, const CallConvention& convention) {
+  if (convention.cold.empty()) return Duration(0);
+  const std::string_view text = FindHeader(head.headers, convention.cold);
+  double milliseconds = 0.0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  const bool is_number = error == std::errc() && end == text.data() + text.size();
+  if (!is_number || !(milliseconds > 0.0)) return Duration(0);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(std::min(milliseconds, kMaxColdMs)));
+}
 
 }  // namespace
 
@@ -56,12 +74,15 @@
 }
 
 void LoadProbe::OnBackendResponsePart(ConnectionId, ResponsePart part, bool reusable) {
-  if (part.head) m_load = std::string(FindHeader(part.head->headers, m_convention.load));
+  if (part.head) {
+    m_load = std::string(FindHeader(part.head->headers, m_convention.load));
+    m_cold_left = ColdTimeOf(*part.head, m_convention);
+  }
   if (!part.last) return;
   m_is_running = false;
   if (!reusable) DiscardConnection();
   const std::optional<ServerLoad> load = m_convention.decode_load(m_load);
-  if (load) return m_owner.OnProbedLoad(*load);
+  if (load) return m_owner.OnProbedLoad(*load, m_cold_left);
   m_owner.OnProbeFailed();
 }
 
--- a/src/libs/owner/loadprobe.h
+++ b/src/libs/owner/loadprobe.h
@@ -45,7 +45,8 @@
   std::unique_ptr<BackendConnection> m_connection;
   std::uint64_t m_next_connection = 1;
   bool m_is_running = false;
-  std::string m_load;  // Load header of the response being read.
+  std::string m_load;      // Load header of the response being read.
+  Duration m_cold_left{};  // How long the server stays cold, according to that response.
 };
 
 }  // namespace damaskhollow
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -16,6 +16,8 @@
 // Covers the detection of a silent link plus the handshake of its replacement between regions.
 constexpr std::chrono::seconds kRetransmitCacheMaxAge{3};
 constexpr std::chrono::seconds kEndedCallSweepInterval{1};
+// How long a server that the inventory calls cold counts as cold; set anew with each dispatch.
+constexpr std::chrono::seconds kInventoryColdTime{1};
 
 }  // namespace
 
@@ -47,8 +49,13 @@
   }
   RefuseCallsOfOtherServices();
   SetEvacuated(m_declaration->IsEvacuated(server->data_centre));
-  if (m_instance != server->instance) m_pacer.Reset();
+  const TimePoint now = MonotonicNow();
+  if (m_instance != server->instance) {
+    m_pacer.Reset();
+    ResetServerState(now);
+  }
   m_instance = server->instance;
+  ConfigureColdStart(*server, now);
   m_claims.SetInventory(*m_declaration, server->service, version, WallNow());
   AdmissionLimits limits;
   limits.slots = server->slots;
@@ -58,6 +65,38 @@
   }
 }
 
+void OwnerService::ConfigureColdStart(const BackendServer& server, TimePoint now) {
+  m_has_cold_bound = m_service->cold_calls_per_second > 0.0;
+  m_cold_start.SetTolerance({m_service->cold_calls_per_second, m_service->cold_burst}, now);
+  m_own_server_warming = server.warming;
+}
+
+void OwnerService::ResetServerState(TimePoint now) {
+  m_cold_start.SetUnknown();
+  m_occupied_slots.Reset(now);
+}
+
+void OwnerService::UpdateStartLimit(TimePoint now) {
+  // Without a health path only the inventory tells, which lags.
+  if (m_has_cold_bound && !m_service->health) {
+    m_cold_start.RecordState(m_own_server_warming ? kInventoryColdTime : Duration(0), now);
+  }
+  const std::optional<StartLimit> limit = m_cold_start.Limit(now);
+  m_admission.SetStartLimit(limit);
+  if (std::exchange(m_is_cold, limit.has_value()) == limit.has_value()) return;
+  LogEvent(LogPart::kOwner, LogLevel::kInfo, limit ? "cold_started" : "cold_ended");
+}
+
+std::size_t OwnerService::FreeSlots() const {
+  const std::size_t slots = m_admission.Slots();
+  if (!m_has_cold_bound) return slots;
+  return slots - std::min(m_occupied_slots.Count(), slots - 1);
+}
+
+bool OwnerService::AwaitsFirstReport(TimePoint now) const {
+  return m_has_cold_bound && m_probe && m_service->health && !m_occupied_slots.IsKnown(now);
+}
+
 void OwnerService::HandleMessage(const ReplyRoute& route, wire::Envelope message) {
   const std::lock_guard lock(m_lock);
   if (message.has_call_request()) {
@@ -162,6 +201,7 @@
   call.bytes = owned.request.ByteSizeLong();
   if (owned.request.target_at_us() > 0) call.target = owned.Target();
   call.priority_index = PriorityIndexOf(owned.request.priority());
+  UpdateStartLimit(now);
   const Admission admission = m_admission.Offer(call, now);
   for (const OwnedCallId evicted : admission.evicted) {
     RefuseNotRun(evicted, admission.eviction_reason);
@@ -199,6 +239,7 @@
   answer.set_call_id(query.call_id());
   *answer.mutable_state() = LockedState();
   if (m_declaration) {
+    UpdateStartLimit(MonotonicNow());
     const Duration wait = m_admission.ExpectedWaitOfPriority(PriorityIndexOf(query.priority()));
     const std::size_t slots = m_admission.Slots();
     const std::size_t in_flight = std::min(m_admission.Load().in_flight + 1, slots);
@@ -228,10 +269,12 @@
   }
 }
 
-void OwnerService::OnProbedLoad(const ServerLoad& load) {
+void OwnerService::OnProbedLoad(const ServerLoad& load, Duration cold_left) {
   const std::lock_guard lock(m_lock);
   const TimePoint now = MonotonicNow();
   RecordLoad(load, now);
+  m_cold_start.RecordState(cold_left, now);
+  m_occupied_slots.RecordReport(load.running + load.waiting, m_admission.Load().in_flight);
   AnswerLoadQueries();
   Dispatch(now);
 }
@@ -290,7 +333,10 @@
   // After a pause of the process, expired calls must be refused by the next tick, and the view must
   // be refreshed, before anything is dispatched.
   if (m_pause_detector.IsOverdue(now) || !IsViewFresh(now)) return;
-  m_admission.SetMaxInFlight(m_pacer.MaxInFlight(m_admission.Slots()));
+  if (m_admission.Load().queued > 0 && m_cold_start.NeedsState(now)) StartProbe();
+  if (AwaitsFirstReport(now)) return;
+  UpdateStartLimit(now);
+  m_admission.SetMaxInFlight(std::min(m_pacer.MaxInFlight(m_admission.Slots()), FreeSlots()));
   bool is_holding = false;
   const auto is_held = [&](const PriorityId& priority) {
     const bool is_held_now = m_pacer.IsHeld(priority, now);
@@ -298,7 +344,12 @@
     return is_held_now;
   };
   const std::vector<OwnedCallId> dispatched = m_admission.PopDispatchable(now, is_held);
-  for (const OwnedCallId id : dispatched) RunCall(id, m_calls.At(id), now);
+  for (const OwnedCallId id : dispatched) {
+    if (m_has_cold_bound) m_cold_start.RecordStart(now);
+    RunCall(id, m_calls.At(id), now);
+  }
+  const std::size_t waiting = m_admission.Load().queued;
+  if (m_is_cold && waiting > 0) m_metrics.Add(Metric::kColdStartDelays, waiting);
   if (is_holding && !m_pacer.IsFresh(now)) StartProbe();
 }
 
@@ -503,7 +554,8 @@
   if (std::exchange(m_evacuated, evacuated) == evacuated) return;
   LogEvent(LogPart::kOwner, LogLevel::kInfo,
            evacuated ? "own_server_evacuated" : "own_server_taken_back");
-  if (evacuated) RefuseWaiting(Reason::kEvacuated);
+  if (evacuated) return RefuseWaiting(Reason::kEvacuated);
+  m_cold_start.SetUnknown();  // The servers may have been restarted meanwhile.
 }
 
 void OwnerService::SendPart(OwnedCallId id, OwnedCall& call, ResponsePart part,
@@ -553,6 +605,7 @@
   if (fault != ResponseFault::kNone) {
     m_log.Failure("response_rejected", log_id, reason).With("rule", FaultName(fault));
   }
+  if (!may_have_run) m_cold_start.SetUnknown();  // The server could not be reached.
   if (reason == Reason::kBackendClosed && may_have_run) {
     m_crash_guard.RecordAborted(call->request.digest());
   }
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -25,6 +25,8 @@
 #include "owner/responsemarks.h"
 #include "owner/retransmitcache.h"
 #include "policy/admissionqueue.h"
+#include "policy/coldstartlimiter.h"
+#include "policy/occupiedslots.h"
 #include "policy/pausedetector.h"
 #include "policy/serverpacer.h"
 #include "policy/suspectgate.h"
@@ -57,7 +59,8 @@
   // OnProbedLoad or OnProbeFailed. The function may be called on any thread. Without it, load
   // queries are answered from the last reported load.
   void SetLoadProbe(std::function<void()> probe);
-  void OnProbedLoad(const ServerLoad& load);
+  // `cold_left` is how long the server stays cold, as far as the response told.
+  void OnProbedLoad(const ServerLoad& load, Duration cold_left);
   void OnProbeFailed();
 
   // Records the state that another owner reported about itself.
@@ -141,6 +144,16 @@
   // Starts a load probe unless one is running.
   void StartProbe();
 
+  // Applies the bound on calls to a cold server, and what is known of a new or unreachable one.
+  void ConfigureColdStart(const BackendServer& server, TimePoint now);
+  void ResetServerState(TimePoint now);
+  // Brings the bound on starting calls in the admission queue up to date.
+  void UpdateStartLimit(TimePoint now);
+  // Slots that no request of an earlier process of this node may still occupy; at least one.
+  std::size_t FreeSlots() const;
+  // Whether the server has yet to tell its load, before which nothing is dispatched to it.
+  bool AwaitsFirstReport(TimePoint now) const;
+
   // Decides whether an arriving call is accepted, refused or ignored as a duplicate.
   SendDecision CheckRequest(const CallKey& key, const wire::CallRequest& request,
                             TimePoint now) const;
@@ -219,6 +232,11 @@
   std::string m_instance;              // Incarnation of the backend server; empty if unknown.
   double m_slowness = 1.0;             // Last value reported by the backend server.
   ServerPacer m_pacer;
+  ColdStartLimiter m_cold_start;
+  bool m_has_cold_bound = false;
+  bool m_own_server_warming = false;  // According to the inventory.
+  bool m_is_cold = false;             // Whether the server may be cold, so that the bound applies.
+  OccupiedSlots m_occupied_slots;
   std::function<void()> m_probe;
   bool m_is_probing = false;
   std::vector<std::pair<ReplyRoute, wire::LoadQuery>> m_load_queries;  // Waiting for a probe.
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -104,17 +104,27 @@
   return std::max({share, m_lanes[lane].priority.guaranteed_share, kMinShare});
 }
 
+Duration AdmissionQueue::StartDelay(std::size_t ahead) const {
+  if (!m_start_limit) return Duration(0);
+  const double lacking = static_cast<double>(ahead + 1) - m_start_limit->available;
+  if (lacking <= 0.0) return Duration(0);
+  const double seconds = lacking / m_start_limit->per_second;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 Duration AdmissionQueue::ExpectedWait(std::size_t lane) const {
-  if (HasFreeSlot() && m_queued.empty()) return Duration(0);
+  if (CanStart() && m_queued.empty()) return Duration(0);
   const auto limit = static_cast<double>(Limit());
   const Lane& own = m_lanes[lane];
   const auto own_time = static_cast<double>(ServiceTimeOf(own).count());
   const double own_work = static_cast<double>(own.queue.size() + 1) * own_time;
   double work = own_work;  // Slot time, in microseconds.
+  std::size_t calls_ahead = own.queue.size();
   for (std::size_t index = 0; index < lane; ++index) {
     const Lane& ahead = m_lanes[index];
     const bool late_is_ahead = ahead.priority.group < own.priority.group;
     const std::size_t count = ahead.queue.size() + (late_is_ahead ? ahead.late.size() : 0);
+    calls_ahead += count;
     work += static_cast<double>(count) * static_cast<double>(ServiceTimeOf(ahead).count());
   }
   const double available = std::max(1.0 - GuaranteedShareOfLessUrgent(lane), kMinShare);
@@ -124,18 +134,20 @@
   // More urgent work does not delay calls within the guaranteed share.
   const double guaranteed = own.priority.guaranteed_share;
   if (guaranteed > 0.0) wait = std::min(wait, own_work / (limit * guaranteed));
-  return Duration(static_cast<Duration::rep>(wait));
+  return std::max(Duration(static_cast<Duration::rep>(wait)), StartDelay(calls_ahead));
 }
 
 Duration AdmissionQueue::ExpectedLateWait(std::size_t lane) const {
   const std::size_t group = m_lanes[lane].priority.group;
   double work = static_cast<double>(ServiceTimeOf(m_lanes[lane]).count());
+  std::size_t calls_ahead = 0;
   for (const Lane& other : m_lanes) {
     if (other.priority.group > group) break;
-    work += static_cast<double>(other.queue.size() + other.late.size()) *
-            static_cast<double>(ServiceTimeOf(other).count());
+    calls_ahead += other.Count();
+    work += static_cast<double>(other.Count()) * static_cast<double>(ServiceTimeOf(other).count());
   }
-  return Duration(static_cast<Duration::rep>(work / static_cast<double>(Limit())));
+  const Duration wait(static_cast<Duration::rep>(work / static_cast<double>(Limit())));
+  return std::max(wait, StartDelay(calls_ahead));
 }
 
 bool AdmissionQueue::IsInTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const {
@@ -237,7 +249,7 @@
   CollectExpired(now);
   Accrue(now);
   const std::size_t lane = std::min(call.priority_index, m_lanes.size() - 1);
-  const bool runs_immediately = HasFreeSlot() && m_queued.empty();
+  const bool runs_immediately = CanStart() && m_queued.empty();
   if (!runs_immediately) {
     if (!MeetsTimeLimits(call, lane, now)) {
       admission.refusal = Reason::kQueueFullTime;
@@ -250,7 +262,7 @@
 }
 
 bool AdmissionQueue::WouldRefuse(const AdmissionCall& call, TimePoint now) const {
-  const bool runs_immediately = HasFreeSlot() && m_queued.empty();
+  const bool runs_immediately = CanStart() && m_queued.empty();
   const std::size_t lane = std::min(call.priority_index, m_lanes.size() - 1);
   return !runs_immediately && !MeetsTimeLimits(call, lane, now);
 }
@@ -322,7 +334,7 @@
   Accrue(now);
   DemoteLateCalls(now);
   std::vector<OwnedCallId> dispatchable;
-  while (HasFreeSlot() && !m_queued.empty()) {
+  while (CanStart() && !m_queued.empty()) {
     const std::size_t index = NextLane(is_held);
     if (index == kNoLane) break;
     const Lane& lane = m_lanes[index];
@@ -330,6 +342,7 @@
     Remove(id);
     ++m_lanes[index].running;
     m_running[id] = Running{now, index};
+    if (m_start_limit) m_start_limit->available -= 1.0;
     dispatchable.push_back(id);
   }
   return dispatchable;
@@ -368,13 +381,16 @@
     const Lane& lane = m_lanes[index];
     const Duration run = ServiceTimeOf(lane);
     double work = WorkAheadOfLate(index);
+    std::size_t calls_ahead = 0;
     std::vector<OwnedCallId> unservable_in_lane;
     for (const AdmissionCall& call : lane.late) {
-      const Duration wait(static_cast<Duration::rep>(work / limit));
+      const Duration wait =
+          std::max(Duration(static_cast<Duration::rep>(work / limit)), StartDelay(calls_ahead));
       if (now + wait + MinTimeToStart(run) > call.deadline) {
         unservable_in_lane.push_back(call.id);
       } else {
         work += static_cast<double>(run.count());
+        ++calls_ahead;
       }
     }
     for (const OwnedCallId id : unservable_in_lane) Remove(id);
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <limits>
 #include <list>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -16,6 +17,7 @@
 #include "base/reason.h"
 #include "base/time.h"
 #include "declaration/declaration.h"
+#include "policy/coldstartlimiter.h"
 
 namespace damaskhollow {
 
@@ -109,6 +111,9 @@
   // Sets an upper bound on the calls in flight, in addition to the number of slots; at least 1.
   void SetMaxInFlight(std::size_t most) { m_max_in_flight = std::max<std::size_t>(most, 1); }
 
+  // Sets how many calls may start and at which rate more; empty: no bound besides the slots.
+  void SetStartLimit(const std::optional<StartLimit>& limit) { m_start_limit = limit; }
+
   // Returns how long a new call of this priority is expected to wait for a slot.
   Duration ExpectedWaitOfPriority(std::size_t priority_index) const {
     return ExpectedWait(std::min(priority_index, m_lanes.size() - 1));
@@ -142,6 +147,11 @@
 
   std::size_t Limit() const { return std::min(static_cast<std::size_t>(m_limit), m_max_in_flight); }
   bool HasFreeSlot() const { return m_running.size() < Limit(); }
+  bool CanStart() const {
+    return HasFreeSlot() && (!m_start_limit || m_start_limit->available >= 1.0);
+  }
+  // How long the start limit holds back a call that has this many others ahead of it.
+  Duration StartDelay(std::size_t ahead) const;
   std::size_t QueuedCount() const { return m_queued.size(); }
   Duration ServiceTimeOf(const Lane& lane) const;
   // Sum of the guaranteed shares of less urgent priorities that have queued calls.
@@ -191,6 +201,7 @@
   TimePoint m_accrued_until{};
   double m_limit = 1.0;
   std::size_t m_max_in_flight = std::numeric_limits<std::size_t>::max();
+  std::optional<StartLimit> m_start_limit;
   TimePoint m_last_decrease{};
 };
 
--- /dev/null
+++ b/src/libs/policy/occupiedslots.cpp
@@ -0,0 +1,29 @@
+#include "policy/occupiedslots.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace damaskhollow {
+
+namespace {
+
+// A server that does not tell its load within this time gets calls nevertheless.
+constexpr std::chrono::milliseconds kMaxWait{250};
+
+}  // namespace
+
+void OccupiedSlots::Reset(TimePoint now) {
+  m_count.reset();
+  m_since = now;
+}
+
+void OccupiedSlots::RecordReport(std::size_t reported, std::size_t own) {
+  const std::size_t unknown = reported > own ? reported - own : 0;
+  m_count = std::min(m_count.value_or(unknown), unknown);
+}
+
+bool OccupiedSlots::IsKnown(TimePoint now) const {
+  return m_count.has_value() || now - m_since >= kMaxWait;
+}
+
+}  // namespace damaskhollow
--- a/tests/auto/platform/tst_decoding.cpp
+++ b/tests/auto/platform/tst_decoding.cpp
@@ -205,8 +205,8 @@
 void TestRules(const RulesRow& row) {
   platform::TranslatedRoutes routes;
   const Result<platform::TranslatedRules> rules =
-      platform::TranslateRules(Replaced(kRules, row.part, row.replacement), Zones(),
-                               platform::RetryBounds{0.2, 58.0}, routes);
+      platform::TranslateRules(Replaced(kRules, row.part, row.replacement),
+                               {Zones(), platform::RetryBounds{0.2, 58.0}, {8.0}}, routes);
   CPPUNIT_ASSERT_EQUAL(row.state != RouteState::kNothing, rules.has_value());
   if (!rules) {
     CPPUNIT_ASSERT(rules.error().subject.find(row.field) != std::string::npos);
