Refuse unreachable calls early and order the return of refused callers

Ruled out: priority inheritance for the calls of backend servers, which an ingress cannot tell from others. Change: with early_refusal a call waits for a quarter of its target; with spread_retry_after the delay grows with the groups of more urgent priorities and the expected wait.

--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -126,6 +126,11 @@
   // Whether a call that its owner refused before anything reached the backend server is retried on
   // another server without using up the retry budget.
   bool refusals_are_free = false;
+  // Whether a call that finds no reachable server is refused after a part of its target, so that
+  // its caller can still be served elsewhere, instead of after a fixed time.
+  bool early_refusal = false;
+  // Whether refused callers are told to come back in the order of their urgency.
+  bool spread_retry_after = false;
 };
 
 // The configuration written by operators: inventory of backend servers, and rules for requests.
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -212,6 +212,10 @@
   budgets.retry_share = reader.Number("retry_share", 0.0, 1.0);
   budgets.hedge_share = reader.Number("hedge_share", 0.0, 1.0);
   if (reader.Has("refusals_are_free")) budgets.refusals_are_free = reader.Bool("refusals_are_free");
+  if (reader.Has("early_refusal")) budgets.early_refusal = reader.Bool("early_refusal");
+  if (reader.Has("spread_retry_after")) {
+    budgets.spread_retry_after = reader.Bool("spread_retry_after");
+  }
   if (reader.Has("fleet_retry_floor")) {
     budgets.fleet_retry_floor = reader.Number("fleet_retry_floor", 0.0, 1e6);
   }
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -6,6 +6,7 @@
 #include "calls/callheaders.h"
 #include "logging/logger.h"
 #include "policy/attemptverdict.h"
+#include "policy/retryafter.h"
 #include "runtime/errorboundary.h"
 
 namespace damaskhollow {
@@ -16,6 +17,9 @@
 // Maximum time that a call waits for a reachable server, for instance while a silent link is
 // replaced.
 constexpr std::chrono::milliseconds kMaxServerWait{1000};
+// With early refusal, a call waits for this part of its target, as a divisor, so that its caller
+// can come back and still be served within the target.
+constexpr int kEarlyRefusalDivisor = 4;
 // Time after the deadline in which the owner's result, or its reply to Cancel, can still arrive. It
 // covers links between regions.
 constexpr std::chrono::milliseconds kDeadlineGrace{200};
@@ -254,6 +258,11 @@
   RouteTo(exchange, call, Choose(call, call.call_class.may_cross_regions), now);
 }
 
+Duration IngressShard::MaxServerWait(const PendingCall& call) const {
+  if (!m_budgets.early_refusal) return kMaxServerWait;
+  return std::min<Duration>(kMaxServerWait, call.call_class.target / kEarlyRefusalDivisor);
+}
+
 void IngressShard::RouteTo(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice,
                            TimePoint now) {
   if (choice.refusal == Reason::kNone) {
@@ -268,7 +277,7 @@
   if (reason == Reason::kEvacuated) return RespondWithReason(exchange, reason);
   if (!call.waiting) {
     call.waiting = true;
-    call.waiting_until = std::min<TimePoint>(call.deadline, now + kMaxServerWait);
+    call.waiting_until = std::min<TimePoint>(call.deadline, now + MaxServerWait(call));
   }
   // A call that another server refused fails with that server's reason, not with the lack of
   // further servers. After the loss of a link it waits, as a new link may be established soon.
@@ -631,17 +640,19 @@
   Outcome outcome = InfoOf(reason).outcome;
   std::string log_id = "-";
   Duration elapsed{};
+  std::chrono::milliseconds retry_after = RandomRetryAfter(m_random);
   if (PendingCall* call = FindCall(exchange); call != nullptr) {
     reason = ReportableReason(*call, reason);
     outcome = ReportableOutcome(*call, reason);
     log_id = call->log_id;
     elapsed = MonotonicNow() - call->started;
+    retry_after = RetryAfter(*call);
     CancelAttempts(*call);
     EndCall(exchange);
   }
   m_context.metrics.CountRefusal(reason);
   const GeneratedResponse answer =
-      GenerateResponse(reason, outcome, m_context.convention, RandomRetryAfter(m_random));
+      GenerateResponse(reason, outcome, m_context.convention, retry_after);
   m_log.Failure("call_failed", log_id, reason)
       .With("outcome", OutcomeName(outcome))
       .With("status", answer.head.status)
@@ -653,6 +664,23 @@
   caller.FinishResponse(exchange.number);
 }
 
+std::chrono::milliseconds IngressShard::RetryAfter(const PendingCall& call) {
+  const std::shared_ptr<const Declaration> declaration = m_context.declaration.load();
+  const bool is_spread = declaration && declaration->budgets.spread_retry_after;
+  // A call without a deadline has not been classified yet.
+  if (!is_spread || call.deadline == TimePoint()) return RandomRetryAfter(m_random);
+  RefusedCall refused;
+  refused.urgency = UrgencyOf(*declaration, call.call_class.priority_index);
+  refused.deadline_left = call.deadline - MonotonicNow();
+  for (const LoadEstimate& estimate : call.estimates) {
+    const bool is_first = &estimate == call.estimates.data();
+    if (is_first || estimate.expected < refused.expected_wait) {
+      refused.expected_wait = estimate.expected;
+    }
+  }
+  return SpreadRetryAfter(refused, m_random);
+}
+
 void IngressShard::EndCall(ExchangeId exchange) {
   const auto found = m_calls.find(exchange);
   if (found == m_calls.end()) return;
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -155,6 +155,8 @@
   bool QueryLoadIn(QueryScope scope, ExchangeId exchange, PendingCall& call);
   void HandleLoadAnswer(const BackendServerId& owner, const wire::LoadAnswer& answer);
   void FinishLoadQuery(ExchangeId exchange, PendingCall& call);
+  // How long a call waits for a reachable server.
+  Duration MaxServerWait(const PendingCall& call) const;
   void RouteTo(ExchangeId exchange, PendingCall& call, const RoutingChoice& choice, TimePoint now);
 
   // Sends an idempotent call to another server while an attempt is suspect, instead of waiting for
@@ -212,6 +214,8 @@
   static Outcome ReportableOutcome(const PendingCall& call, Reason reason);
   void RecordRequestIdNotRun(CallId id);
   void RespondWithReason(ExchangeId exchange, Reason reason);
+  // The delay after which the caller of a refused call is told to come back.
+  std::chrono::milliseconds RetryAfter(const PendingCall& call);
   void EndCall(ExchangeId exchange);
   void Tick();
   void CheckHedges(TimePoint now);
--- /dev/null
+++ b/src/libs/policy/retryafter.cpp
@@ -0,0 +1,55 @@
+#include "policy/retryafter.h"
+
+#include <algorithm>
+#include <set>
+
+namespace damaskhollow {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The most urgent callers come back first, after the time in which a slot of the served systems
+// becomes free. Each less urgent group gets a window behind that of the group before, twice as
+// long, as there are more of them in an overload.
+constexpr milliseconds kFirstDelay{100};
+constexpr milliseconds kFirstWindow{200};
+constexpr std::size_t kMaxDoublings = 3;
+// A wait that the owners expect moves the window, but not beyond what callers would accept.
+constexpr milliseconds kMaxExpectedWait{500};
+// Part of the remaining time that callers honour.
+constexpr int kHonouredDivisor = 3;
+
+}  // namespace
+
+std::size_t UrgencyOf(const Declaration& declaration, std::size_t priority_index) {
+  std::set<std::size_t> more_urgent;
+  const std::size_t end = std::min(priority_index, declaration.priorities.size());
+  for (std::size_t index = 0; index < end; ++index) {
+    more_urgent.insert(declaration.priorities[index].group);
+  }
+  if (priority_index < declaration.priorities.size()) {
+    more_urgent.erase(declaration.priorities[priority_index].group);
+  }
+  return more_urgent.size();
+}
+
+std::chrono::milliseconds SpreadRetryAfter(const RefusedCall& call, RandomSource& random) {
+  milliseconds delay = kFirstDelay;
+  milliseconds window = kFirstWindow;
+  for (std::size_t group = 0; group < std::min(call.urgency, kMaxDoublings); ++group) {
+    delay += window;
+    window *= 2;
+  }
+  const auto wait = std::chrono::duration_cast<milliseconds>(call.expected_wait);
+  delay += std::min(wait, kMaxExpectedWait);
+  const auto left = std::chrono::duration_cast<milliseconds>(call.deadline_left);
+  const milliseconds latest = std::max(left / kHonouredDivisor, milliseconds(0));
+  // Near the deadline, the callers are still spread.
+  const milliseconds first = std::min(delay, latest / 2);
+  const milliseconds last = std::min(delay + window, latest);
+  return first + milliseconds(
+                     static_cast<int>(static_cast<double>((last - first).count()) * random.Unit()));
+}
+
+}  // namespace damaskhollow
