--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -439,7 +439,7 @@
   AllowRetryOnServer(call, attempt->server, reason);
   // The call may have waited at a server that now leaves, so servers that refused it earlier may
   // have room.
-  if (reason == Reason::kDraining || reason == Reason::kEvacuated) call.tried = {attempt->server};
+  if (reason == Reason::kDraining) call.tried = {attempt->server};
   ++(ReachedServer(reason) ? call.arrivals : call.refusals);
   // Owners retain ended calls for a limited time, so a refusal this late is no proof of not-run.
   if (MonotonicNow() > call.deadline + kDeadlineGrace) {
@@ -825,7 +825,8 @@
 }
 
 void IngressShard::SendHedge(ExchangeId exchange, PendingCall& call, TimePoint now) {
-  // Hedges stay in the region: the paid link is not used for a call that already runs here.
+  // Hedges stay in the region: the paid link is not used for a call that already runs here. The
+  // router leaves the region only for a call that no server of the region may receive.
   const RoutingChoice choice = Choose(call, false);
   if (choice.refusal != Reason::kNone) return;
   const auto expiry = m_context.router.Stamp(choice.server, call.deadline - now);
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::seconds kEndedCallSweepInterval{1};
 // How long a server that the inventory calls cold counts as cold; set anew with each dispatch.
 constexpr std::chrono::seconds kInventoryColdTime{1};
+// Bounds the probes for the state of a server that cannot be reached, whose probes fail at once.
+constexpr std::chrono::milliseconds kStateQueryInterval{50};
 
 }  // namespace
 
@@ -42,6 +44,7 @@
   m_configuration_version = version;
   const BackendServer* server = m_declaration->FindServer(m_identity.server);
   m_service = server == nullptr ? nullptr : m_declaration->FindService(server->service);
+  if (m_service == nullptr) m_has_cold_bound = false;
   if (server == nullptr) {
     EventLine(LogPart::kOwner, LogLevel::kWarning, "own_server_unlisted")
         .With("version", static_cast<std::int64_t>(version));
@@ -52,7 +55,7 @@
   const TimePoint now = MonotonicNow();
   if (m_instance != server->instance) {
     m_pacer.Reset();
-    ResetServerState(now);
+    ResetServerState();
   }
   m_instance = server->instance;
   ConfigureColdStart(*server, now);
@@ -66,22 +69,23 @@
 }
 
 void OwnerService::ConfigureColdStart(const BackendServer& server, TimePoint now) {
+  if (m_service == nullptr) return;
   m_has_cold_bound = m_service->cold_calls_per_second > 0.0;
   m_cold_start.SetTolerance({m_service->cold_calls_per_second, m_service->cold_burst}, now);
-  m_own_server_warming = server.warming;
+  m_listed_as_cold = server.warming;
 }
 
-void OwnerService::ResetServerState(TimePoint now) {
+void OwnerService::ResetServerState() {
   m_cold_start.SetUnknown();
-  m_occupied_slots.Reset(now);
+  m_occupied_slots.Reset();
 }
 
 void OwnerService::UpdateStartLimit(TimePoint now) {
   // Without a health path only the inventory tells, which lags.
   if (m_has_cold_bound && !m_service->health) {
-    m_cold_start.RecordState(m_own_server_warming ? kInventoryColdTime : Duration(0), now);
+    m_cold_start.RecordState(m_listed_as_cold ? kInventoryColdTime : Duration(0), now);
   }
-  const std::optional<StartLimit> limit = m_cold_start.Limit(now);
+  const std::optional<StartLimit> limit = m_has_cold_bound ? m_cold_start.Limit(now) : std::nullopt;
   m_admission.SetStartLimit(limit);
   if (std::exchange(m_is_cold, limit.has_value()) == limit.has_value()) return;
   LogEvent(LogPart::kOwner, LogLevel::kInfo, limit ? "cold_started" : "cold_ended");
@@ -93,8 +97,16 @@
   return slots - std::min(m_occupied_slots.Count(), slots - 1);
 }
 
-bool OwnerService::AwaitsFirstReport(TimePoint now) const {
-  return m_has_cold_bound && m_probe && m_service->health && !m_occupied_slots.IsKnown(now);
+bool OwnerService::AwaitsFirstReport(TimePoint now) {
+  const bool has_reports = m_has_cold_bound && m_probe && m_service->health;
+  return has_reports && m_admission.Load().queued > 0 && m_occupied_slots.AwaitsReport(now);
+}
+
+void OwnerService::AskForState(TimePoint now) {
+  const bool is_due = now - m_state_asked_at >= kStateQueryInterval;
+  if (!is_due || m_admission.Load().queued == 0 || !m_cold_start.NeedsState(now)) return;
+  m_state_asked_at = now;
+  StartProbe();
 }
 
 void OwnerService::HandleMessage(const ReplyRoute& route, wire::Envelope message) {
@@ -230,6 +242,7 @@
 
 void OwnerService::StartProbe() {
   if (!m_probe || std::exchange(m_is_probing, true)) return;
+  m_in_flight_at_probe = m_admission.Load().in_flight;
   m_probe();
 }
 
@@ -274,7 +287,9 @@
   const TimePoint now = MonotonicNow();
   RecordLoad(load, now);
   m_cold_start.RecordState(cold_left, now);
-  m_occupied_slots.RecordReport(load.running + load.waiting, m_admission.Load().in_flight);
+  // The report may be older than calls that were dispatched since the probe was sent.
+  const std::size_t own = std::min(m_in_flight_at_probe, m_admission.Load().in_flight);
+  m_occupied_slots.RecordReport(load.running + load.waiting, own);
   AnswerLoadQueries();
   Dispatch(now);
 }
@@ -333,9 +348,9 @@
   // After a pause of the process, expired calls must be refused by the next tick, and the view must
   // be refreshed, before anything is dispatched.
   if (m_pause_detector.IsOverdue(now) || !IsViewFresh(now)) return;
-  if (m_admission.Load().queued > 0 && m_cold_start.NeedsState(now)) StartProbe();
-  if (AwaitsFirstReport(now)) return;
+  AskForState(now);
   UpdateStartLimit(now);
+  if (AwaitsFirstReport(now)) return;
   m_admission.SetMaxInFlight(std::min(m_pacer.MaxInFlight(m_admission.Slots()), FreeSlots()));
   bool is_holding = false;
   const auto is_held = [&](const PriorityId& priority) {
@@ -553,7 +568,7 @@
 void OwnerService::SetEvacuated(bool evacuated) {
   if (std::exchange(m_evacuated, evacuated) == evacuated) return;
   LogEvent(LogPart::kOwner, LogLevel::kInfo,
-           evacuated ? "own_server_evacuated" : "own_server_taken_back");
+           evacuated ? "own_server_evacuated" : "own_server_evacuation_ended");
   if (evacuated) return RefuseWaiting(Reason::kEvacuated);
   m_cold_start.SetUnknown();  // The servers may have been restarted meanwhile.
 }
@@ -605,7 +620,8 @@
   if (fault != ResponseFault::kNone) {
     m_log.Failure("response_rejected", log_id, reason).With("rule", FaultName(fault));
   }
-  if (!may_have_run) m_cold_start.SetUnknown();  // The server could not be reached.
+  // The server could not be reached, or it may have crashed.
+  if (!may_have_run || reason == Reason::kBackendClosed) m_cold_start.SetUnknown();
   if (reason == Reason::kBackendClosed && may_have_run) {
     m_crash_guard.RecordAborted(call->request.digest());
   }
@@ -633,6 +649,7 @@
   for (const OwnedCallId id : m_admission.PopExpired(now)) {
     RefuseNotRun(id, Reason::kQueueExpired);
   }
+  UpdateStartLimit(now);
   for (const OwnedCallId id : m_admission.PopUnservable(now)) {
     RefuseNotRun(id, Reason::kQueueFullTime);
   }
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -146,13 +146,15 @@
 
   // Applies the bound on calls to a cold server, and what is known of a new or unreachable one.
   void ConfigureColdStart(const BackendServer& server, TimePoint now);
-  void ResetServerState(TimePoint now);
+  void ResetServerState();
   // Brings the bound on starting calls in the admission queue up to date.
   void UpdateStartLimit(TimePoint now);
   // Slots that no request of an earlier process of this node may still occupy; at least one.
   std::size_t FreeSlots() const;
   // Whether the server has yet to tell its load, before which nothing is dispatched to it.
-  bool AwaitsFirstReport(TimePoint now) const;
+  bool AwaitsFirstReport(TimePoint now);
+  // Starts a load probe if calls wait and it is not known whether the server is cold.
+  void AskForState(TimePoint now);
 
   // Decides whether an arriving call is accepted, refused or ignored as a duplicate.
   SendDecision CheckRequest(const CallKey& key, const wire::CallRequest& request,
@@ -234,9 +236,11 @@
   ServerPacer m_pacer;
   ColdStartLimiter m_cold_start;
   bool m_has_cold_bound = false;
-  bool m_own_server_warming = false;  // According to the inventory.
-  bool m_is_cold = false;             // Whether the server may be cold, so that the bound applies.
+  bool m_listed_as_cold = false;  // According to the inventory.
+  bool m_is_cold = false;         // Whether the server may be cold, so that the bound applies.
   OccupiedSlots m_occupied_slots;
+  std::size_t m_in_flight_at_probe = 0;  // Own calls when the last load probe started.
+  TimePoint m_state_asked_at{};
   std::function<void()> m_probe;
   bool m_is_probing = false;
   std::vector<std::pair<ReplyRoute, wire::LoadQuery>> m_load_queries;  // Waiting for a probe.
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -27,6 +27,9 @@
 // deadline.
 constexpr double kMinStartFraction = 0.7;
 
+// Keeps times finite with a very low rate.
+constexpr double kMaxStartDelaySeconds = 86400.0;
+
 constexpr std::size_t kNoLane = std::numeric_limits<std::size_t>::max();
 
 // Time that must be left before the deadline to start a call with this expected run time.
@@ -108,7 +111,7 @@
   if (!m_start_limit) return Duration(0);
   const double lacking = static_cast<double>(ahead + 1) - m_start_limit->available;
   if (lacking <= 0.0) return Duration(0);
-  const double seconds = lacking / m_start_limit->per_second;
+  const double seconds = std::min(lacking / m_start_limit->per_second, kMaxStartDelaySeconds);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
@@ -361,19 +364,31 @@
   return std::exchange(m_expired, {});
 }
 
-double AdmissionQueue::WorkAheadOfLate(std::size_t lane) const {
+template <class Visit>
+void AdmissionQueue::VisitAheadOfLate(std::size_t lane, Visit visit) const {
   const std::size_t group = m_lanes[lane].priority.group;
-  double work = 0.0;
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     const Lane& other = m_lanes[index];
     if (other.priority.group > group) break;
     const bool counts_late = other.priority.group < group || index < lane;
-    const std::size_t count = other.queue.size() + (counts_late ? other.late.size() : 0);
-    work += static_cast<double>(count) * static_cast<double>(ServiceTimeOf(other).count());
+    visit(other, other.queue.size() + (counts_late ? other.late.size() : 0));
   }
+}
+
+double AdmissionQueue::WorkAheadOfLate(std::size_t lane) const {
+  double work = 0.0;
+  VisitAheadOfLate(lane, [&](const Lane& other, std::size_t count) {
+    work += static_cast<double>(count) * static_cast<double>(ServiceTimeOf(other).count());
+  });
   return work;
 }
 
+std::size_t AdmissionQueue::CallsAheadOfLate(std::size_t lane) const {
+  std::size_t calls = 0;
+  VisitAheadOfLate(lane, [&](const Lane&, std::size_t count) { calls += count; });
+  return calls;
+}
+
 std::vector<OwnedCallId> AdmissionQueue::PopUnservable(TimePoint now) {
   std::vector<OwnedCallId> unservable;
   const auto limit = static_cast<double>(Limit());
@@ -381,7 +396,7 @@
     const Lane& lane = m_lanes[index];
     const Duration run = ServiceTimeOf(lane);
     double work = WorkAheadOfLate(index);
-    std::size_t calls_ahead = 0;
+    std::size_t calls_ahead = CallsAheadOfLate(index);
     std::vector<OwnedCallId> unservable_in_lane;
     for (const AdmissionCall& call : lane.late) {
       const Duration wait =
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -161,6 +161,10 @@
   Duration ExpectedLateWait(std::size_t lane) const;
   // Slot time of the calls that are dispatched before the late calls of a lane, in microseconds.
   double WorkAheadOfLate(std::size_t lane) const;
+  std::size_t CallsAheadOfLate(std::size_t lane) const;
+  // Calls `visit` with each lane that has such calls, and their number.
+  template <class Visit>
+  void VisitAheadOfLate(std::size_t lane, Visit visit) const;
   // Whether the call is expected to meet its target. Late calls wait behind the calls of their
   // group that are expected to meet theirs.
   bool IsInTime(const AdmissionCall& call, std::size_t lane, TimePoint now) const;
--- a/src/libs/policy/coldstartlimiter.cpp
+++ b/src/libs/policy/coldstartlimiter.cpp
@@ -7,11 +7,12 @@
 
 namespace {
 
-// A server may become cold at any moment. Within this time, calls at four times the tolerated rate
-// exceed it by less than the burst.
+// A server may become cold at any moment. A warm server of the served systems gets about 45 calls a
+// second and tolerates 11 when cold; in this time the difference is one burst of 8 calls.
 constexpr std::chrono::milliseconds kStateMaxAge{250};
-// A server that has got no calls for so long may have been restarted in the meantime.
-constexpr std::chrono::milliseconds kStateLostAfter{1000};
+// A server whose state has not been reported for so long may have been restarted in the meantime. A
+// few probes in a row may time out on a busy VM.
+constexpr std::chrono::milliseconds kStateLostAfter{2000};
 
 }  // namespace
 
--- a/src/libs/policy/coldstartlimiter.h
+++ b/src/libs/policy/coldstartlimiter.h
@@ -34,8 +34,8 @@
   // Records that the server stays cold for `cold_left`, or is warm if that is zero.
   void RecordState(Duration cold_left, TimePoint now);
 
-  // Records that the server may be cold: it has started anew, was unreachable, or got no calls for
-  // a reason that may have to do with its start.
+  // Records that the server may be cold: it has started anew, was unreachable or may have crashed,
+  // or its evacuation has ended.
   void SetUnknown() { m_known_at.reset(); }
 
   // Counts a call that starts. Calls count whether or not the server is cold, as it may have become
@@ -45,7 +45,7 @@
   // Returns the limit that applies now; empty while the server is known to be warm.
   std::optional<StartLimit> Limit(TimePoint now);
 
-  // Whether a call must not start before the state of the server has been asked for again.
+  // Whether the state of the server should be asked for again.
   bool NeedsState(TimePoint now) const;
 
  private:
--- a/src/libs/policy/occupiedslots.cpp
+++ b/src/libs/policy/occupiedslots.cpp
@@ -12,9 +12,9 @@
 
 }  // namespace
 
-void OccupiedSlots::Reset(TimePoint now) {
+void OccupiedSlots::Reset() {
   m_count.reset();
-  m_since = now;
+  m_awaited_since.reset();
 }
 
 void OccupiedSlots::RecordReport(std::size_t reported, std::size_t own) {
@@ -22,8 +22,10 @@
   m_count = std::min(m_count.value_or(unknown), unknown);
 }
 
-bool OccupiedSlots::IsKnown(TimePoint now) const {
-  return m_count.has_value() || now - m_since >= kMaxWait;
+bool OccupiedSlots::AwaitsReport(TimePoint now) {
+  if (m_count.has_value()) return false;
+  if (!m_awaited_since) m_awaited_since = now;
+  return now - *m_awaited_since < kMaxWait;
 }
 
 }  // namespace damaskhollow
--- a/src/libs/policy/occupiedslots.h
+++ b/src/libs/policy/occupiedslots.h
@@ -14,20 +14,21 @@
 class OccupiedSlots {
  public:
   // Starts to count anew, as the owner has just started or its server has.
-  void Reset(TimePoint now);
+  void Reset();
 
-  // Records how many requests the server reports, and how many of them the owner has sent. After
-  // the first report the count only falls: later reports cross calls that are on their way.
+  // Records how many requests the server reports, and how many the owner may have sent by then.
+  // After the first report the count only falls: later reports cross calls that are on their way.
   void RecordReport(std::size_t reported, std::size_t own);
 
-  // Whether a report has arrived, or can no longer be waited for.
-  bool IsKnown(TimePoint now) const;
+  // Whether a call has to wait for the first report. The first call that asks waits for a limited
+  // time, and the calls behind it until then.
+  bool AwaitsReport(TimePoint now);
 
   std::size_t Count() const { return m_count.value_or(0); }
 
  private:
   std::optional<std::size_t> m_count;
-  TimePoint m_since{};
+  std::optional<TimePoint> m_awaited_since;
 };
 
 }  // namespace damaskhollow
--- a/src/libs/policy/requesthome.cpp
+++ b/src/libs/policy/requesthome.cpp
@@ -59,7 +59,8 @@
   for (const BackendServer* server : declaration.ServersOf(service)) {
     const bool was_tried = std::find(tried.begin(), tried.end(), server->id) != tried.end();
     const bool is_absent = absent_since && absent_since(server->id).has_value();
-    if (!was_tried && !is_absent) candidates.push_back(server->id);
+    const bool is_evacuated = declaration.IsEvacuated(server->data_centre);
+    if (!was_tried && !is_absent && !is_evacuated) candidates.push_back(server->id);
   }
   if (candidates.empty()) return RoutingChoice{Reason::kHomeUnreachable, {}};
   return RoutingChoice{Reason::kNone, HomeOrder(candidates, request_id).front()};
--- a/src/libs/policy/router.cpp
+++ b/src/libs/policy/router.cpp
@@ -1,6 +1,7 @@
 #include "policy/router.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace damaskhollow {
@@ -25,6 +26,22 @@
                     [&](const BackendServer& server) { return server.region == region; }));
 }
 
+// Returns the other regions to which routes restrict calls of the service. A subset that is chosen
+// over all other regions may lack servers of these.
+std::set<RegionId> RequiredRegions(const Declaration& declaration, const ServiceId& service,
+                                   const RegionId& own) {
+  std::set<RegionId> regions;
+  for (const Route& route : declaration.routes) {
+    if (route.allowed_regions.empty()) continue;
+    const bool leads_here =
+        std::any_of(route.parts.begin(), route.parts.end(),
+                    [&](const RoutePart& part) { return part.service == service; });
+    if (leads_here) regions.insert(route.allowed_regions.begin(), route.allowed_regions.end());
+  }
+  regions.erase(own);
+  return regions;
+}
+
 }  // namespace
 
 Router::Router(std::string_view strategy, NodeLocation location, std::uint64_t seed)
@@ -73,7 +90,9 @@
   const bool is_evacuated = is_listed && servers.empty();
   std::erase_if(servers,
                 [this](const BackendServer* server) { return !m_servers.at(server->id).eligible; });
-  const std::vector<const BackendServer*> chosen = SelectSubset(m_location, size, servers);
+  std::vector<const BackendServer*> chosen = SelectSubset(m_location, size, servers);
+  AddServersOfRegions(RequiredRegions(*m_declaration, service.id, m_location.region), m_location,
+                      servers, chosen);
   ServiceSubset& subset = m_subsets[service.id];
   subset.is_evacuated = is_evacuated;
   const auto previous = std::exchange(subset.tiers, {});
--- a/src/libs/policy/serversubset.cpp
+++ b/src/libs/policy/serversubset.cpp
@@ -18,6 +18,8 @@
 constexpr double kServersPerDoubling = 2.0;
 constexpr std::size_t kOtherRegionDivisor = 4;    // A quarter of the subset.
 constexpr std::size_t kOwnDataCentreDivisor = 2;  // Half of what is left.
+// As many as an ingress asks for their load before it chooses among near servers.
+constexpr std::size_t kServersPerRegion = 3;
 
 using Ranked = std::pair<std::uint64_t, const BackendServer*>;
 using Tiers = std::array<std::vector<Ranked>, kTierCount>;
@@ -90,4 +92,22 @@
   return subset;
 }
 
+void AddServersOfRegions(const std::set<RegionId>& regions, const NodeLocation& location,
+                         std::span<const BackendServer* const> servers,
+                         std::vector<const BackendServer*>& subset) {
+  const Tiers tiers = RankByTier(location, servers);
+  for (const RegionId& region : regions) {
+    auto count = static_cast<std::size_t>(
+        std::count_if(subset.begin(), subset.end(),
+                      [&](const BackendServer* server) { return server->region == region; }));
+    for (const auto& [rank, server] : tiers[static_cast<std::size_t>(ServerTier::kOtherRegion)]) {
+      if (count >= kServersPerRegion) break;
+      if (server->region != region) continue;
+      if (std::find(subset.begin(), subset.end(), server) != subset.end()) continue;
+      subset.push_back(server);
+      ++count;
+    }
+  }
+}
+
 }  // namespace damaskhollow
--- a/src/libs/policy/serversubset.h
+++ b/src/libs/policy/serversubset.h
@@ -2,6 +2,7 @@
 #define DAMASKHOLLOW_POLICY_SERVERSUBSET_H_
 
 #include <cstddef>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -35,6 +36,12 @@
 std::vector<const BackendServer*> SelectSubset(const NodeLocation& location, std::size_t size,
                                                std::span<const BackendServer* const> servers);
 
+// Adds servers to a subset of `servers` until it has a few of each of the regions, so that calls
+// which may only go there find one that has room.
+void AddServersOfRegions(const std::set<RegionId>& regions, const NodeLocation& location,
+                         std::span<const BackendServer* const> servers,
+                         std::vector<const BackendServer*>& subset);
+
 }  // namespace damaskhollow
 
 #endif  // DAMASKHOLLOW_POLICY_SERVERSUBSET_H_
--- a/tests/auto/owner/tst_ownerservice.cpp
+++ b/tests/auto/owner/tst_ownerservice.cpp
@@ -299,6 +299,49 @@
   CPPUNIT_ASSERT_EQUAL(std::string("ran"), fixture.ResultOf(1));
 }
 
+struct ColdOwnerRow {
+  std::string_view name;
+  double calls_per_second;
+  bool is_removed;  // Whether the server leaves the inventory before the call arrives.
+  Reason refusal;   // kNone if the call runs.
+};
+
+constexpr std::array kColdOwnerRows{
+    ColdOwnerRow{"no bound", 0.0, false, Reason::kNone},
+    ColdOwnerRow{"no start within the deadline", 0.001, false, Reason::kQueueFullTime},
+    ColdOwnerRow{"removed from the inventory", 0.001, true, Reason::kWrongServer},
+};
+
+// Guards against an owner that sends calls to a server that may be cold without regard to what it
+// tolerates, and against one that ends when its server with such a bound leaves the inventory.
+void TestColdOwner(const ColdOwnerRow& row) {
+  const test::ScriptedServer server({AnswerTo("mine")}, test::ScriptedServer::End::kKeepOpen);
+  CallConvention convention;
+  convention.call_id = "Request-Id";
+  OwnerFixture fixture(1, convention);
+  auto declaration =
+      std::make_shared<Declaration>(*DeclarationOf("portal", ToString(server.Address())));
+  for (Service& service : declaration->services) {
+    service.cold_calls_per_second = row.calls_per_second;
+    service.cold_burst = 1.0;
+    service.health = HealthCheck{"/healthz", std::chrono::seconds(1)};
+  }
+  fixture.Owner().SetLoadProbe([] {});
+  fixture.Owner().ApplyDeclaration(declaration, 1);
+  if (row.is_removed) RemoveFromInventory(fixture.Owner());
+  fixture.Owner().Tick(MonotonicNow());
+  fixture.Call("portal", 1, {"Request-Id", "mine"});
+  fixture.Owner().Tick(MonotonicNow());
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !fixture.ResultOf(1).empty(); }));
+  CPPUNIT_ASSERT_EQUAL(std::string(row.refusal == Reason::kNone ? "ran" : "refused"),
+                       fixture.ResultOf(1));
+  if (row.refusal == Reason::kNone) return;
+  CPPUNIT_ASSERT(fixture.Refusals() == std::vector<Reason>{row.refusal});
+}
+
+const test::TableTest<ColdOwnerRow> cold_owner_test("OwnerServiceCold", kColdOwnerRows,
+                                                    TestColdOwner);
+
 const test::TableTest<LeavingRow> leaving_test("OwnerServiceLeaving", kLeavingRows,
                                                TestLeavingServer);
 
