Bound the input and the unsent responses of a caller

Cause: CallerConnection read on while the parser could not consume its input (trailers, chunk extensions, pipelined requests), finished responses piled up in the socket's write buffer, and each pipelined request queued two events that were not merged. Change: input beyond the header limit is parsed before more is read, so that at most the header limit and one read of 64 KB are held. Trailers and a chunk extension have the limit of the header fields, beyond it the request is refused as header_too_large. No further request is read or dispatched while over 256 KB of responses are unsent; the connection is closed if none of them is sent for the idle time-out. At most one read event is pending.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -26,11 +26,23 @@
 // A response with others behind it is buffered until complete, up to this size, so that one that
 // fails midway does not close the connection and lose the others.
 constexpr std::size_t kMaxBufferedBytes = 64UL * 1024UL;
+// No further request is read or dispatched while more response bytes than this wait in the socket's
+// write buffer. It is the credit window of one call, so that a response that is read slowly does
+// not keep a caller with a usual pace from sending its next request.
+constexpr qint64 kMaxUnsentBytes = 256LL * 1024LL;
 
 bool IsSafeMethod(std::string_view method) {
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
+// The size of header fields as sent: a colon, a space and a line end are added to each.
+template <class Fields>
+std::size_t FieldBytes(const Fields& fields) {
+  std::size_t bytes = 0;
+  for (const auto& field : fields) bytes += field.name_string().size() + field.value().size() + 4;
+  return bytes;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(ConnectionId id, qintptr descriptor, const CallerLimits& limits,
@@ -44,6 +56,8 @@
   connect(&m_socket, &QTcpSocket::bytesWritten, this, &CallerConnection::OnBytesWritten);
   connect(&m_socket, &QTcpSocket::disconnected, this, &CallerConnection::OnDisconnected);
   connect(&m_timer, &QTimer::timeout, this, &CallerConnection::OnTimeout);
+  m_drain_timer.setSingleShot(true);
+  connect(&m_drain_timer, &QTimer::timeout, &m_socket, &QTcpSocket::abort);
   StartNextRequest();
 }
 
@@ -74,9 +88,13 @@
     if (m_discarded > kMaxDiscardedBytes) m_socket.abort();
     return;
   }
+  if (HasFullWriteBuffer()) return AwaitDrain();
   const bool is_reading = m_state == State::kReadingHead || m_state == State::kReadingBody;
   if (!is_reading || !CanReadAhead()) return;
-  const QByteArray data = m_socket.readAll();
+  // Input beyond the header limit holds a whole head, or the parser can consume a part of it:
+  // otherwise the request would have been rejected. It is parsed before more is read.
+  const bool has_room = m_input.size() <= m_limits.header_bytes;
+  const QByteArray data = has_room ? m_socket.readAll() : QByteArray();
   const bool is_start = m_state == State::kReadingHead && m_input.empty();
   if (is_start && !data.isEmpty()) m_timer.start(m_limits.header_timeout_ms);
   m_input.append(data.constData(), static_cast<std::size_t>(data.size()));
@@ -85,7 +103,18 @@
   if (has_part && !m_timer.isActive()) m_timer.start(m_limits.header_timeout_ms);
 }
 
+bool CallerConnection::HasFullWriteBuffer() const {
+  return m_socket.bytesToWrite() > kMaxUnsentBytes;
+}
+
+void CallerConnection::AwaitDrain() {
+  const bool is_open = m_state != State::kLingering && m_state != State::kClosed;
+  if (!is_open || std::exchange(m_awaits_drain, true)) return;
+  m_drain_timer.start(m_limits.idle_timeout_ms);
+}
+
 bool CallerConnection::CanReadAhead() const {
+  if (HasFullWriteBuffer()) return false;
   if (m_exchanges.empty()) return true;
   if (m_exchanges.size() >= m_limits.max_pipelined_requests) return false;
   if (m_exchanges.back().is_http_10) return false;  // Response may be close-delimited.
@@ -95,6 +124,7 @@
 }
 
 bool CallerConnection::CanDispatch(std::string_view method) const {
+  if (HasFullWriteBuffer()) return false;
   return m_exchanges.empty() || (IsSafeMethod(method) && CanReadAhead());
 }
 
@@ -122,6 +152,7 @@
   }
   m_request_is_http_10 = message.version() < 11;
   m_request_closes_connection = !message.keep_alive();
+  m_head_field_bytes = FieldBytes(message);
   m_body_limit = m_events.BodyLimit(m_request);
   if (m_request.target.empty() || m_request.target.front() != '/') {
     return Reject(Reason::kMalformedRequest);
@@ -156,6 +187,11 @@
     if (!ReserveBody(body_bytes)) return Reject(Reason::kBodyMemory);
   }
   if (error && error != http::error::need_more) return Reject(Reason::kMalformedRequest);
+  // Trailers and chunk extensions have the limit of the header fields. The parser consumes them
+  // only when they are complete.
+  const std::size_t unparsed_fields =
+      m_parser->is_done() ? FieldBytes(m_parser->get()) - m_head_field_bytes : m_input.size();
+  if (unparsed_fields > m_limits.header_bytes) return Reject(Reason::kHeaderTooLarge);
   if (m_parser->is_done()) AcceptRequest();
 }
 
@@ -316,11 +352,14 @@
 }
 
 // Runs from the event loop: direct calls would nest as deep as the number of pipelined requests,
-// which may be thousands.
+// which may be thousands. At most one such event is pending: each request schedules two, so that
+// the events would take more memory than the requests.
 void CallerConnection::ScheduleRead() {
+  if (std::exchange(m_is_read_scheduled, true)) return;
   QMetaObject::invokeMethod(
       this,
       [this] {
+        m_is_read_scheduled = false;
         if (m_state == State::kWaitingForTurn && CanDispatch(m_request.method)) {
           return AcceptRequest();
         }
@@ -333,6 +372,7 @@
   // Closing with unread data in the receive buffer would reset the connection and could lose the
   // response, so the write side is shut down first and further input is discarded.
   m_state = State::kLingering;
+  m_drain_timer.stop();
   m_timer.start(kLingerMs);
   if (m_socket.bytesToWrite() == 0) ShutDownWriting();
   m_socket.readAll();
@@ -352,6 +392,15 @@
 
 void CallerConnection::OnBytesWritten(qint64 bytes) {
   if (m_state == State::kLingering && m_socket.bytesToWrite() == 0) ShutDownWriting();
+  if (m_awaits_drain) {
+    m_awaits_drain = HasFullWriteBuffer();
+    if (m_awaits_drain) {
+      m_drain_timer.start();  // The caller reads.
+    } else {
+      m_drain_timer.stop();
+      ScheduleRead();
+    }
+  }
   auto left = static_cast<std::size_t>(bytes);
   while (left > 0 && !m_unsent.empty()) {
     Segment& segment = m_unsent.front();
@@ -415,6 +464,7 @@
 
 void CallerConnection::OnDisconnected() {
   m_timer.stop();
+  m_drain_timer.stop();
   m_state = State::kClosed;
   m_events.OnCallerDisconnected(m_id);
 }
--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -155,6 +155,13 @@
   void StartNextRequest();
   void AwaitHead();
 
+  // Whether so many response bytes are unsent that no further request is read.
+  bool HasFullWriteBuffer() const;
+
+  // Suspends reading until the write buffer has drained. The connection is closed if no response
+  // byte is sent for the idle time-out.
+  void AwaitDrain();
+
   // Whether a complete request with this method may be dispatched before earlier responses end.
   bool CanDispatch(std::string_view method) const;
 
@@ -191,10 +198,12 @@
   CallerEvents& m_events;
   QTcpSocket m_socket;
   QTimer m_timer;
+  QTimer m_drain_timer;  // Runs while reading waits for the write buffer to drain.
   State m_state = State::kReadingHead;
   std::string m_input;
   std::optional<Parser> m_parser;
   HttpRequest m_request;
+  std::size_t m_head_field_bytes = 0;  // Of the request being read, without trailers.
   std::size_t m_body_limit = 0;
   std::size_t m_reserved = 0;  // Body budget reserved for the request being read.
   bool m_request_closes_connection = false;
@@ -205,6 +214,8 @@
   std::deque<Segment> m_unsent;
   std::size_t m_discarded = 0;
   TimePoint m_awaiting_head_since{};
+  bool m_awaits_drain = false;
+  bool m_is_read_scheduled = false;
   bool m_closing = false;
   bool m_resets_on_close = false;
 };
