Limit the bytes held for all callers by the memory of the machine

Cause: the limits per connection add up: 1,024 connections of 256 KB and more exceed a machine of 160 MB. Each ingress shard counts what it holds for callers every 50 ms; while the sum of all shards is above a quarter of the memory, it closes its connections that hold most, none that holds less than 64 KB. Log event callers_closed_for_memory, metrics caller_bytes_held and callers_closed_for_memory_total. The check has a timer of its own, since the tick for calls stops while there are none. Not measured with a real process yet.

--- a/src/libs/http/callerconnection.cpp
+++ b/src/libs/http/callerconnection.cpp
@@ -424,6 +424,13 @@
   Reject(Reason::kRequestTimeout);
 }
 
+std::size_t CallerConnection::HeldBytes() const {
+  std::size_t bytes = m_input.size();
+  bytes += static_cast<std::size_t>(m_socket.bytesAvailable() + m_socket.bytesToWrite());
+  for (const Exchange& exchange : m_exchanges) bytes += exchange.buffered.size();
+  return bytes;
+}
+
 void CallerConnection::Abort() {
   m_state = State::kClosed;
   m_socket.abort();
--- a/src/libs/http/callerconnection.h
+++ b/src/libs/http/callerconnection.h
@@ -95,6 +95,10 @@
   // part of it has been handed to the network.
   bool DiscardUnsentResponse(std::uint64_t number);
 
+  // The bytes held for the caller: input that is not parsed, and responses that are not sent.
+  // Request bodies are not included, as they are reserved in the body budget.
+  std::size_t HeldBytes() const;
+
   // Closes the connection such that the caller detects an incomplete response.
   void Abort();
 
--- a/src/libs/ingress/ingressshard.cpp
+++ b/src/libs/ingress/ingressshard.cpp
@@ -6,6 +6,7 @@
 #include "calls/callheaders.h"
 #include "logging/logger.h"
 #include "policy/attemptverdict.h"
+#include "policy/callermemory.h"
 #include "runtime/errorboundary.h"
 
 namespace damaskhollow {
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{20};
+// Between two checks of the bytes held for callers. A link of 200 Mbit/s carries 1.3 MB in this
+// time.
+constexpr std::chrono::milliseconds kMemoryCheckInterval{50};
 // Maximum time that a call waits for a reachable server, for instance while a silent link is
 // replaced.
 constexpr std::chrono::milliseconds kMaxServerWait{1000};
@@ -82,6 +86,10 @@
       m_random(SystemSeed()),
       m_log(m_context.request_log, LogPart::kIngress) {
   QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { Tick(); });
+  if (m_context.memory_bytes == 0) return;
+  QObject::connect(&m_memory_timer, &QTimer::timeout, &m_memory_timer,
+                   [this] { CheckCallerMemory(); });
+  m_memory_timer.start(kMemoryCheckInterval);
 }
 
 IngressShard::~IngressShard() = default;
@@ -777,6 +785,36 @@
   if (m_calls.empty()) m_timer.stop();
 }
 
+void IngressShard::CheckCallerMemory() {
+  std::vector<CallerHolding> holdings;
+  std::size_t held = 0;
+  for (const auto& [id, connection] : m_connections) {
+    holdings.push_back({id, connection->HeldBytes()});
+    held += holdings.back().bytes;
+  }
+  std::atomic<std::size_t>& sum = *m_context.held_bytes;
+  sum.fetch_add(held - m_held_bytes);  // Wraps around if fewer are held than before.
+  m_held_bytes = held;
+  const std::size_t total = sum.load();
+  m_context.metrics.Set(Metric::kCallerBytesHeld, total);
+  const std::size_t share = CallerMemoryShare(m_context.memory_bytes);
+  const std::vector<CallerHolding> closed = CallersToClose(std::move(holdings), total, share);
+  if (closed.empty()) return;
+  std::size_t freed = 0;
+  for (const CallerHolding& holding : closed) {
+    freed += holding.bytes;
+    m_connections.at(holding.connection)->Abort();
+  }
+  sum.fetch_sub(freed);
+  m_held_bytes -= freed;
+  m_context.metrics.Add(Metric::kCallersClosedForMemory, closed.size());
+  EventLine(LogPart::kIngress, LogLevel::kWarning, "callers_closed_for_memory")
+      .With("closed", static_cast<std::int64_t>(closed.size()))
+      .With("freed_bytes", static_cast<std::int64_t>(freed))
+      .With("held_bytes", static_cast<std::int64_t>(total))
+      .With("limit_bytes", static_cast<std::int64_t>(share));
+}
+
 void IngressShard::CheckHedges(TimePoint now) {
   std::vector<ExchangeId> slow;
   for (const auto& [exchange, call] : m_calls) {
--- a/src/libs/ingress/ingressshard.h
+++ b/src/libs/ingress/ingressshard.h
@@ -50,6 +50,10 @@
   ServiceId own_service;  // The service whose calls arrive at this node.
   RequestLog& request_log;
   std::atomic<std::uint64_t>& version;  // Version of the declaration.
+  // Memory that the process may use, in bytes; 0: bytes held for callers have no common limit.
+  std::size_t memory_bytes = 0;
+  // Bytes that all shards hold for callers. Not null if `memory_bytes` is set.
+  std::atomic<std::size_t>* held_bytes = nullptr;
 };
 
 // Handles a subset of the caller connections and their calls on one worker thread: routes each call
@@ -214,6 +218,10 @@
   void RespondWithReason(ExchangeId exchange, Reason reason);
   void EndCall(ExchangeId exchange);
   void Tick();
+
+  // Counts the bytes held for callers, and closes the connections that hold most while those of all
+  // shards exceed their share of the memory.
+  void CheckCallerMemory();
   void CheckHedges(TimePoint now);
   void CheckDeadlines(TimePoint now);
 
@@ -238,6 +246,8 @@
   RandomSource m_random;
   CallLog m_log;
   QTimer m_timer;
+  QTimer m_memory_timer;         // Also runs without calls, as callers may send only parts of them.
+  std::size_t m_held_bytes = 0;  // This shard's part of IngressContext::held_bytes.
   std::optional<TimePoint> m_closing_end;  // Set while the node stops.
   bool m_is_withdrawing = false;           // No call is sent to an owner any more.
 };
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -25,6 +25,8 @@
   kRetries,
   kHedges,
   kUnreadConnectionsClosed,
+  kCallersClosedForMemory,
+  kCallerBytesHeld,
   kControlBytesSent,
   kControlBytesReceived,
   kControlPaidLinkBytes,
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -122,7 +122,7 @@
                      m_declaration, m_caller_connections, m_caller_connection_limit,
                      m_refused_connection_limit, [this] { UpdateDescriptorLimit(); }, absent_since,
                      m_bindings.convention, m_bindings.own_service, m_request_log,
-                     m_configuration_version},
+                     m_configuration_version, m_settings.memory_bytes, &m_held_bytes},
       m_workers);
   m_control = std::make_unique<ControlService>(
       ControlContext{m_settings, m_identity, m_metrics, *this, m_router, m_owner, *m_transport,
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -97,6 +97,7 @@
   std::atomic<std::shared_ptr<const Declaration>> m_declaration;
   std::atomic<std::uint64_t> m_configuration_version{0};
   std::atomic<std::size_t> m_caller_connections{0};
+  std::atomic<std::size_t> m_held_bytes{0};
   std::atomic<std::size_t> m_caller_connection_limit{0};
   std::atomic<std::size_t> m_refused_connection_limit{0};
   TimePoint m_descriptors_checked{};
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -43,6 +43,7 @@
   --caller-connections=N      Maximum number of caller connections [default: 1024].
   --max-descriptors=N         Maximum number of open descriptors; 0 stands for the hard limit of the process [default: 0].
   --body-memory-bytes=N       Maximum memory for request bodies, in bytes [default: 8388608].
+  --memory-bytes=N            Memory that the process may use, in bytes; 0 stands for no limit [default: 0].
   --drain-announce-ms=N       Milliseconds between the drain notice and closing the caller port [default: 3000].
   --drain-timeout-ms=N        Maximum wait for calls in flight on shutdown, in milliseconds [default: 600000].
   --crash-guard=SWITCH        Refuse requests that crash backend servers: on or off [default: on].
@@ -173,6 +174,8 @@
 };
 
 constexpr std::size_t kMegabyte = 1024UL * 1024UL;
+// 1 TB, above the memory of any machine: a larger number is a mistake in its unit.
+constexpr std::size_t kMaxMemoryBytes = 1024UL * 1024UL * kMegabyte;
 constexpr std::size_t kDayMs = 86400000;
 
 constexpr std::array kSettingDefinitions{
@@ -197,6 +200,8 @@
     SettingDefinition{"--max-descriptors", ParseNumber<&NodeSettings::max_descriptors, 0, 1048576>},
     SettingDefinition{"--body-memory-bytes",
                       ParseNumber<&NodeSettings::body_memory_bytes, kMegabyte, 1024 * kMegabyte>},
+    SettingDefinition{"--memory-bytes",
+                      ParseNumber<&NodeSettings::memory_bytes, 0, kMaxMemoryBytes>},
     SettingDefinition{"--drain-announce-ms",
                       ParseNumber<&NodeSettings::drain_announce_ms, 0, kDayMs>},
     SettingDefinition{"--drain-timeout-ms",
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -36,6 +36,7 @@
   std::size_t caller_connections = 1024;
   std::size_t max_descriptors = 0;  // 0: the hard limit of the process.
   std::size_t body_memory_bytes = 8UL * 1024UL * 1024UL;
+  std::size_t memory_bytes = 0;  // That the process may use; 0: not limited.
   std::size_t drain_timeout_ms = 600000;
   // Time between the drain notice and closing the caller port, in milliseconds.
   std::size_t drain_announce_ms = 3000;
