--- a/tests/integration/tst_callermemory.cpp
+++ b/tests/integration/tst_callermemory.cpp
@@ -17,6 +17,7 @@
 
 #include "support/fleet.h"
 #include "support/tabletest.h"
+#include "support/wait.h"
 
 namespace damaskhollow::test {
 
@@ -153,6 +154,35 @@
   CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string("answered"), response.Outcome());
 }
 
+// Callers that stay within the limit of each connection but not within that of the process.
+constexpr std::array kBudgetCases{
+    MemoryCase{"responses unread on many connections", "", kSmallRequest, 16, kMegabyte, 0},
+};
+
+// Guards against connections that are each within their limit but together exceed the memory of the
+// machine.
+void ClosesLargestCallers(const MemoryCase& row) {
+  // A quarter, 2 MB, is for callers; 16 connections may hold 256 KB each.
+  Fleet fleet({.servers = SmallFleet(1), .node_arguments = {"--memory-bytes=8000000"}});
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), fleet.Start());
+  std::vector<std::unique_ptr<GreedyCaller>> callers;
+  while (callers.size() < row.callers) {
+    callers.push_back(std::make_unique<GreedyCaller>(fleet.Caller(0), std::string(row.start),
+                                                     Repeated(row.repeated), row.max_bytes));
+  }
+  const bool are_closed = WaitUntil([&] {
+    for (const auto& caller : callers) caller->Step(row.read_bytes);
+    return fleet.Metric(0, "damaskhollow_callers_closed_for_memory_total") > 0;
+  });
+  CPPUNIT_ASSERT_MESSAGE(fleet.NodeOutput(), are_closed);
+  CPPUNIT_ASSERT(fleet.Node(0).Output().find("callers_closed_for_memory") != std::string::npos);
+  const HttpResponse response = fleet.Call(0, "GET", "/read?ms=0&bytes=10");
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(response.Describe(), std::string("answered"), response.Outcome());
+}
+
+const TableTest<MemoryCase> budget_registration("CallerMemoryBudget", kBudgetCases,
+                                                &ClosesLargestCallers);
+
 const TableTest<MemoryCase> registration("CallerMemory", kCases, &BoundsMemory);
 
 }  // namespace
