--- a/tests/auto/policy/tst_retryafter.cpp
+++ b/tests/auto/policy/tst_retryafter.cpp
@@ -34,6 +34,7 @@
 std::vector<milliseconds> Delays(const RefusedCall& call) {
   RandomSource random(11);
   std::vector<milliseconds> delays;
+  delays.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     delays.push_back(SpreadRetryAfter(call, random));
   }
