--- a/src/libs/configuration/evacuations.h
+++ b/src/libs/configuration/evacuations.h
@@ -17,8 +17,8 @@
   std::set<DataCentreId> data_centres;
 };
 
-// Keeps the newest known set of evacuated data centres, whether a reader or a peer told it. Not
-// thread-safe.
+// Keeps the newest known set of evacuated data centres, whether a reader or a peer reported it.
+// Not thread-safe.
 class EvacuationTracker {
  public:
   // Adopts a set if its version is above the known one. Returns whether the evacuated data centres
--- a/src/libs/configuration/platformreader.h
+++ b/src/libs/configuration/platformreader.h
@@ -31,8 +31,8 @@
   // The read failed: no response in time, an unexpected response, or one of more than 1 MB.
   virtual void OnPlatformFailed(std::string_view detail) = 0;
 
-  // The service told which data centres are evacuated. A reader whose service has no evacuations
-  // never calls it; it does not end a read.
+  // The service has reported which data centres are evacuated. A reader whose service has no
+  // evacuations never calls it; it does not end a read.
   virtual void OnEvacuationsRead(const EvacuationSet& /*evacuations*/) {}
 };
 
--- a/src/libs/control/documentsync.h
+++ b/src/libs/control/documentsync.h
@@ -55,7 +55,7 @@
   // Sets whether the service is across the paid link; its responses then count as traffic on it.
   void SetStoreAcrossPaidLink(bool is_far) { m_is_store_across_paid_link = is_far; }
 
-  // Sets the function that gets the evacuated data centres that the reader tells.
+  // Sets the function that gets the evacuated data centres that the reader reports.
   void SetEvacuationsFunction(EvacuationsFunction handle) {
     m_handle_evacuations = std::move(handle);
   }
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -81,7 +81,7 @@
 }
 
 void OwnerService::UpdateStartLimit(TimePoint now) {
-  // Without a health path only the inventory tells, which lags.
+  // Without a health path only the inventory reports the state, and it lags.
   if (m_has_cold_bound && !m_service->health) {
     m_cold_start.RecordState(m_listed_as_cold ? kInventoryColdTime : Duration(0), now);
   }
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -151,7 +151,7 @@
   void UpdateStartLimit(TimePoint now);
   // Slots that no request of an earlier process of this node may still occupy; at least one.
   std::size_t FreeSlots() const;
-  // Whether the server has yet to tell its load, before which nothing is dispatched to it.
+  // Whether the server has yet to report its load, before which nothing is dispatched to it.
   bool AwaitsFirstReport(TimePoint now);
   // Starts a load probe if calls wait and it is not known whether the server is cold.
   void AskForState(TimePoint now);
--- a/src/libs/policy/occupiedslots.cpp
+++ b/src/libs/policy/occupiedslots.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// A server that does not tell its load within this time gets calls nevertheless.
+// A server that does not report its load within this time gets calls nevertheless.
 constexpr std::chrono::milliseconds kMaxWait{250};
 
 }  // namespace
