--- a/src/libs/policy/coldstartlimiter.cpp
+++ b/src/libs/policy/coldstartlimiter.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// A server may become cold at any moment. A warm server of the served systems gets about 45 calls a
-// second and tolerates 11 when cold; in this time the difference is one burst of 8 calls.
+// A server may become cold at any moment. Calls at four times the tolerated rate of 11 a second
+// exceed it in this time by one burst of 8 calls.
 constexpr std::chrono::milliseconds kStateMaxAge{250};
 // A server whose state has not been reported for so long may have been restarted in the meantime. A
 // few probes in a row may time out on a busy VM.
