--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -83,29 +83,36 @@
     item.encoded = Base64(value);
     item.revision = ++m_revision;
     if (item.created == 0) item.created = m_revision;
-    m_changes.emplace_back(m_revision, key);
+    m_changes.push_back({m_revision, key, Clock::now()});
     m_changed.notify_all();
   }
 
   void Delete(const std::string& key) {
     const std::lock_guard lock(m_lock);
     m_items.erase(key);
-    m_changes.emplace_back(++m_revision, key);
+    m_changes.push_back({++m_revision, key, Clock::now()});
     m_changed.notify_all();
   }
 
  private:
+  static constexpr std::chrono::seconds kHistory{20};
+
   struct Item {
     std::string encoded;
     std::uint64_t revision = 0;
     std::uint64_t created = 0;
   };
+  struct Change {
+    std::uint64_t revision = 0;
+    std::string key;
+    Clock::time_point at;
+  };
 
   void Serve(Connection& connection) {
     Message request;
     while (connection.Receive(request, Clock::now() + std::chrono::hours(1), false)) {
       const std::string target = request.Target();
-      std::string body;
+      std::optional<std::string> body;
       if (target.starts_with("/v1/kv-range")) {
         body = Range(QueryField(target, "prefix"), QueryField(target, "after"));
       } else if (target.starts_with("/v1/kv-watch")) {
@@ -115,7 +122,9 @@
         connection.Send(Response(404, "", ""));
         continue;
       }
-      if (!connection.Send(Response(200, "Content-Type: application/json\r\n", body))) return;
+      const std::string response =
+          body ? Response(200, "Content-Type: application/json\r\n", *body) : Response(410, "", "");
+      if (!connection.Send(response)) return;
       if (request.Header("connection") == "close") return;
     }
   }
@@ -137,12 +146,20 @@
            "],\"hasMore\":false,\"currentRev\":" + std::to_string(m_revision) + "}";
   }
 
-  std::string Watch(const std::string& prefix, std::uint64_t after, milliseconds wait) {
+  // Empty if the history after that revision is no longer there.
+  std::optional<std::string> Watch(const std::string& prefix, std::uint64_t after,
+                                   milliseconds wait) {
     std::unique_lock lock(m_lock);
+    while (!m_changes.empty() && Clock::now() - m_changes.front().at > kHistory) {
+      m_compacted = m_changes.front().revision;
+      m_changes.erase(m_changes.begin());
+    }
+    if (after < m_compacted) return std::nullopt;
     std::map<std::string, std::uint64_t> keys;
     const auto has_events = [&] {
-      for (const auto& [revision, key] : m_changes) {
-        if (revision > after && key.starts_with(prefix)) keys[key] = revision;
+      for (const Change& change : m_changes) {
+        const bool is_event = change.revision > after && change.key.starts_with(prefix);
+        if (is_event) keys[change.key] = change.revision;
       }
       return !keys.empty();
     };
@@ -164,7 +181,8 @@
   std::mutex m_lock;
   std::condition_variable m_changed;
   std::map<std::string, Item> m_items;
-  std::vector<std::pair<std::uint64_t, std::string>> m_changes;
+  std::vector<Change> m_changes;
+  std::uint64_t m_compacted = 0;
   std::uint64_t m_revision = 100;
   Server m_server;
 };
@@ -205,6 +223,9 @@
                       [&](const Run& run) { return run.request_id == request_id; }));
   }
 
+  // Ends the instance: no connection is accepted any more.
+  void Exit() { m_server.Stop(); }
+
   // The head fields of an answer to a run, without those of the body.
   std::string Fields(const Run& run) const {
     return "Request-Id: " + run.request_id + "\r\nResponse-Seal: seal-" + run.request_id +
--- a/review/stand-ins-2/http.h
+++ b/review/stand-ins-2/http.h
@@ -224,10 +224,15 @@
     std::thread([this] { Accept(); }).detach();
   }
   const Address& Where() const { return m_address; }
+  // Accepts no connection from now on. Open ones go on.
+  void Stop() {
+    m_is_stopped = true;
+    ::shutdown(m_listener, SHUT_RDWR);
+  }
 
  private:
   void Accept() {
-    for (;;) {
+    while (!m_is_stopped) {
       const int descriptor = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (descriptor < 0) continue;
       std::thread([this, descriptor] {
@@ -240,6 +245,7 @@
   Address m_address;
   Serve m_serve;
   int m_listener = -1;
+  std::atomic<bool> m_is_stopped{false};
 };
 
 inline std::string Response(int status, std::string_view headers, std::string_view body) {
--- a/review/stand-ins-2/longconfiguration.cpp
+++ b/review/stand-ins-2/longconfiguration.cpp
@@ -34,6 +34,32 @@
   return served;
 }
 
+// Looks whether the newest configuration, which has the route of `target`, is in force, and whether
+// the system recovers when all processes are killed. Returns the status of the case.
+int CheckInForceAndRecovery(Fleet& fleet, const std::string& target, Record& record) {
+  // The bound of configuration is 2.5 s; a machine that is busy with the change gets more.
+  std::this_thread::sleep_for(std::chrono::seconds(8));
+  const int new_served = CountServed(fleet, target, record);
+  const int before = CountServed(fleet, "/look/x", record);
+  for (auto& machine : fleet.Machines()) machine->Kill();
+  record.Line("all processes are killed");
+  std::this_thread::sleep_for(milliseconds(600));
+  for (auto& machine : fleet.Machines()) machine->Start();
+  record.Line("all processes start again");
+  std::this_thread::sleep_for(std::chrono::seconds(20));  // The bound "recover" is 15 s.
+  const int after = CountServed(fleet, "/look/x", record);
+  for (auto& machine : fleet.Machines()) {
+    record.Line("the node at " + machine->Ip() +
+                (machine->IsReady() ? " is ready" : " is not ready"));
+    machine->Kill();
+  }
+  const bool is_stale = new_served * 2 < kRequests;
+  const bool has_recovered = before * 4 < kRequests || after * 4 >= kRequests;
+  if (is_stale) record.Line("CONFIG: the routes of the newest configuration are not in force");
+  if (!has_recovered) record.Line("RECOVER: less than a quarter is served 20 s after the restart");
+  return is_stale || !has_recovered ? 1 : 0;
+}
+
 }  // namespace
 
 int PlayLongConfiguration(const std::string& folder, Record& record, bool trouble) {
@@ -55,28 +81,29 @@
                 std::to_string(value.size()) + " of " + std::to_string(kValueBytes) + " bytes");
     std::this_thread::sleep_for(std::chrono::seconds(1));
   }
-  // The bound of configuration is 2.5 s; a machine that is busy with the change gets more.
-  std::this_thread::sleep_for(std::chrono::seconds(8));
   const std::string last = "/p" + std::to_string(100000 + count - 1) + "/x";
-  const int new_served = CountServed(fleet, last, record);
-  const int before = CountServed(fleet, "/look/x", record);
-  for (auto& machine : fleet.Machines()) machine->Kill();
-  record.Line("all processes are killed");
-  std::this_thread::sleep_for(milliseconds(600));
-  for (auto& machine : fleet.Machines()) machine->Start();
-  record.Line("all processes start again");
-  std::this_thread::sleep_for(std::chrono::seconds(20));  // The bound "recover" is 15 s.
-  const int after = CountServed(fleet, "/look/x", record);
-  for (auto& machine : fleet.Machines()) {
-    record.Line("the node at " + machine->Ip() +
-                (machine->IsReady() ? " is ready" : " is not ready"));
-    machine->Kill();
+  return CheckInForceAndRecovery(fleet, last, record);
+}
+
+// A change adds two routes. One of them has a rank beyond 1000, as an operator who leaves room
+// between ranks may give it.
+int PlayHighRank(const std::string& folder, Record& record, bool trouble) {
+  auto& fleet = *new Fleet(folder);  // Never destroyed, as threads use it until the end.
+  for (std::size_t index = 0; index < 4; ++index) fleet.Add("portal");
+  const std::string first = Route("r1", "/look/", "safe", "portal");
+  if (!fleet.Start(Configuration(1, {first}, {"portal"}), "/look/start")) {
+    record.Line("the nodes did not become ready");
+    return 2;
   }
-  const bool is_stale = new_served * 2 < kRequests;
-  const bool has_recovered = before * 4 < kRequests || after * 4 >= kRequests;
-  if (is_stale) record.Line("CONFIG: the routes of the newest configuration are not in force");
-  if (!has_recovered) record.Line("RECOVER: less than a quarter is served 20 s after the restart");
-  return is_stale || !has_recovered ? 1 : 0;
+  const std::string rank = trouble ? "5000" : "5";
+  std::string low = Route("r2", "/low/", "safe", "portal");
+  const std::string field = "\"priority\":1";
+  low.replace(low.find(field), field.size(), "\"priority\":" + rank);
+  const std::string added = Route("r3", "/added/", "safe", "portal");
+  fleet.Platform().Put("op/config", Configuration(3, {first, low, added}, {"portal"}));
+  record.Line("configuration 3 acknowledged: the route /low/ with priority " + rank +
+              " and the route /added/ with priority 1 are new");
+  return CheckInForceAndRecovery(fleet, "/added/x", record);
 }
 
 }  // namespace review
--- a/review/stand-ins-2/main.cpp
+++ b/review/stand-ins-2/main.cpp
@@ -8,7 +8,9 @@
 
 int PlayCallerService(const std::string& folder, Record& record, bool trouble);
 int PlayForeignEntry(const std::string& folder, Record& record, bool trouble);
+int PlayHighRank(const std::string& folder, Record& record, bool trouble);
 int PlayLargeBodies(const std::string& folder, Record& record, bool trouble);
+int PlayLargeEntries(const std::string& folder, Record& record, bool trouble);
 int PlayLongConfiguration(const std::string& folder, Record& record, bool trouble);
 int PlayPipeline(const std::string& folder, Record& record, bool trouble);
 int PlaySmuggled(const std::string& folder, Record& record, bool trouble);
@@ -19,7 +21,9 @@
 
 const std::map<std::string, Play> kPlays{{"caller-service", PlayCallerService},
                                          {"foreign-entry", PlayForeignEntry},
+                                         {"high-rank", PlayHighRank},
                                          {"large-bodies", PlayLargeBodies},
+                                         {"large-entries", PlayLargeEntries},
                                          {"long-configuration", PlayLongConfiguration},
                                          {"pipeline", PlayPipeline},
                                          {"smuggled", PlaySmuggled}};
