--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,7 +8,7 @@
 done
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=3 115 target/review-2/scenario large-bodies "$here/record.txt" "$folder"
+timeout --kill-after=3 115 target/review-2/scenario high-rank "$here/record.txt" "$folder"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -87,13 +87,6 @@
     m_changed.notify_all();
   }
 
-  void Delete(const std::string& key) {
-    const std::lock_guard lock(m_lock);
-    m_items.erase(key);
-    m_changes.push_back({++m_revision, key, Clock::now()});
-    m_changed.notify_all();
-  }
-
  private:
   static constexpr std::chrono::seconds kHistory{20};
 
@@ -136,14 +129,21 @@
   }
 
   std::string Range(const std::string& prefix, const std::string& after) {
+    constexpr std::size_t kPageBytes = 1000000;
+    constexpr std::size_t kPageItems = 500;
     const std::lock_guard lock(m_lock);
     std::string list;
+    std::size_t items = 0;
+    bool has_more = false;
     for (const auto& [key, item] : m_items) {
       if (!key.starts_with(prefix) || (!after.empty() && key <= after)) continue;
+      has_more = items == kPageItems || list.size() >= kPageBytes;
+      if (has_more) break;
       list += (list.empty() ? "" : ",") + ItemJson(key, item);
+      ++items;
     }
-    return "{\"items\":[" + list +
-           "],\"hasMore\":false,\"currentRev\":" + std::to_string(m_revision) + "}";
+    return "{\"items\":[" + list + "],\"hasMore\":" + (has_more ? "true" : "false") +
+           ",\"currentRev\":" + std::to_string(m_revision) + "}";
   }
 
   // Empty if the history after that revision is no longer there.
@@ -223,9 +223,6 @@
                       [&](const Run& run) { return run.request_id == request_id; }));
   }
 
-  // Ends the instance: no connection is accepted any more.
-  void Exit() { m_server.Stop(); }
-
   // The head fields of an answer to a run, without those of the body.
   std::string Fields(const Run& run) const {
     return "Request-Id: " + run.request_id + "\r\nResponse-Seal: seal-" + run.request_id +
@@ -289,7 +286,6 @@
   const Address& Outbound() const { return m_outbound; }
   const std::string& Ip() const { return m_ip; }
   const Zone& Where() const { return m_zone; }
-  pid_t Pid() const { return m_pid; }
 
   // Starts the node with the settings in `settings` and its output in `log`.
   void Start(const std::string& settings, const std::string& log) {
@@ -313,29 +309,12 @@
     ::execve(program, arguments, environment);
     ::_exit(127);
   }
-  void Signal(int signal) const {
-    if (m_pid > 0) ::kill(m_pid, signal);
-  }
   void Kill() {
     if (m_pid <= 0) return;
     ::kill(m_pid, SIGKILL);
     ::waitpid(m_pid, nullptr, 0);
     m_pid = -1;
   }
-  // Whether the process has ended by itself or by a signal; it is then waited for.
-  bool HasEnded() {
-    if (m_pid <= 0 || ::waitpid(m_pid, nullptr, WNOHANG) != m_pid) return false;
-    m_pid = -1;
-    return true;
-  }
-  // Memory of the process that belongs to it alone, in bytes: no code and no libraries.
-  std::size_t Memory() const {
-    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
-    for (std::string line; std::getline(status, line);) {
-      if (line.starts_with("RssAnon:")) return std::stoul(line.substr(8)) * 1024;
-    }
-    return 0;
-  }
   bool IsReady() const {
     try {
       Connection connection(Connection::Dial(m_ready));
@@ -475,16 +454,12 @@
 
   // Sends one request on a connection of its own.
   Result Call(Machine& machine, const std::string& method, const std::string& target,
-              const std::string& body = {}, int deadline_ms = 5000, bool in_chunks = false) {
+              const std::string& body = {}, int deadline_ms = 5000) {
     Result result;
     result.request_id = NextId();
     try {
       Connection connection(Connection::Dial(machine.Outbound()));
-      if (in_chunks) {
-        SendInChunks(connection, method, target, result.request_id, body, deadline_ms);
-      } else {
-        connection.Send(Head(method, target, result.request_id, body.size(), deadline_ms) + body);
-      }
+      connection.Send(Head(method, target, result.request_id, body.size(), deadline_ms) + body);
       Message answer;
       const auto until = Clock::now() + milliseconds(deadline_ms + 1000);
       if (!connection.Receive(answer, until, true)) {
@@ -501,21 +476,6 @@
   }
 
  private:
-  void SendInChunks(Connection& connection, const std::string& method, const std::string& target,
-                    const std::string& id, const std::string& body, int deadline_ms) const {
-    constexpr std::size_t kChunkBytes = 16384;
-    std::string head = Head(method, target, id, 0, deadline_ms);
-    head.insert(head.size() - 2, "Transfer-Encoding: chunked\r\n");
-    connection.Send(head);
-    for (std::size_t start = 0; start < body.size(); start += kChunkBytes) {
-      const std::string chunk = body.substr(start, kChunkBytes);
-      char size[16];
-      std::snprintf(size, sizeof(size), "%zx\r\n", chunk.size());
-      if (!connection.Send(size + chunk + "\r\n")) return;
-    }
-    connection.Send("0\r\n\r\n");
-  }
-
   const std::string m_folder;
   const std::size_t m_memory_mb;
   const int m_peer_port;
--- a/review/stand-ins-2/http.h
+++ b/review/stand-ins-2/http.h
@@ -144,19 +144,10 @@
     return true;
   }
 
-  // Closes with a reset.
-  void Reset() {
-    const linger reset{1, 0};
-    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-    Close();
-  }
   void Close() {
     if (m_descriptor >= 0) ::close(m_descriptor);
     m_descriptor = -1;
   }
-  // Ends blocked calls of another thread.
-  void Shutdown() { ::shutdown(m_descriptor, SHUT_RDWR); }
-  int Descriptor() const { return m_descriptor; }
 
   std::string error;  // Why the last Receive failed: "closed", "reset" or "timeout".
 
@@ -224,15 +215,10 @@
     std::thread([this] { Accept(); }).detach();
   }
   const Address& Where() const { return m_address; }
-  // Accepts no connection from now on. Open ones go on.
-  void Stop() {
-    m_is_stopped = true;
-    ::shutdown(m_listener, SHUT_RDWR);
-  }
 
  private:
   void Accept() {
-    while (!m_is_stopped) {
+    for (;;) {
       const int descriptor = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (descriptor < 0) continue;
       std::thread([this, descriptor] {
@@ -245,7 +231,6 @@
   Address m_address;
   Serve m_serve;
   int m_listener = -1;
-  std::atomic<bool> m_is_stopped{false};
 };
 
 inline std::string Response(int status, std::string_view headers, std::string_view body) {
--- a/review/stand-ins-2/main.cpp
+++ b/review/stand-ins-2/main.cpp
@@ -7,10 +7,7 @@
 namespace review {
 
 int PlayCallerService(const std::string& folder, Record& record, bool trouble);
-int PlayForeignEntry(const std::string& folder, Record& record, bool trouble);
 int PlayHighRank(const std::string& folder, Record& record, bool trouble);
-int PlayLargeBodies(const std::string& folder, Record& record, bool trouble);
-int PlayLargeEntries(const std::string& folder, Record& record, bool trouble);
 int PlayLongConfiguration(const std::string& folder, Record& record, bool trouble);
 int PlayPipeline(const std::string& folder, Record& record, bool trouble);
 int PlaySmuggled(const std::string& folder, Record& record, bool trouble);
@@ -20,10 +17,7 @@
 using Play = int (*)(const std::string& folder, Record& record, bool trouble);
 
 const std::map<std::string, Play> kPlays{{"caller-service", PlayCallerService},
-                                         {"foreign-entry", PlayForeignEntry},
                                          {"high-rank", PlayHighRank},
-                                         {"large-bodies", PlayLargeBodies},
-                                         {"large-entries", PlayLargeEntries},
                                          {"long-configuration", PlayLongConfiguration},
                                          {"pipeline", PlayPipeline},
                                          {"smuggled", PlaySmuggled}};
--- a/review/stand-ins-2/unasked.cpp
+++ b/review/stand-ins-2/unasked.cpp
@@ -13,6 +13,7 @@
   std::string caller;
   bool has_caller = false;
   std::string body;
+  std::string coding;  // Of the body, as its fields say.
 };
 
 // Two instances each of the services "portal" and "export". The instances of "portal" keep what
@@ -26,8 +27,10 @@
           [this, index](Connection& connection, const Message& request, const Run& run) {
             {
               const std::lock_guard lock(m_lock);
-              m_arrivals.push_back({run.request_id, request.start, run.caller,
-                                    request.headers.contains("caller-service"), request.body});
+              m_arrivals.push_back(
+                  {run.request_id, request.start, run.caller,
+                   request.headers.contains("caller-service"), request.body,
+                   request.Header("transfer-encoding") + request.Header("content-encoding")});
             }
             return connection.Send(
                 Response(200, m_fleet.At(index).App().Fields(run), "ran " + run.target));
@@ -58,6 +61,55 @@
   std::vector<Arrival> m_arrivals;
 };
 
+// Returns the text as gzip (RFC 1952) with one stored block.
+std::string Gzip(const std::string& text) {
+  std::uint32_t crc = 0xffffffffU;
+  for (const char byte : text) {
+    crc ^= static_cast<unsigned char>(byte);
+    for (int bit = 0; bit < 8; ++bit) crc = crc >> 1U ^ (crc & 1U ? 0xedb88320U : 0U);
+  }
+  const auto size = static_cast<std::uint32_t>(text.size());
+  const auto append = [](std::string& bytes, std::uint32_t value, int count) {
+    for (; count > 0; --count, value >>= 8U) bytes += static_cast<char>(value & 0xffU);
+  };
+  std::string bytes("\x1f\x8b\x08\0\0\0\0\0\0\xff\x01", 11);
+  append(bytes, size, 2);
+  append(bytes, ~size, 2);
+  bytes += text;
+  append(bytes, ~crc, 4);
+  append(bytes, size, 4);
+  return bytes;
+}
+
+// Sends a document in chunks, under a coding that HTTP allows before them. Returns how many
+// instances ran the request with another body.
+std::size_t SendCoded(ArrivalFleet& fleet, Record& record, bool is_coded) {
+  const std::string id = fleet.Machines().NextId();
+  const std::string document = "two pages of a dataset";
+  const std::string sent = is_coded ? Gzip(document) : document;
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", sent.size());
+  const std::string coding = is_coded ? "gzip, chunked" : "chunked";
+  std::string head = fleet.Machines().Head("POST", "/put/document", id);
+  head.insert(head.size() - 2, "Transfer-Encoding: " + coding + "\r\n");
+  Connection connection(Connection::Dial(fleet.Machines().At(0).Outbound()));
+  connection.Send(head + size + "\r\n" + sent + "\r\n0\r\n\r\n");
+  Message answer;
+  connection.Receive(answer, Clock::now() + std::chrono::seconds(2), true);
+  record.Line("request " + id + ": POST /put/document, Transfer-Encoding: " + coding + ", status " +
+              std::to_string(answer.Status()));
+  std::size_t changed = 0;
+  for (const Arrival& arrival : fleet.Arrivals(id)) {
+    const bool is_same = arrival.body == document || arrival.coding.find("gzip") == 0;
+    if (!is_same) ++changed;
+    record.Line("  an instance ran it with a body of " + std::to_string(arrival.body.size()) +
+                " bytes, " + (is_same ? "the document" : "not the document") +
+                (arrival.coding.empty() ? ", and no field that names a coding"
+                                        : ", and the coding " + arrival.coding));
+  }
+  return changed;
+}
+
 }  // namespace
 
 // A client sends a document as the body of a request. The document holds the text of a request.
@@ -103,6 +155,7 @@
       ++smuggled;
     }
   }
+  changed += SendCoded(fleet, record, trouble);
   fleet.Kill();
   record.Line(std::to_string(smuggled) + " requests ran that were smuggled inside another, " +
               std::to_string(changed) + " ran with another body, " +
