--- a/tests/auto/platform/tst_storereader.cpp
+++ b/tests/auto/platform/tst_storereader.cpp
@@ -83,6 +83,36 @@
   CPPUNIT_ASSERT_EQUAL(std::string("A"), events.Texts().back());
 }
 
+struct LongChangesRow {
+  std::string_view name;
+  std::size_t value_bytes;
+  std::size_t changes;
+};
+
+constexpr std::array kLongChangesRows{LongChangesRow{"one value", 1048576, 1},
+                                      LongChangesRow{"two values", 1048576, 2},
+                                      LongChangesRow{"eight values", 1048576, 8}};
+
+// Guards against a reader that cannot follow the store after several changes of a long value, as
+// they do not fit into one response of a watch.
+void TestLongChanges(const LongChangesRow& row) {
+  StandInStore store;
+  store.Put("op/config", "A");
+  Events events;
+  StoreReader reader(store.Address(), "op/", FirstRead::kCurrent, JoinValues, events);
+  reader.Start(StoreRead{0, seconds(30)});
+  CPPUNIT_ASSERT(test::WaitUntil([&] { return !events.Texts().empty(); }));
+  std::string value;
+  for (std::size_t change = 0; change < row.changes; ++change) {
+    value.assign(row.value_bytes, static_cast<char>('a' + change));
+    store.Put("op/config", value);
+  }
+  reader.Start(StoreRead{events.Version(), seconds(30)});
+  CPPUNIT_ASSERT_MESSAGE(events.Failure(),
+                         test::WaitUntil([&] { return events.Texts().back() == value; }));
+  CPPUNIT_ASSERT_EQUAL(std::string(), events.Failure());
+}
+
 struct ObservedRow {
   std::string_view name;
   bool is_put;  // Whether a key is written or, having been there from the start, deleted.
@@ -120,6 +150,8 @@
 
 const test::TableTest<ObservedRow> observed_test("StoreReaderObserver", kObservedRows,
                                                  TestObservedChange);
+const test::TableTest<LongChangesRow> long_changes("LongChanges", kLongChangesRows,
+                                                   TestLongChanges);
 
 const test::TableTest<FailureRow> failure_test("StoreReaderFailure", failure_rows, TestFailure);
 
