Accept declarations that are longer than the text of their origin

Cause: VersionGuard, PartTransfer, DocumentSync and PlatformReader apply 1 MB to the translated text, and the store applies it to the value that it is translated from. A translation is up to 5.2 times as long (short services).

Change: the one limit of all paths is 8 MB. It is also what a peer can make a node allocate for one document. The texts that DocumentSync remembers stay bounded by 4 MB, and a change of more than 512 KB goes as compressed parts, as a single message would take up a link and exceed the backlog of replies.

--- a/src/libs/configuration/platformreader.cpp
+++ b/src/libs/configuration/platformreader.cpp
@@ -96,7 +96,7 @@
 void PlatformReader::CheckSize() {
   if (m_reply == nullptr) return;
   if (m_reply->bytesAvailable() > static_cast<qint64>(kMaxConfigurationBytes)) {
-    Fail("response is longer than 1 MB");
+    Fail("response is longer than " + std::to_string(kMaxConfigurationBytes) + " bytes");
   }
 }
 
--- a/src/libs/configuration/versionguard.cpp
+++ b/src/libs/configuration/versionguard.cpp
@@ -25,7 +25,8 @@
     return Refuse(OfferResult::kOlder, {version, std::string(source), {failure}});
   }
   if (text.size() > kMaxConfigurationBytes) {
-    const Failure failure{FailureCode::kOutOfRange, name, "is longer than 1 MB"};
+    const Failure failure{FailureCode::kOutOfRange, name,
+                          "is longer than " + std::to_string(kMaxConfigurationBytes) + " bytes"};
     return Refuse(OfferResult::kInvalid, {version, std::string(source), {failure}});
   }
   ParsedDeclaration parsed = m_declaration ? ParseDeclaration(name, text, {m_text, *m_declaration})
--- a/src/libs/configuration/versionguard.h
+++ b/src/libs/configuration/versionguard.h
@@ -14,9 +14,10 @@
 
 namespace damaskhollow {
 
-// Maximum size of an accepted declaration in bytes; the configuration service enforces the same
-// limit.
-inline constexpr std::size_t kMaxConfigurationBytes = 1024UL * 1024UL;
+// Maximum size of an accepted declaration in bytes, wherever it comes from. A declaration made from
+// another format can be several times as long as the text that it was made from, of which services
+// hold up to 1 MB.
+inline constexpr std::size_t kMaxConfigurationBytes = 8UL * 1024UL * 1024UL;
 
 // The result of offering a version.
 enum class OfferResult {
--- a/src/libs/control/documentsync.cpp
+++ b/src/libs/control/documentsync.cpp
@@ -13,7 +13,10 @@
 // Covers the time in which a peer fetches a version while others follow in quick succession.
 constexpr std::size_t kRememberedTexts = 8;
 // Beyond this size of all remembered texts, in bytes, the oldest ones are dropped.
-constexpr std::size_t kRememberedBytes = 4 * kMaxConfigurationBytes;
+constexpr std::size_t kRememberedBytes = 4UL * 1024UL * 1024UL;
+// A longer change, in bytes, is not sent: a change is a single message, and a message takes up the
+// link to its receiver while it is sent. The compressed text goes in parts.
+constexpr std::size_t kMaxChangeBytes = 512UL * 1024UL;
 // A change must be shorter than the text by this factor to be sent instead of it.
 constexpr std::size_t kMinShortening = 2;
 
@@ -120,8 +123,9 @@
     if (base == m_texts.end()) return nullptr;
     std::optional<wire::TextChange> change =
         ToMessage(DescribeChange(base->text, m_holder.HeldText()));
-    const bool is_short = change->ByteSizeLong() * kMinShortening <= m_holder.HeldText().size();
-    if (!is_short) change.reset();
+    const std::size_t bytes = change->ByteSizeLong();
+    const bool is_short = bytes * kMinShortening <= m_holder.HeldText().size();
+    if (!is_short || bytes > kMaxChangeBytes) change.reset();
     known = m_changes.emplace(base_hash, std::move(change)).first;
   }
   return known->second ? &*known->second : nullptr;
--- a/tests/auto/control/tst_documentsync.cpp
+++ b/tests/auto/control/tst_documentsync.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(ChangesInARowAreAppliedInOrder);
   CPPUNIT_TEST(TextThatIsHeldIsNotSentAgain);
   CPPUNIT_TEST(VersionOfAnotherTextIsNoBase);
+  CPPUNIT_TEST(LongestTextArrivesInParts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -241,6 +242,25 @@
     CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
   }
 
+  // Guards against a text of the allowed length that no peer can fetch, whole or after a change of
+  // most of it, and against a single message that takes up a link for long.
+  void LongestTextArrivesInParts() {
+    constexpr std::size_t kMaxMessageBytes = 600UL * 1024UL;
+    Node holder(holder_node);
+    Node asking(asking_node);
+    for (const char* salt : {"a", "b"}) {
+      // Half of the routes differ in both texts.
+      std::string text = RulesOf(12000, "") + RulesOf(12000, "", salt);
+      CPPUNIT_ASSERT(text.size() < kMaxConfigurationBytes);
+      text.resize(kMaxConfigurationBytes, ' ');
+      Hold(holder, holder.holder.HeldVersion() + 1, text);
+      asking.sync.Plan().RecordPeerVersion(holder_node, holder.holder.HeldVersion(), kTime);
+      asking.sync.Tick(kTime);
+      while (!asking.sent.empty()) CPPUNIT_ASSERT(Answer(asking, holder) < kMaxMessageBytes);
+      CPPUNIT_ASSERT(asking.holder.HeldText() == holder.holder.HeldText());
+    }
+  }
+
   void ChangesInARowAreAppliedInOrder() {
     Node holder(holder_node);
     Node asking(asking_node);
