Let declarations have any number of priorities

Cause: the parser bounds ranks to 31 and groups to 1000, numbers that only order priorities. The bound on ranks stands for the queues of an owner, of which every offer, dispatch and completion looks at all; nothing else needs it.

Change: the parser takes any integer that JSON represents exactly. AssignLanes (policy) decides which priorities share one of at most 32 lanes of the admission queue: members of a group first, then neighbouring groups, in order. With up to 32 priorities each has its own lane, as before. A router's memory of overload and the group count for Retry-After no longer grow with the index of a priority, and the checks of routes look priorities and services up by hash. Duplicate ids are reported with the index of their entry.

--- a/src/libs/declaration/declaration.h
+++ b/src/libs/declaration/declaration.h
@@ -147,6 +147,9 @@
   // Entries of the operator's configuration that the translation to this declaration left out or
   // replaced by unreadable routes.
   std::size_t unreadable_entries = 0;
+  // Values of the operator's configuration beyond the limits of a declaration, which the
+  // translation replaced by the nearest possible ones.
+  std::size_t clamped_values = 0;
 
   // Look-up functions. They return null if there is no such entry. The pointers are valid as long
   // as the declaration is neither changed nor destroyed.
--- a/src/libs/declaration/declarationparser.cpp
+++ b/src/libs/declaration/declarationparser.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/endpoint.h"
+#include "declaration/declarationlimits.h"
 #include "declaration/jsonentries.h"
 #include "declaration/jsonreader.h"
 
@@ -19,28 +20,31 @@
 namespace {
 
 constexpr char kRoutesField[] = "routes";
-constexpr std::size_t kDayMs = 86400000;
 constexpr std::size_t kMaxBodyBytes = 8UL * 1024UL * 1024UL;
-constexpr std::size_t kMaxCallerBodyBytes = 1024UL * 1024UL * 1024UL;
-constexpr std::size_t kMaxRouteAttempts = 100;
 constexpr std::size_t kMaxBytesPerSecond = 10UL * 1000UL * 1000UL * 1000UL;
 constexpr std::size_t kMaxServers = 100000;
-constexpr double kMaxColdCalls = 1e6;
-// Above the number of entries that a configuration of one megabyte can have.
-constexpr std::size_t kMaxUnreadableEntries = 1000000;
 // Allows for rounding errors in the sum of the guaranteed shares.
 constexpr double kShareTolerance = 1e-9;
 
 template <class Entry>
 void RejectDuplicates(JsonReader& root, std::string_view field, const std::vector<Entry>& entries) {
   std::unordered_set<std::string_view> seen;
-  for (const Entry& entry : entries) {
-    if (seen.insert(entry.id.Value()).second) continue;
-    root.AddFailure(FailureCode::kDuplicateId, field,
-                    "\"" + entry.id.Value() + "\" is declared more than once");
+  for (std::size_t index = 0; index < entries.size(); ++index) {
+    const std::string& id = entries[index].id.Value();
+    if (seen.insert(id).second) continue;
+    root.AddFailure(FailureCode::kDuplicateId,
+                    std::string(field) + "[" + std::to_string(index) + "].id",
+                    "\"" + id + "\" is declared more than once");
   }
 }
 
+template <class Entry>
+std::unordered_set<std::string_view> IdsOf(const std::vector<Entry>& entries) {
+  std::unordered_set<std::string_view> ids;
+  for (const Entry& entry : entries) ids.insert(entry.id.Value());
+  return ids;
+}
+
 template <class Entry, class Read>
 std::vector<Entry> ReadList(JsonReader& parent, std::string_view field, Read read) {
   std::vector<Entry> entries;
@@ -65,11 +69,11 @@
 Priority ReadPriority(JsonReader& reader) {
   Priority priority;
   priority.id = PriorityId(reader.String("id"));
-  priority.rank = reader.Integer("rank", 0, 31);
-  priority.group = reader.Has("group") ? reader.Integer("group", 0, 1000) : priority.rank;
-  priority.target = reader.Milliseconds("target_ms", 1, kDayMs);
+  priority.rank = reader.Integer("rank", 0, kMaxRank);
+  priority.group = reader.Has("group") ? reader.Integer("group", 0, kMaxRank) : priority.rank;
+  priority.target = reader.Milliseconds("target_ms", 1, kMaxTimeMs);
   priority.queue_bound = reader.Has("queue_bound_ms")
-                             ? reader.Milliseconds("queue_bound_ms", 0, kDayMs)
+                             ? reader.Milliseconds("queue_bound_ms", 0, kMaxTimeMs)
                              : priority.target;
   priority.guaranteed_share = reader.Number("guaranteed_share", 0.0, 1.0);
   priority.may_cross_regions = reader.Bool("may_cross_regions");
@@ -82,7 +86,7 @@
   rule.path_prefix = reader.String("path_prefix");
   rule.priority = PriorityId(reader.String("priority"));
   rule.idempotent = reader.Bool("idempotent");
-  if (reader.Has("deadline_ms")) rule.deadline = reader.Milliseconds("deadline_ms", 1, kDayMs);
+  if (reader.Has("deadline_ms")) rule.deadline = reader.Milliseconds("deadline_ms", 1, kMaxTimeMs);
   if (!rule.path_prefix.empty() && rule.path_prefix.front() != '/') {
     reader.AddFailure(FailureCode::kOutOfRange, "path_prefix", "must begin with /");
   }
@@ -92,7 +96,7 @@
 HealthCheck ReadHealth(JsonReader& reader) {
   HealthCheck health;
   health.path = reader.String("path");
-  health.interval = reader.Milliseconds("interval_ms", 100, kDayMs);
+  health.interval = reader.Milliseconds("interval_ms", 100, kMaxTimeMs);
   health.drain_status = static_cast<int>(reader.Integer("drain_status", 400, 599));
   reader.RejectUnknownFields();
   return health;
@@ -102,7 +106,7 @@
   Service service;
   service.id = ServiceId(reader.String("id"));
   service.hosts = reader.StringList("hosts");
-  service.default_deadline = reader.Milliseconds("default_deadline_ms", 1, kDayMs);
+  service.default_deadline = reader.Milliseconds("default_deadline_ms", 1, kMaxTimeMs);
   service.max_body_bytes = reader.Integer("max_body_bytes", 0, kMaxBodyBytes);
   if (reader.Has("shed_status")) {
     service.shed_status = static_cast<int>(reader.Integer("shed_status", 400, 599));
@@ -137,8 +141,8 @@
   server.peer_address = reader.String("peer_address");
   server.region = RegionId(reader.String("region"));
   server.data_centre = DataCentreId(reader.String("data_centre"));
-  server.slots = reader.Integer("slots", 1, 10000);
-  server.connections = reader.Integer("connections", 1, 100000);
+  server.slots = reader.Integer("slots", 1, kMaxSlots);
+  server.connections = reader.Integer("connections", 1, kMaxConnections);
   if (reader.Has("peer_public_key")) server.peer_public_key = reader.String("peer_public_key");
   CheckAddress(reader, "address", server.address);
   CheckAddress(reader, "peer_address", server.peer_address);
@@ -156,7 +160,7 @@
 RoutePart ReadPart(JsonReader& reader) {
   RoutePart part;
   part.service = ServiceId(reader.String("service"));
-  part.weight = reader.Number("weight", 0.0, 1e6);
+  part.weight = reader.Number("weight", 0.0, kMaxWeight);
   return part;
 }
 
@@ -175,7 +179,7 @@
   if (route.unreadable) return route;
   route.priority = PriorityId(reader.String("priority"));
   route.idempotent = reader.Bool("idempotent");
-  route.timeout = reader.Milliseconds("timeout_ms", 1, kDayMs);
+  route.timeout = reader.Milliseconds("timeout_ms", 1, kMaxTimeMs);
   route.attempts = reader.Integer("attempts", 1, kMaxRouteAttempts);
   route.parts = ReadList<RoutePart>(reader, "parts", ReadPart);
   if (reader.Has("allowed_regions")) {
@@ -194,10 +198,10 @@
 
 CallerBounds ReadCallerBounds(JsonReader reader) {
   CallerBounds bounds;
-  bounds.header_bytes = reader.Integer("header_bytes", 1, kMaxBodyBytes);
+  bounds.header_bytes = reader.Integer("header_bytes", 1, kMaxCallerHeaderBytes);
   bounds.body_bytes = reader.Integer("body_bytes", 0, kMaxCallerBodyBytes);
-  bounds.header_timeout = reader.Milliseconds("header_timeout_ms", 1, kDayMs);
-  bounds.idle_timeout = reader.Milliseconds("idle_timeout_ms", 1, kDayMs);
+  bounds.header_timeout = reader.Milliseconds("header_timeout_ms", 1, kMaxTimeMs);
+  bounds.idle_timeout = reader.Milliseconds("idle_timeout_ms", 1, kMaxTimeMs);
   reader.RejectUnknownFields();
   return bounds;
 }
@@ -217,9 +221,11 @@
     budgets.spread_retry_after = reader.Bool("spread_retry_after");
   }
   if (reader.Has("fleet_retry_floor")) {
-    budgets.fleet_retry_floor = reader.Number("fleet_retry_floor", 0.0, 1e6);
+    budgets.fleet_retry_floor = reader.Number("fleet_retry_floor", 0.0, kMaxRetryFloor);
+  }
+  if (reader.Has("retry_floor")) {
+    budgets.retry_floor = reader.Number("retry_floor", 0.0, kMaxRetryFloor);
   }
-  if (reader.Has("retry_floor")) budgets.retry_floor = reader.Number("retry_floor", 0.0, 1e6);
   reader.RejectUnknownFields();
   return budgets;
 }
@@ -273,6 +279,9 @@
 
 void CheckRoutes(JsonReader& root, const Declaration& declaration) {
   std::unordered_map<std::string_view, std::unordered_set<std::string_view>> prefixes_of_host;
+  // There may be thousands of priorities and of services.
+  const std::unordered_set<std::string_view> priorities = IdsOf(declaration.priorities);
+  const std::unordered_set<std::string_view> services = IdsOf(declaration.services);
   for (std::size_t index = 0; index < declaration.routes.size(); ++index) {
     const Route& route = declaration.routes[index];
     const auto path = [index] { return "routes[" + std::to_string(index) + "]"; };
@@ -280,7 +289,7 @@
       root.AddFailure(FailureCode::kDuplicateId, path() + ".path_prefix",
                       "another route has the same host and path prefix");
     }
-    if (!route.priority.IsEmpty() && declaration.FindPriority(route.priority) == nullptr) {
+    if (!route.priority.IsEmpty() && !priorities.contains(route.priority.Value())) {
       root.AddFailure(FailureCode::kUnknownReference, path() + ".priority",
                       "\"" + route.priority.Value() + "\" is not a declared priority");
     }
@@ -290,7 +299,7 @@
                       "\"" + region.Value() + "\" is not a declared region");
     }
     for (const RoutePart& part : route.parts) {
-      if (part.service.IsEmpty() || declaration.FindService(part.service) != nullptr) continue;
+      if (part.service.IsEmpty() || services.contains(part.service.Value())) continue;
       root.AddFailure(FailureCode::kUnknownReference, path() + ".parts",
                       "\"" + part.service.Value() + "\" is not a declared service");
     }
@@ -363,7 +372,10 @@
   }
   declaration.budgets = ReadBudgets(root.Object("budgets"));
   if (root.Has("unreadable_entries")) {
-    declaration.unreadable_entries = root.Integer("unreadable_entries", 0, kMaxUnreadableEntries);
+    declaration.unreadable_entries = root.Integer("unreadable_entries", 0, kMaxTranslationFaults);
+  }
+  if (root.Has("clamped_values")) {
+    declaration.clamped_values = root.Integer("clamped_values", 0, kMaxTranslationFaults);
   }
   root.RejectUnknownFields();
 
--- a/src/libs/owner/ownerservice.cpp
+++ b/src/libs/owner/ownerservice.cpp
@@ -212,7 +212,7 @@
   call.deadline = owned.Deadline();
   call.bytes = owned.request.ByteSizeLong();
   if (owned.request.target_at_us() > 0) call.target = owned.Target();
-  call.priority_index = PriorityIndexOf(owned.request.priority());
+  call.priority_index = m_admission.PriorityIndexOf(PriorityId(owned.request.priority()));
   UpdateStartLimit(now);
   const Admission admission = m_admission.Offer(call, now);
   for (const OwnedCallId evicted : admission.evicted) {
@@ -222,12 +222,6 @@
   Dispatch(now);
 }
 
-std::size_t OwnerService::PriorityIndexOf(const std::string& priority) const {
-  const Priority* known = m_declaration->FindPriority(PriorityId(priority));
-  if (known == nullptr) return m_declaration->priorities.size() - 1;
-  return static_cast<std::size_t>(known - m_declaration->priorities.data());
-}
-
 void OwnerService::SetLoadProbe(std::function<void()> probe) {
   const std::lock_guard lock(m_lock);
   m_probe = std::move(probe);
@@ -253,7 +247,8 @@
   *answer.mutable_state() = LockedState();
   if (m_declaration) {
     UpdateStartLimit(MonotonicNow());
-    const Duration wait = m_admission.ExpectedWaitOfPriority(PriorityIndexOf(query.priority()));
+    const Duration wait = m_admission.ExpectedWaitOfPriority(
+        m_admission.PriorityIndexOf(PriorityId(query.priority())));
     const std::size_t slots = m_admission.Slots();
     const std::size_t in_flight = std::min(m_admission.Load().in_flight + 1, slots);
     const Duration run = m_pacer.ExpectedTimeToResponse(PriorityId(query.priority()), in_flight,
@@ -269,7 +264,7 @@
   if (query.deadline_left_us() == 0) return false;
   const TimePoint now = MonotonicNow();
   AdmissionCall call;
-  call.priority_index = PriorityIndexOf(query.priority());
+  call.priority_index = m_admission.PriorityIndexOf(PriorityId(query.priority()));
   call.deadline = now + Duration(static_cast<Duration::rep>(query.deadline_left_us()));
   call.target = now + Duration(static_cast<Duration::rep>(query.target_left_us()));
   return m_admission.WouldRefuse(call, now);
--- a/src/libs/owner/ownerservice.h
+++ b/src/libs/owner/ownerservice.h
@@ -138,9 +138,6 @@
 
   void RecordLoad(const ServerLoad& load, TimePoint now);
 
-  // Returns the index of a priority, or that of the least urgent one if the priority is unknown.
-  std::size_t PriorityIndexOf(const std::string& priority) const;
-
   // Starts a load probe unless one is running.
   void StartProbe();
 
--- a/src/libs/policy/admissionqueue.cpp
+++ b/src/libs/policy/admissionqueue.cpp
@@ -2,7 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
+#include <utility>
+
+#include "policy/prioritylanes.h"
 
 namespace damaskhollow {
 
@@ -48,6 +52,8 @@
 
 AdmissionQueue::AdmissionQueue(const AdmissionLimits& limits,
                                std::span<const Priority> priorities) {
+  m_priorities.resize(1);
+  m_lane_of.resize(1);
   m_lanes.resize(1);
   Reconfigure(limits, priorities);
 }
@@ -60,31 +66,69 @@
   const auto slots = static_cast<double>(m_limits.slots);
   m_limit = was_full_limit ? slots : std::min(m_limit, slots);
 
-  std::vector<Lane> lanes(std::max<std::size_t>(1, priorities.size()));
-  for (std::size_t index = 0; index < priorities.size(); ++index) {
-    lanes[index].priority = priorities[index];
+  const std::vector<Priority> old_priorities = std::exchange(m_priorities, {});
+  m_priorities.assign(priorities.begin(), priorities.end());
+  if (m_priorities.empty()) m_priorities.resize(1);
+  m_priority_indices.clear();
+  for (std::size_t index = 0; index < m_priorities.size(); ++index) {
+    m_priority_indices.emplace(m_priorities[index].id, index);
   }
-  std::vector<std::size_t> new_index(m_lanes.size(), lanes.size() - 1);
-  for (std::size_t index = 0; index < m_lanes.size(); ++index) {
-    Lane& old = m_lanes[index];
-    for (std::size_t candidate = 0; candidate < priorities.size(); ++candidate) {
-      if (priorities[candidate].id == old.priority.id) new_index[index] = candidate;
-    }
-    Lane& lane = lanes[new_index[index]];
-    // Splicing keeps the iterators in m_queued valid.
-    lane.queue.splice(lane.queue.end(), old.queue);
-    lane.late.splice(lane.late.end(), old.late);
-    lane.queued_bytes += old.queued_bytes;
-    lane.running += old.running;
-    lane.served += old.served;
-    lane.service_time = std::max(lane.service_time, old.service_time);
-    lane.completed_at = std::max(lane.completed_at, old.completed_at);
+  m_lane_of = AssignLanes(m_priorities);
+  std::vector<Lane> lanes(m_lane_of.back() + 1);
+  for (std::size_t index = 0; index < m_priorities.size(); ++index) {
+    Lane& lane = lanes[m_lane_of[index]];
+    if (lane.priorities.empty()) lane.group = m_priorities[index].group;
+    lane.priorities.push_back(index);
+    lane.guaranteed_share += m_priorities[index].guaranteed_share;
   }
-  for (auto& [id, queued] : m_queued) queued.lane = new_index[queued.lane];
-  for (auto& [id, running] : m_running) running.lane = new_index[running.lane];
+
+  std::vector<std::size_t> new_index;
+  new_index.reserve(old_priorities.size());
+  for (const Priority& old : old_priorities) new_index.push_back(PriorityIndexOf(old.id));
+  for (auto& [id, running] : m_running) running.priority_index = new_index[running.priority_index];
+  for (Lane& old : m_lanes) {
+    MoveStatistics(old, new_index, lanes);
+    MoveCalls(old.queue, new_index, lanes, &Lane::queue);
+    MoveCalls(old.late, new_index, lanes, &Lane::late);
+  }
+  for (const auto& [id, running] : m_running) ++lanes[m_lane_of[running.priority_index]].running;
   m_lanes = std::move(lanes);
 }
 
+void AdmissionQueue::MoveStatistics(const Lane& old, std::span<const std::size_t> new_index,
+                                    std::vector<Lane>& lanes) const {
+  const std::size_t first = old.priorities.empty() ? 0 : old.priorities.front();
+  Lane& lane = lanes[m_lane_of[new_index[first]]];
+  lane.served += old.served;
+  lane.service_time = std::max(lane.service_time, old.service_time);
+  lane.completed_at = std::max(lane.completed_at, old.completed_at);
+}
+
+void AdmissionQueue::MoveCalls(std::list<AdmissionCall>& calls,
+                               std::span<const std::size_t> new_index, std::vector<Lane>& lanes,
+                               std::list<AdmissionCall> Lane::*target) {
+  while (!calls.empty()) {
+    AdmissionCall& call = calls.front();
+    call.priority_index = new_index[call.priority_index];
+    const std::size_t index = m_lane_of[call.priority_index];
+    Lane& lane = lanes[index];
+    m_queued.at(call.id).lane = index;
+    lane.queued_bytes += call.bytes;
+    // Splicing keeps the iterators in m_queued valid.
+    std::list<AdmissionCall>& queue = lane.*target;
+    queue.splice(queue.end(), calls, calls.begin());
+  }
+}
+
+std::size_t AdmissionQueue::PriorityIndexOf(const PriorityId& priority) const {
+  const auto found = m_priority_indices.find(priority);
+  return found == m_priority_indices.end() ? m_priorities.size() - 1 : found->second;
+}
+
+std::size_t AdmissionQueue::LaneOf(std::size_t priority_index) const {
+  return m_lane_of[std::min(priority_index, m_lane_of.size() - 1)];
+}
+
 Duration AdmissionQueue::ServiceTimeOf(const Lane& lane) const {
   if (lane.service_time.count() == 0) return m_service_time;
   const bool is_stale = m_accrued_until - lane.completed_at > kServiceTimeMaxAge;
@@ -94,7 +138,7 @@
 double AdmissionQueue::GuaranteedShareOfLessUrgent(std::size_t lane) const {
   double share = 0.0;
   for (std::size_t index = lane + 1; index < m_lanes.size(); ++index) {
-    if (!m_lanes[index].queue.empty()) share += m_lanes[index].priority.guaranteed_share;
+    if (!m_lanes[index].queue.empty()) share += m_lanes[index].guaranteed_share;
   }
   return share;
 }
@@ -104,7 +148,7 @@
   const double capacity = static_cast<double>(Limit()) * kShareWindowUs;
   double share = 1.0 - GuaranteedShareOfLessUrgent(lane);
   for (std::size_t index = 0; index < lane; ++index) share -= m_lanes[index].served / capacity;
-  return std::max({share, m_lanes[lane].priority.guaranteed_share, kMinShare});
+  return std::max({share, m_lanes[lane].guaranteed_share, kMinShare});
 }
 
 Duration AdmissionQueue::StartDelay(std::size_t ahead) const {
@@ -125,7 +169,7 @@
   std::size_t calls_ahead = own.queue.size();
   for (std::size_t index = 0; index < lane; ++index) {
     const Lane& ahead = m_lanes[index];
-    const bool late_is_ahead = ahead.priority.group < own.priority.group;
+    const bool late_is_ahead = ahead.group < own.group;
     const std::size_t count = ahead.queue.size() + (late_is_ahead ? ahead.late.size() : 0);
     calls_ahead += count;
     work += static_cast<double>(count) * static_cast<double>(ServiceTimeOf(ahead).count());
@@ -135,17 +179,17 @@
   const double by_share = own_work / (limit * ExpectedShare(lane));
   double wait = std::max(by_order, by_share);
   // More urgent work does not delay calls within the guaranteed share.
-  const double guaranteed = own.priority.guaranteed_share;
+  const double guaranteed = own.guaranteed_share;
   if (guaranteed > 0.0) wait = std::min(wait, own_work / (limit * guaranteed));
   return std::max(Duration(static_cast<Duration::rep>(wait)), StartDelay(calls_ahead));
 }
 
 Duration AdmissionQueue::ExpectedLateWait(std::size_t lane) const {
-  const std::size_t group = m_lanes[lane].priority.group;
+  const std::size_t group = m_lanes[lane].group;
   double work = static_cast<double>(ServiceTimeOf(m_lanes[lane]).count());
   std::size_t calls_ahead = 0;
   for (const Lane& other : m_lanes) {
-    if (other.priority.group > group) break;
+    if (other.group > group) break;
     calls_ahead += other.Count();
     work += static_cast<double>(other.Count()) * static_cast<double>(ServiceTimeOf(other).count());
   }
@@ -164,10 +208,16 @@
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     Lane& lane = m_lanes[index];
     const Duration run = ServiceTimeOf(lane);
-    while (!lane.queue.empty() && lane.queue.front().target != TimePoint::max() &&
-           now + run > lane.queue.front().target) {
-      m_queued.at(lane.queue.front().id).late = true;
-      lane.late.splice(lane.late.end(), lane.queue, lane.queue.begin());
+    for (auto call = lane.queue.begin(); call != lane.queue.end();) {
+      const auto next = std::next(call);
+      const bool is_late = call->target != TimePoint::max() && now + run > call->target;
+      // In a lane of one priority, the oldest call has the earliest target.
+      if (!is_late && !lane.IsShared()) break;
+      if (is_late) {
+        m_queued.at(call->id).late = true;
+        lane.late.splice(lane.late.end(), lane.queue, call);
+      }
+      call = next;
     }
     while (!lane.late.empty() && now + MinTimeToStart(run) > lane.late.front().deadline) {
       const OwnedCallId id = lane.late.front().id;
@@ -185,7 +235,7 @@
   }
   const Duration wait = ExpectedWait(lane);
   if (wait.count() == 0) return true;
-  const Duration bound = m_lanes[lane].priority.queue_bound;
+  const Duration bound = m_priorities[call.priority_index].queue_bound;
   if (bound.count() > 0 && wait > bound) return false;
   // A queued call also needs its run time on the backend server before its deadline.
   return wait + ServiceTimeOf(m_lanes[lane]) <= call.deadline - now;
@@ -197,7 +247,7 @@
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     if (index == lane) continue;
     const Lane& other = m_lanes[index];
-    const double share = other.priority.guaranteed_share;
+    const double share = other.guaranteed_share;
     count += UnusedReserve(share, m_limits.queue_count, other.Count());
     total_bytes += UnusedReserve(share, m_limits.queue_bytes, other.queued_bytes);
   }
@@ -219,7 +269,7 @@
     Lane& victim = m_lanes[index];
     while (reason != Reason::kNone && victim.Count() > 0) {
       const AdmissionCall& newest = victim.late.empty() ? victim.queue.back() : victim.late.back();
-      const double share = victim.priority.guaranteed_share;
+      const double share = victim.guaranteed_share;
       const bool frees_room =
           UnusedReserve(share, m_limits.queue_count, victim.Count() - 1) == 0 ||
           UnusedReserve(share, m_limits.queue_bytes, victim.queued_bytes - newest.bytes) == 0;
@@ -243,15 +293,22 @@
   return false;
 }
 
-Admission AdmissionQueue::Offer(const AdmissionCall& call, TimePoint now) {
+AdmissionCall AdmissionQueue::WithKnownPriority(const AdmissionCall& call) const {
+  AdmissionCall known = call;
+  known.priority_index = std::min(call.priority_index, m_priorities.size() - 1);
+  return known;
+}
+
+Admission AdmissionQueue::Offer(const AdmissionCall& offered, TimePoint now) {
   Admission admission;
+  const AdmissionCall call = WithKnownPriority(offered);
   if (call.deadline <= now) {
     admission.refusal = Reason::kExpired;
     return admission;
   }
   CollectExpired(now);
   Accrue(now);
-  const std::size_t lane = std::min(call.priority_index, m_lanes.size() - 1);
+  const std::size_t lane = LaneOf(call.priority_index);
   const bool runs_immediately = CanStart() && m_queued.empty();
   if (!runs_immediately) {
     if (!MeetsTimeLimits(call, lane, now)) {
@@ -264,9 +321,10 @@
   return admission;
 }
 
-bool AdmissionQueue::WouldRefuse(const AdmissionCall& call, TimePoint now) const {
+bool AdmissionQueue::WouldRefuse(const AdmissionCall& offered, TimePoint now) const {
+  const AdmissionCall call = WithKnownPriority(offered);
   const bool runs_immediately = CanStart() && m_queued.empty();
-  const std::size_t lane = std::min(call.priority_index, m_lanes.size() - 1);
+  const std::size_t lane = LaneOf(call.priority_index);
   return !runs_immediately && !MeetsTimeLimits(call, lane, now);
 }
 
@@ -305,10 +363,10 @@
   double least_ratio = 1.0;
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     const Lane& lane = m_lanes[index];
-    if (lane.queue.empty() || (is_held && is_held(lane.priority.id))) continue;
-    if (lane.priority.guaranteed_share <= 0.0) continue;
+    if (lane.queue.empty() || IsFrontHeld(lane, is_held)) continue;
+    if (lane.guaranteed_share <= 0.0) continue;
     const double share = total > 0.0 ? ProjectedSlotTime(lane) / total : 0.0;
-    const double ratio = share / lane.priority.guaranteed_share;
+    const double ratio = share / lane.guaranteed_share;
     if (ratio >= least_ratio) continue;
     least_ratio = ratio;
     most_underserved = index;
@@ -322,10 +380,9 @@
   std::size_t first_late = kNoLane;
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     const Lane& lane = m_lanes[index];
-    const bool is_next_group =
-        first_late != kNoLane && m_lanes[first_late].priority.group != lane.priority.group;
+    const bool is_next_group = first_late != kNoLane && m_lanes[first_late].group != lane.group;
     if (is_next_group) break;
-    if (lane.Count() == 0 || (is_held && is_held(lane.priority.id))) continue;
+    if (lane.Count() == 0 || IsFrontHeld(lane, is_held)) continue;
     if (!lane.queue.empty()) return index;
     if (first_late == kNoLane) first_late = index;
   }
@@ -341,10 +398,11 @@
     const std::size_t index = NextLane(is_held);
     if (index == kNoLane) break;
     const Lane& lane = m_lanes[index];
-    const OwnedCallId id = (lane.queue.empty() ? lane.late : lane.queue).front().id;
+    const AdmissionCall call = lane.Front();
+    const OwnedCallId id = call.id;
     Remove(id);
     ++m_lanes[index].running;
-    m_running[id] = Running{now, index};
+    m_running[id] = Running{now, call.priority_index};
     if (m_start_limit) m_start_limit->available -= 1.0;
     dispatchable.push_back(id);
   }
@@ -366,11 +424,11 @@
 
 template <class Visit>
 void AdmissionQueue::VisitAheadOfLate(std::size_t lane, Visit visit) const {
-  const std::size_t group = m_lanes[lane].priority.group;
+  const std::size_t group = m_lanes[lane].group;
   for (std::size_t index = 0; index < m_lanes.size(); ++index) {
     const Lane& other = m_lanes[index];
-    if (other.priority.group > group) break;
-    const bool counts_late = other.priority.group < group || index < lane;
+    if (other.group > group) break;
+    const bool counts_late = other.group < group || index < lane;
     visit(other, other.queue.size() + (counts_late ? other.late.size() : 0));
   }
 }
@@ -462,7 +520,7 @@
   const Running running = found->second;
   AdaptLimit(result, running.since, now);
   m_running.erase(found);
-  Lane& lane = m_lanes[running.lane];
+  Lane& lane = m_lanes[LaneOf(running.priority_index)];
   --lane.running;
   if (result != SlotResult::kCompleted) return;
   UpdateServiceTime(lane, now - running.since);
--- a/src/libs/policy/admissionqueue.h
+++ b/src/libs/policy/admissionqueue.h
@@ -65,8 +65,8 @@
 };
 
 // Admission control for one backend server: decides which calls run, wait or are refused. The cost
-// of each member grows with the number of priorities and the logarithm of the number of queued
-// calls. Used by the owner of the server. Not thread-safe.
+// of each member grows with the number of lanes (see prioritylanes.h) and the logarithm of the
+// number of queued calls. Used by the owner of the server. Not thread-safe.
 class AdmissionQueue {
  public:
   AdmissionQueue(const AdmissionLimits& limits, std::span<const Priority> priorities);
@@ -74,10 +74,10 @@
   // Queues a call, or returns why it is refused. The id of a queued call is later returned by
   // PopDispatchable, PopExpired, PopUnservable or in Admission::evicted of another call, unless the
   // call is cancelled.
-  Admission Offer(const AdmissionCall& call, TimePoint now);
+  Admission Offer(const AdmissionCall& offered, TimePoint now);
 
   // Whether a call would be refused at present because it cannot be served in time.
-  bool WouldRefuse(const AdmissionCall& call, TimePoint now) const;
+  bool WouldRefuse(const AdmissionCall& offered, TimePoint now) const;
 
   // Whether calls of a priority are held back although there are free slots.
   using IsHeld = std::function<bool(const PriorityId& priority)>;
@@ -104,6 +104,9 @@
   // if it has been removed, under the least urgent one.
   void Reconfigure(const AdmissionLimits& limits, std::span<const Priority> priorities);
 
+  // Returns the index of a priority, or of the least urgent one if it is not known.
+  std::size_t PriorityIndexOf(const PriorityId& priority) const;
+
   AdmissionLoad Load() const;
 
   std::size_t Slots() const { return m_limits.slots; }
@@ -116,15 +119,17 @@
 
   // Returns how long a new call of this priority is expected to wait for a slot.
   Duration ExpectedWaitOfPriority(std::size_t priority_index) const {
-    return ExpectedWait(std::min(priority_index, m_lanes.size() - 1));
+    return ExpectedWait(LaneOf(priority_index));
   }
 
  private:
-  // Queue and statistics of one priority.
+  // Queue and statistics of one priority, or of neighbouring priorities that share a lane.
   struct Lane {
-    Priority priority;
-    std::list<AdmissionCall> queue;  // Calls that can still meet their target, oldest first.
-    std::list<AdmissionCall> late;   // Calls that will miss their target, oldest first.
+    std::vector<std::size_t> priorities;  // Their indices.
+    std::size_t group = 0;                // Of the most urgent one.
+    double guaranteed_share = 0.0;        // Sum of their shares.
+    std::list<AdmissionCall> queue;       // Calls that can still meet their target, oldest first.
+    std::list<AdmissionCall> late;        // Calls that will miss their target, oldest first.
     std::size_t queued_bytes = 0;
     std::size_t running = 0;
     double served = 0.0;       // Slot time used in the decaying window, in microseconds.
@@ -132,11 +137,15 @@
     TimePoint completed_at{};  // When a call last completed.
 
     std::size_t Count() const { return queue.size() + late.size(); }
+    // Whether calls with different targets may wait in this lane.
+    bool IsShared() const { return priorities.size() > 1; }
+    // Returns the call that is dispatched next; there must be one.
+    const AdmissionCall& Front() const { return queue.empty() ? late.front() : queue.front(); }
   };
 
   struct Running {
     TimePoint since{};
-    std::size_t lane = 0;
+    std::size_t priority_index = 0;
   };
 
   struct Queued {
@@ -145,6 +154,19 @@
     std::list<AdmissionCall>::iterator position;
   };
 
+  std::size_t LaneOf(std::size_t priority_index) const;
+  // Whether the next call of a lane, which must have one, is held back.
+  bool IsFrontHeld(const Lane& lane, const IsHeld& is_held) const {
+    return is_held && is_held(m_priorities[lane.Front().priority_index].id);
+  }
+  // Returns the call under the least urgent priority if its own does not exist.
+  AdmissionCall WithKnownPriority(const AdmissionCall& call) const;
+  // Adds the statistics of an earlier lane to the lane that its most urgent priority now has.
+  void MoveStatistics(const Lane& old, std::span<const std::size_t> new_index,
+                      std::vector<Lane>& lanes) const;
+  // Moves calls to the lanes of their priorities, whose indices are replaced by `new_index`.
+  void MoveCalls(std::list<AdmissionCall>& calls, std::span<const std::size_t> new_index,
+                 std::vector<Lane>& lanes, std::list<AdmissionCall> Lane::*target);
   std::size_t Limit() const { return std::min(static_cast<std::size_t>(m_limit), m_max_in_flight); }
   bool HasFreeSlot() const { return m_running.size() < Limit(); }
   bool CanStart() const {
@@ -195,7 +217,10 @@
   void AdaptLimit(SlotResult result, TimePoint dispatched, TimePoint now);
 
   AdmissionLimits m_limits;
-  std::vector<Lane> m_lanes;  // By priority index; at least one.
+  std::vector<Priority> m_priorities;  // Ordered by rank; at least one.
+  std::unordered_map<PriorityId, std::size_t> m_priority_indices;
+  std::vector<std::size_t> m_lane_of;  // By priority index.
+  std::vector<Lane> m_lanes;           // Most urgent first; at least one.
   std::unordered_map<OwnedCallId, Queued> m_queued;
   std::set<std::pair<TimePoint, OwnedCallId>> m_deadlines;  // Deadlines of the queued calls.
   std::vector<OwnedCallId> m_expired;                       // To be returned by PopExpired.
--- a/src/libs/policy/retryafter.cpp
+++ b/src/libs/policy/retryafter.cpp
@@ -1,7 +1,7 @@
 #include "policy/retryafter.h"
 
 #include <algorithm>
-#include <set>
+#include <vector>
 
 namespace damaskhollow {
 
@@ -23,15 +23,14 @@
 }  // namespace
 
 std::size_t UrgencyOf(const Declaration& declaration, std::size_t priority_index) {
-  std::set<std::size_t> more_urgent;
-  const std::size_t end = std::min(priority_index, declaration.priorities.size());
-  for (std::size_t index = 0; index < end; ++index) {
-    more_urgent.insert(declaration.priorities[index].group);
+  // Groups do not decrease, so that each change of the group begins a new one.
+  const std::vector<Priority>& priorities = declaration.priorities;
+  const std::size_t end = std::min(priority_index + 1, priorities.size());
+  std::size_t more_urgent = 0;
+  for (std::size_t index = 1; index < end; ++index) {
+    if (priorities[index].group != priorities[index - 1].group) ++more_urgent;
   }
-  if (priority_index < declaration.priorities.size()) {
-    more_urgent.erase(declaration.priorities[priority_index].group);
-  }
-  return more_urgent.size();
+  return more_urgent;
 }
 
 std::chrono::milliseconds SpreadRetryAfter(const RefusedCall& call, RandomSource& random) {
--- a/src/libs/policy/serverscores.cpp
+++ b/src/libs/policy/serverscores.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 
 namespace damaskhollow {
 
@@ -94,8 +95,8 @@
     case AttemptResult::kNoBackend:
       return RecordNoBackend(now);
     case AttemptResult::kOverloaded:
-      if (m_overloaded_at.size() <= priority_index) m_overloaded_at.resize(priority_index + 1);
-      m_overloaded_at[priority_index] = now;
+      m_overloaded_at.erase(m_overloaded_at.lower_bound(priority_index), m_overloaded_at.end());
+      m_overloaded_at.emplace(priority_index, now);
       [[fallthrough]];
     case AttemptResult::kRefused:
     case AttemptResult::kCancelled:
@@ -161,13 +162,11 @@
 }
 
 double ServerScore::ShareAfterOverload(std::size_t priority_index, TimePoint now) const {
-  double share = 1.0;
-  for (std::size_t index = 0; index < m_overloaded_at.size() && index <= priority_index; ++index) {
-    if (!m_overloaded_at[index]) continue;
-    const double age = Microseconds(now - *m_overloaded_at[index]);
-    share = std::min(share, age / kOverloadMemoryUs);
-  }
-  return share;
+  // Of the priorities up to this one, the least urgent entry is the newest.
+  const auto next = m_overloaded_at.upper_bound(priority_index);
+  if (next == m_overloaded_at.begin()) return 1.0;
+  const double age = Microseconds(now - std::prev(next)->second);
+  return std::min(1.0, age / kOverloadMemoryUs);
 }
 
 double ServerScore::ServiceTime(Duration typical, TimePoint now) const {
--- a/src/libs/policy/serverscores.h
+++ b/src/libs/policy/serverscores.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -120,7 +121,9 @@
   TimePoint m_state_until{};  // End of the suspension, or time since which a trial is due.
   CallId m_trial;
   bool m_ejected = false;
-  std::vector<std::optional<TimePoint>> m_overloaded_at;  // By priority index.
+  // When the server last refused a call of a priority for overload, by priority index. Entries that
+  // a later refusal of a more urgent priority makes irrelevant are removed.
+  std::map<std::size_t, TimePoint> m_overloaded_at;
   std::optional<TimePoint> m_ramp_from;
 };
 
