Translate every configuration that the store can hold

Cause: platform/rulestranslator passed values on which src/libs/declaration then refused, and nothing tied the two. Besides priorities these were limits of callers (16 MB of header, 2 GB of body, idle time-outs of 25 h and of 0), names that are equal or empty once they are UTF-8, ids of refused routes, more than 20 days, numbers beyond doubles, values nested 1,024 deep, a field name written with an escape, and the settings' retry ratio above 2.

Change: the translation checks its own text with the parser before it offers it. Entries that the parser refuses are treated as unreadable and logged as errors of the translation (translation_refused) with the entry's path. Numbers are clamped to the limits in declarationlimits.h, which the parser uses too; they are logged as value_clamped and counted in the gauge clamped_values and in /status. Weights are scaled, ranks become dense groups in the operator's order, characters that UTF-8 loses are escaped in names, and text beyond the JSON library's limits is parsed with the nearest values. Faults are kept up to 100, and counted beyond. Slots of an instance and the settings' grace, cold slack and descriptors are clamped alike.

These values say what is meant; the rows now ask that the route is served and the clamped field named, and rows for a time of 0 and for nesting that does not end ask for the refusal. The check that counts faults now counts both kinds apart.

--- a/src/libs/configuration/vmlist.cpp
+++ b/src/libs/configuration/vmlist.cpp
@@ -8,12 +8,12 @@
 #include <string>
 
 #include "base/endpoint.h"
+#include "declaration/declarationlimits.h"
 
 namespace damaskhollow {
 
 namespace {
 
-constexpr int kMaxSlots = 10000;
 constexpr char kLive[] = "live";
 constexpr char kLeaving[] = "leaving";
 
@@ -42,7 +42,8 @@
   const Result<Endpoint> peer_address = ParseEndpoint(server.peer_address);
   const bool has_addresses =
       address && address.value().port > 0 && peer_address && peer_address.value().port > 0;
-  if (server.service.IsEmpty() || !has_addresses || slots < 1 || slots > kMaxSlots) {
+  if (server.service.IsEmpty() || !has_addresses || slots < 1 ||
+      slots > static_cast<int>(kMaxSlots)) {
     return std::nullopt;
   }
   server.slots = static_cast<std::size_t>(slots);
--- a/src/libs/control/controlservice.cpp
+++ b/src/libs/control/controlservice.cpp
@@ -3,6 +3,8 @@
 #include <QMetaObject>
 #include <algorithm>
 #include <limits>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "configuration/documentversion.h"
@@ -183,8 +185,10 @@
   auto joined = std::make_shared<Declaration>(*rules);
   joined->backend_servers.clear();
   // Servers of a service that the rules do not declare yet are left out until the rules declare it.
+  std::unordered_set<std::string_view> services;
+  for (const Service& service : joined->services) services.insert(service.id.Value());
   for (const BackendServer& server : *m_inventory) {
-    if (joined->FindService(server.service) != nullptr) joined->backend_servers.push_back(server);
+    if (services.contains(server.service.Value())) joined->backend_servers.push_back(server);
   }
   Budgets& budgets = joined->budgets;
   if (budgets.fleet_retry_floor) {
@@ -200,6 +204,7 @@
   m_bootstrap.reset();
   m_declaration = declaration;
   m_context.metrics.Set(Metric::kUnreadableEntries, declaration->unreadable_entries);
+  m_context.metrics.Set(Metric::kClampedValues, declaration->clamped_values);
   m_apply(declaration, version);
   const std::vector<FleetNode> nodes = NodesOf(*declaration);
   auto locations = std::make_shared<LocationMap>();
@@ -644,6 +649,7 @@
   if (m_declaration) {
     configuration.insert("unreadable_entries",
                          static_cast<qint64>(m_declaration->unreadable_entries));
+    configuration.insert("clamped_values", static_cast<qint64>(m_declaration->clamped_values));
   }
   status.insert("configuration", configuration);
   QJsonObject list;
--- a/src/libs/metrics/metricsregistry.cpp
+++ b/src/libs/metrics/metricsregistry.cpp
@@ -82,6 +82,8 @@
      "Time that work takes on this VM now; 100 is as usual."},
     {Metric::kUnreadableEntries, "unreadable_entries", "gauge",
      "Entries of the configuration in force that cannot be read."},
+    {Metric::kClampedValues, "clamped_values", "gauge",
+     "Values of the configuration in force beyond what a node can use."},
     {Metric::kEvacuatedDataCentres, "evacuated_data_centres", "gauge",
      "Data centres whose backend servers get no new calls."},
     {Metric::kColdStartDelays, "cold_start_delays_total", "counter",
--- a/src/libs/metrics/metricsregistry.h
+++ b/src/libs/metrics/metricsregistry.h
@@ -58,6 +58,7 @@
   kServers,
   kSlownessPercent,
   kUnreadableEntries,
+  kClampedValues,
   kEvacuatedDataCentres,
   kColdStartDelays,
   kCount,
--- a/tests/auto/platform/tst_rulestranslator.cpp
+++ b/tests/auto/platform/tst_rulestranslator.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/randomsource.h"
+#include "declaration/declarationparser.h"
 #include "platform/rulestranslator.h"
 
 namespace damaskhollow {
@@ -42,6 +43,9 @@
   CPPUNIT_TEST(TranslatesOnlyChangedRoutes);
   CPPUNIT_TEST(YieldsTheSameWithAnyKnownRoutes);
   CPPUNIT_TEST(InvalidConfigurationKeepsTheKnownRoutes);
+  CPPUNIT_TEST(RefusedEntriesHarmOnlyThemselves);
+  CPPUNIT_TEST(FailureOutsideOfEntriesIsReported);
+  CPPUNIT_TEST(FaultsAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -96,6 +100,81 @@
     CPPUNIT_ASSERT(!TranslateRules(bad, context, routes));
     CPPUNIT_ASSERT(before == routes);
   }
+
+  // Guards against a fault of the translation that costs all routes: an entry whose translation the
+  // declaration refuses is treated as unreadable, and is reported as a fault of the translation.
+  void RefusedEntriesHarmOnlyThemselves() {
+    struct Row {
+      std::string refused;  // Text with which the check refuses an entry.
+      std::string field;    // Of the declaration.
+      bool refuses_unreadable;
+      std::string_view path;
+      std::size_t faults;  // Of the translation.
+    };
+    const std::vector<Row> rows{
+        {"\"id\":\"r2\"", "routes[1].id", false, "op/config: routes[1].", 1},
+        {"\"path_prefix\":\"/2/\"", "routes[1].path_prefix", true, "op/config: routes[1].", 2},
+        {"\"id\":\"portail\"", "services[0].id", false, "op/config: services[0].", 1}};
+    for (const Row& row : rows) {
+      platform::RulesContext refusing = context;
+      refusing.check = [&row](std::string_view text) {
+        std::vector<Failure> failures = platform::DeclarationChecker()(text);
+        if (text.find(row.refused) != std::string_view::npos) {
+          failures.push_back({FailureCode::kWrongType, "translation: " + row.field, "is refused"});
+        }
+        return failures;
+      };
+      TranslatedRoutes routes;
+      const std::vector<std::string> texts{RouteText(1, 1), RouteText(2, 1), RouteText(3, 1)};
+      const Result<TranslatedRules> rules =
+          TranslateRules(Configuration(1, texts), refusing, routes);
+      CPPUNIT_ASSERT(rules);
+      const ParsedDeclaration parsed = ParseDeclaration("rules", rules.value().text);
+      CPPUNIT_ASSERT(parsed.failures.empty());
+      const bool is_route = row.field.starts_with("routes");
+      const Route* refused = parsed.declaration.FindRoute("h.example", "/2/x");
+      CPPUNIT_ASSERT_EQUAL(row.refuses_unreadable, refused == nullptr);
+      CPPUNIT_ASSERT(refused == nullptr || refused->unreadable);
+      for (const char* path : {"/1/x", "/3/x"}) {
+        const Route* other = parsed.declaration.FindRoute("h.example", path);
+        CPPUNIT_ASSERT(other != nullptr);
+        CPPUNIT_ASSERT_EQUAL(!is_route, other->unreadable);
+      }
+      std::size_t of_translation = 0;
+      for (const platform::EntryFault& fault : rules.value().faults.Kept()) {
+        if (!fault.is_of_translation) continue;
+        ++of_translation;
+        CPPUNIT_ASSERT(fault.failure.subject.starts_with(row.path));
+      }
+      CPPUNIT_ASSERT_EQUAL(row.faults, of_translation);
+    }
+  }
+
+  // Guards against a translation that goes on for ever when no entry explains a failure.
+  void FailureOutsideOfEntriesIsReported() {
+    platform::RulesContext refusing = context;
+    int checks = 0;
+    refusing.check = [&checks](std::string_view) {
+      ++checks;
+      return std::vector<Failure>{{FailureCode::kWrongType, "translation: budgets", "is refused"}};
+    };
+    TranslatedRoutes routes;
+    CPPUNIT_ASSERT(!TranslateRules(Configuration(1, {RouteText(1, 1)}), refusing, routes));
+    CPPUNIT_ASSERT_EQUAL(1, checks);
+    CPPUNIT_ASSERT(routes.empty());
+  }
+
+  // Guards against memory and log lines for each of the hundreds of thousands of entries that a
+  // configuration can have.
+  void FaultsAreBounded() {
+    constexpr std::size_t kEntries = 10000;
+    TranslatedRoutes routes;
+    const Result<TranslatedRules> rules =
+        TranslateRules(Configuration(1, std::vector<std::string>(kEntries, "1")), context, routes);
+    CPPUNIT_ASSERT(rules);
+    CPPUNIT_ASSERT_EQUAL(kEntries, rules.value().faults.UnreadableCount());
+    CPPUNIT_ASSERT(rules.value().faults.Kept().size() < kEntries / 10);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RulesTranslatorTest);
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -50,6 +50,7 @@
 struct PlatformFleetOptions {
   std::size_t nodes = 2;
   bool two_regions = false;    // Nodes with odd indices are in the region "east".
+  double retry_ratio = 0.2;    // The platform's bound on retries.
   bool interruptions = false;  // Nodes preload the library of tests/support/interruptions.
 };
 
@@ -129,6 +130,7 @@
   QString InterruptionsPath(std::size_t index) const;
 
   const bool m_with_interruptions;
+  const double m_retry_ratio;
   QTemporaryDir m_folder;
   HttpClient m_client;
   StandInStore m_store;
