--- a/review/stand-ins-3/rig.cpp
+++ b/review/stand-ins-3/rig.cpp
@@ -666,12 +666,12 @@
   return false;
 }
 
-std::size_t Node::MemoryBytes() const {
-  std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
-  std::size_t total = 0;
-  std::size_t resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+std::size_t Node::PeakMemoryBytes() const {
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("VmHWM:")) return std::stoul(line.substr(6)) * 1024;
+  }
+  return 0;
 }
 
 std::string Configuration(int version, const std::vector<RouteOptions>& routes,
--- a/review/stand-ins-3/rig.h
+++ b/review/stand-ins-3/rig.h
@@ -214,7 +214,8 @@
   void KillAndWait();
   bool IsReady() const;
   bool WaitReady(double timeout_ms) const;
-  std::size_t MemoryBytes() const;  // Resident; 0 if there is no process.
+  // The most memory that the process has had resident; 0 if there is no process.
+  std::size_t PeakMemoryBytes() const;
   const NodeOptions& Options() const { return m_options; }
   const std::string& Ip() const { return m_options.ip; }
 
