review: case 13, publications reach instances that are gone

Cause: a removal of many instances is held back for 2 s, and readers other than the first pause 750 ms after a change. Together that is more than the bound of 2.5 s when the first reader is cut off from the store.

--- a/review/stand-ins-3/largebody.cpp
+++ b/review/stand-ins-3/largebody.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int kMachines = 4;
 constexpr int kUploads = 3;  // On each machine of the other service.
 constexpr std::size_t kLargeBytes = 66000000;
 constexpr std::size_t kSmallBytes = 24000;
@@ -35,13 +36,14 @@
     fleet.End(2);
   }
   const std::size_t bytes = rig::WithTrouble() ? kLargeBytes : kSmallBytes;
-  std::vector<int> kills(rig::Deployment::kMachines);
-  std::vector<std::size_t> peaks(rig::Deployment::kMachines);
+  std::vector<int> kills(kMachines);
+  std::vector<std::size_t> peaks(kMachines);
   std::atomic<bool> is_over{false};
+  std::atomic<bool> has_platform_ended{false};
   std::mutex lock;
   std::thread platform([&] {
-    while (!is_over) {
-      for (int machine = 0; machine < rig::Deployment::kMachines; ++machine) {
+    while (!has_platform_ended) {
+      for (int machine = 0; machine < kMachines; ++machine) {
         rig::Node& node = *fleet.nodes[machine];
         const std::size_t peak = node.PeakMemoryBytes();
         peaks[machine] = std::max(peaks[machine], peak);
@@ -65,7 +67,7 @@
   std::atomic<int> small_closed{0};
   std::vector<std::string> closed;
   std::vector<std::thread> small;
-  for (int client = 0; client < rig::Deployment::kMachines; ++client) {
+  for (int client = 0; client < kMachines; ++client) {
     small.emplace_back([&, client] {
       for (int number = 0; !is_over; ++number) {
         const std::string id = "small-" + std::to_string(client) + "-" + std::to_string(number);
@@ -105,8 +107,10 @@
     }
   }
   is_over = true;
-  platform.join();
   for (std::thread& client : small) client.join();
+  // The processes that this thread has started end with it.
+  has_platform_ended = true;
+  platform.join();
   std::set<std::string> ran;
   for (const auto& instance : fleet.instances) {
     for (const rig::Run& run : instance->Runs()) {
@@ -120,7 +124,7 @@
   int ran_unanswered = 0;
   for (const std::string& id : closed) ran_unanswered += ran.contains(id) ? 1 : 0;
   int affected = 0;
-  for (int machine = 0; machine < rig::Deployment::kMachines; ++machine) {
+  for (int machine = 0; machine < kMachines; ++machine) {
     Record::Line("machine " + fleet.nodes[machine]->Ip() + ": most memory " +
                  std::to_string(peaks[machine]) + " bytes, ended " +
                  std::to_string(kills[machine]) + " times");
--- a/review/stand-ins-3/pipelined.cpp
+++ b/review/stand-ins-3/pipelined.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int kMachines = 4;
 constexpr int kClients = 24;
 constexpr int kDeadlineMs = 2500;
 constexpr int kTimeoutMs = 1200;  // Of the route.
@@ -42,7 +43,7 @@
   for (int client = 0; client < kClients; ++client) {
     clients.emplace_back([&, client] {
       rig::SleepMs(250.0 * client);
-      const std::string& ip = fleet.nodes[client % rig::Deployment::kMachines]->Ip();
+      const std::string& ip = fleet.nodes[client % kMachines]->Ip();
       const std::string name = "c" + std::to_string(client);
       const std::string one = rig::RequestText("POST", "/browse/" + name + "-1", "depot.example",
                                                name + "-1", kDeadlineMs, "small query");
--- a/review/stand-ins-3/rig.cpp
+++ b/review/stand-ins-3/rig.cpp
@@ -40,6 +40,14 @@
   return address;
 }
 
+// Returns an address as it stands in the system's table of connections.
+std::string TableName(const sockaddr_in& address) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%08X:%04X", address.sin_addr.s_addr,
+                ntohs(address.sin_port));
+  return text.data();
+}
+
 int Listen(const std::string& ip, int port) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -256,18 +264,12 @@
   ::getpeername(m_descriptor, reinterpret_cast<sockaddr*>(&peer), &size);
   int unsent = 0;
   ::ioctl(m_descriptor, SIOCOUTQ, &unsent);
-  const auto name = [](const sockaddr_in& address) {
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%08X:%04X", address.sin_addr.s_addr,
-                  ntohs(address.sin_port));
-    return std::string(text.data());
-  };
   std::ifstream table("/proc/net/tcp");
   for (std::string line; std::getline(table, line);) {
     std::istringstream fields(line);
     std::string number, local, remote, state, queues;
     fields >> number >> local >> remote >> state >> queues;
-    if (local != name(peer) || remote != name(own)) continue;
+    if (local != TableName(peer) || remote != TableName(own)) continue;
     return std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16) +
            static_cast<std::size_t>(unsent);
   }
@@ -435,45 +437,72 @@
   }
 }
 
+StorePath::StorePath(const std::string& ip, int port, std::string store_ip)
+    : m_port(port),
+      m_store_ip(std::move(store_ip)),
+      m_server(ip, port, [this](Socket& socket) { Serve(socket); }) {}
+
+void StorePath::Serve(Socket& socket) {
+  Socket store;
+  if (m_is_cut || !store.Connect(m_store_ip, m_port, 1000)) {
+    // The peer waits until it gives up.
+    while (m_is_cut && !socket.PeerClosed()) SleepMs(10);
+    return;
+  }
+  std::array<char, 65536> bytes{};
+  for (;;) {
+    std::array<pollfd, 2> waiting{pollfd{socket.Descriptor(), POLLIN, 0},
+                                  pollfd{store.Descriptor(), POLLIN, 0}};
+    ::poll(waiting.data(), waiting.size(), 10);
+    if (m_is_cut) {
+      // A connection that was cut never works again.
+      while (!socket.PeerClosed()) SleepMs(10);
+      return;
+    }
+    for (std::size_t side = 0; side < waiting.size(); ++side) {
+      if (waiting[side].revents == 0) continue;
+      Socket& from = side == 0 ? socket : store;
+      Socket& to = side == 0 ? store : socket;
+      const ssize_t count = ::recv(from.Descriptor(), bytes.data(), bytes.size(), 0);
+      if (count <= 0) return;
+      const std::string text(bytes.data(), static_cast<std::size_t>(count));
+      if (side == 0 && text.starts_with("GET /v1/kv-watch?prefix=servers")) m_last_watch = NowMs();
+      if (!to.Send(text)) return;
+    }
+  }
+}
+
 Instance::Instance(InstanceOptions options, Store& store)
     : m_options(std::move(options)),
       m_store(store),
       m_born(std::chrono::duration_cast<std::chrono::milliseconds>(
                  std::chrono::system_clock::now().time_since_epoch())
                  .count()),
-      m_server(m_options.ip, m_options.port, [this](Socket& socket) { Serve(socket); }) {
-  m_beats = std::thread([this] {
-    double next = NowMs();
-    while (!m_stopped) {
-      SleepMs(20);
-      if (!m_registered || NowMs() < next) continue;
-      next = NowMs() + 1500;
-      Register(m_state);
-    }
-  });
-}
-
-Instance::~Instance() {
-  m_stopped = true;
-  m_beats.join();
-}
+      m_server(m_options.ip, m_options.port, [this](Socket& socket) { Serve(socket); }) {}
 
 void Instance::Register(const std::string& state) {
   const std::lock_guard lock(m_lock);
   m_state = state;
-  m_registered = true;
   m_store.Put("servers/" + m_options.id,
               "{\"service\":" + Json(m_options.service) +
                   ",\"address\":" + Json(m_options.ip + ":" + std::to_string(m_options.port)) +
-                  ",\"zone\":" + Json(m_options.zone) + ",\"configVersion\":\"v1\",\"slots\":" +
-                  std::to_string(m_options.slots) + ",\"state\":" + Json(state) +
-                  ",\"cold\":\"0ms\",\"seq\":" + std::to_string(++m_sequence) +
+                  ",\"zone\":" + Json(m_options.zone) +
+                  ",\"configVersion\":\"v1\",\"slots\":" + std::to_string(m_options.slots) +
+                  ",\"state\":" + Json(state) + ",\"cold\":\"" + std::to_string(m_options.cold_ms) +
+                  "ms\",\"seq\":" + std::to_string(++m_sequence) +
                   ",\"born\":" + std::to_string(m_born) + "}");
 }
 
+void Instance::SetCold(int cold_ms) {
+  {
+    const std::lock_guard lock(m_lock);
+    m_options.cold_ms = cold_ms;
+  }
+  Register(m_state);
+}
+
 void Instance::Unregister() {
   const std::lock_guard lock(m_lock);
-  m_registered = false;
   m_store.Delete("servers/" + m_options.id);
 }
 
@@ -484,7 +513,9 @@
 
 void Instance::Serve(Socket& socket) {
   Message request;
+  if (m_has_ended) return socket.Reset();
   while (socket.Read(request, NowMs() + 10000)) {
+    if (m_has_ended) return socket.Reset();
     const auto load = [&] {
       return "Instance-Load: " + std::to_string(m_running.load()) + "," +
              std::to_string(m_waiting.load()) + "," + std::to_string(m_options.slots) +
@@ -539,8 +570,10 @@
     }
     double work = m_options.work ? m_options.work(request) : -1.0;
     if (work < 0) work = m_options.work_ms;
-    SleepMs(work);
+    const double done = NowMs() + work;
+    while (NowMs() < done && !m_has_ended) SleepMs(std::min(10.0, done - NowMs()));
     --m_running;
+    if (m_has_ended) return socket.Reset();
     if (m_options.answer && m_options.answer(request, socket)) {
       if (socket.Descriptor() < 0) return;
       continue;
@@ -596,7 +629,7 @@
       {"listen.inbound", at(m_ports.inbound)},
       {"listen.ready", at(m_ports.ready)},
       {"internalPorts.0", std::to_string(m_ports.peer)},
-      {"provider.address", m_ports.Ip(250) + ":" + std::to_string(m_ports.store)},
+      {"provider.address", at(m_ports.store)},
       {"limits.memoryMb", std::to_string(m_options.memory_mb)},
       {"limits.maxFds", "4100"},
       {"bounds.budgetRatio", "0.2"},
@@ -698,12 +731,16 @@
          ",\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}";
 }
 
-Deployment::Deployment(const std::function<void(int, InstanceOptions&)>& adapt)
-    : ports(Ports::Find(kMachines)), folder(MakeFolder()), store(ports.Ip(250), ports.store) {
-  const std::map<std::string, std::string> zones{{"brest-a", "finistere"},
-                                                 {"rennes-a", "ille-vilaine"}};
-  for (int machine = 0; machine < kMachines; ++machine) {
-    const std::string zone = machine < kMachines / 2 ? "brest-a" : "rennes-a";
+Deployment::Deployment(const std::function<void(int, InstanceOptions&)>& adapt, int machines,
+                       bool one_region)
+    : ports(Ports::Find(machines)), folder(MakeFolder()), store(ports.Ip(250), ports.store) {
+  const std::map<std::string, std::string> zones{
+      {"brest-a", "finistere"},
+      {one_region ? "quimper-b" : "rennes-a", one_region ? "finistere" : "ille-vilaine"}};
+  for (int machine = 0; machine < machines; ++machine) {
+    const std::string zone = machine < machines / 2 ? "brest-a"
+                             : one_region           ? "quimper-b"
+                                                    : "rennes-a";
     const std::string service = machine % 2 == 0 ? "portail" : "entrepot";
     InstanceOptions instance;
     instance.id = "i-" + std::to_string(machine + 1);
@@ -712,6 +749,7 @@
     instance.port = ports.app;
     instance.zone = zone;
     if (adapt) adapt(machine, instance);
+    paths.push_back(std::make_unique<StorePath>(instance.ip, ports.store, ports.Ip(250)));
     instances.push_back(std::make_unique<Instance>(instance, store));
     NodeOptions node;
     node.ip = instance.ip;
--- a/review/stand-ins-3/rig.h
+++ b/review/stand-ins-3/rig.h
@@ -118,6 +118,25 @@
   Server m_server;
 };
 
+// The path from one machine to the store. While it is cut, nothing arrives in either direction and
+// nothing is reset; what is held up is lost when its sender gives up.
+class StorePath {
+ public:
+  StorePath(const std::string& ip, int port, std::string store_ip);
+  void SetCut(bool is_cut) { m_is_cut = is_cut; }
+  // The time at which the machine last sent a watch of the list of instances.
+  double LastWatchMs() const { return m_last_watch; }
+
+ private:
+  void Serve(Socket& socket);
+
+  const int m_port;
+  const std::string m_store_ip;
+  std::atomic<bool> m_is_cut{false};
+  std::atomic<double> m_last_watch{0.0};
+  Server m_server;
+};
+
 // One run of a request at an instance.
 struct Run {
   std::string instance;
@@ -141,6 +160,7 @@
   int slots = 9;
   int queue = 18;
   double work_ms = 20.0;
+  int cold_ms = 0;
   bool keeps_bodies = false;
   // Returns the time that this request takes; -1 for the usual one.
   std::function<double(const Message&)> work;
@@ -151,10 +171,15 @@
 class Instance {
  public:
   Instance(InstanceOptions options, Store& store);
-  ~Instance();
 
+  // Writes the entry. What an instance writes later changes only `seq`, which changes nothing in
+  // the store.
   void Register(const std::string& state = "ready");
   void Unregister();
+  // Changes how much longer the instance says that it remains slow.
+  void SetCold(int cold_ms);
+  // The instance ends: what it works on is lost, and nothing is accepted any more.
+  void Exit() { m_has_ended = true; }
   std::vector<Run> Runs() const;
   const InstanceOptions& Options() const { return m_options; }
 
@@ -167,12 +192,10 @@
   std::vector<Run> m_runs;
   std::atomic<int> m_running{0};
   std::atomic<int> m_waiting{0};
-  std::atomic<bool> m_registered{false};
   std::string m_state = "ready";
+  std::atomic<bool> m_has_ended{false};
   std::uint64_t m_sequence = 0;
   std::int64_t m_born = 0;
-  std::atomic<bool> m_stopped{false};
-  std::thread m_beats;
   Server m_server;
 };
 
@@ -246,11 +269,13 @@
                           std::size_t max_header_bytes = 16384,
                           std::size_t max_body_bytes = 67108864);
 
-// Four machines in two zones and regions with the services portail and entrepot, and the store.
+// Machines in two zones, by default of two regions, with the services portail and entrepot by
+// turns, and the store.
 class Deployment {
  public:
   // `options` of each instance is adapted before it starts.
-  explicit Deployment(const std::function<void(int, InstanceOptions&)>& adapt = {});
+  explicit Deployment(const std::function<void(int, InstanceOptions&)>& adapt = {},
+                      int machines = 4, bool one_region = false);
 
   // Writes the configuration, registers the instances, starts the nodes and waits until all are
   // ready and their links are up. Returns false on a timeout.
@@ -259,10 +284,10 @@
   // Ends all processes, removes the folder and ends the program with this status.
   [[noreturn]] void End(int status);
 
-  static constexpr int kMachines = 4;
   Ports ports;
   std::string folder;
   Store store;
+  std::vector<std::unique_ptr<StorePath>> paths;  // By machine.
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Node>> nodes;
 };
