--- a/review/stand-ins-3/removal.cpp
+++ b/review/stand-ins-3/removal.cpp
@@ -22,7 +22,7 @@
 constexpr double kExitMs = 2700;   // That bound and the time that a request takes.
 constexpr double kWorkMs = 200;
 constexpr int kClientsPerMachine = 6;
-constexpr double kCutMs = 5500;  // The length of a core_cut in the site file.
+constexpr double kCutMs = 5300;  // Below the 5500 of a core_cut in the site file.
 constexpr double kBeforeMs = 1000;
 
 }  // namespace
@@ -85,8 +85,10 @@
     });
   }
   rig::SleepMs(2000);
+  double cut_at = rig::NowMs();
   if (rig::WithTrouble()) {
     fleet.paths[reader]->SetCut(true);
+    cut_at = rig::NowMs();
     Record::Line("machine " + fleet.nodes[reader]->Ip() + " is partitioned from the store");
   }
   rig::SleepMs(kBeforeMs);
@@ -103,8 +105,10 @@
   rig::SleepMs(kExitMs - (rig::NowMs() - gone.front()));
   for (const int machine : leaving) fleet.instances[machine]->Exit();
   Record::Line("the two instances exit");
-  rig::SleepMs(kCutMs - kBeforeMs - kExitMs);
+  rig::SleepMs(kCutMs - (rig::NowMs() - cut_at));
   fleet.paths[reader]->SetCut(false);
+  Record::Line("the partition, if there was one, ends after " +
+               std::to_string(static_cast<int>(rig::NowMs() - cut_at)) + " ms");
   rig::SleepMs(500);
   is_over = true;
   for (std::thread& client : clients) client.join();
